--- /dev/null
+++ b/src/main/java/org/orioleshed/fleet/Route.java
@@ -0,0 +1,18 @@
+package org.orioleshed.fleet;
+
+import java.util.Map;
+import org.orioleshed.model.RouteId;
+
+/**
+ * A name that callers ask for, and what it leads to.
+ *
+ * @param id the name
+ * @param target the model or service behind it
+ * @param calls for a service, each call's name and whether it is repeatable; empty for a model
+ */
+public record Route(RouteId id, Target target, Map<String, Boolean> calls) {
+    /** Copies the map. */
+    public Route {
+        calls = Map.copyOf(calls);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/fleet/World.java
@@ -0,0 +1,64 @@
+package org.orioleshed.fleet;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.model.WorkspaceId;
+
+/**
+ * What one entry host holds true of the fleet at one moment: its membership view, the settings in
+ * force, and the division of traffic between versions. Immutable; a change brings a new one.
+ *
+ * @param settingsRevision the revision of the settings in force; zero when none is known yet
+ * @param hosts the entry hosts of the membership view, the dead left out
+ * @param servers the backend servers
+ * @param routes the routes
+ * @param workspaces the workspaces
+ * @param splits for each route with a move under way, how its traffic divides
+ * @param currentVersions for each route without a move under way, the version to use; a route that
+ *     is missing takes any version
+ */
+public record World(
+        long settingsRevision,
+        Map<HostId, EntryHost> hosts,
+        Map<ServerId, BackendServer> servers,
+        Map<RouteId, Route> routes,
+        Map<WorkspaceId, Workspace> workspaces,
+        Map<RouteId, VersionSplit> splits,
+        Map<RouteId, VersionId> currentVersions) {
+    /** The world of a host that has heard nothing yet. */
+    public static final World EMPTY =
+            new World(0, Map.of(), Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
+
+    /** Copies the maps. */
+    public World {
+        hosts = Map.copyOf(hosts);
+        servers = Map.copyOf(servers);
+        routes = Map.copyOf(routes);
+        workspaces = Map.copyOf(workspaces);
+        splits = Map.copyOf(splits);
+        currentVersions = Map.copyOf(currentVersions);
+    }
+
+    /**
+     * Returns the version for one request on {@code route}, or empty when any will do.
+     *
+     * @param draw a number drawn evenly from 0 (inclusive) to 1 (exclusive)
+     */
+    public Optional<VersionId> version(RouteId route, double draw) {
+        VersionSplit split = splits.get(route);
+        if (split != null) {
+            return Optional.of(split.choose(draw));
+        }
+        return Optional.ofNullable(currentVersions.get(route));
+    }
+
+    /** Returns the servers that run {@code target}, leaving ones included, in no order. */
+    public List<BackendServer> serversOf(Target target) {
+        return servers.values().stream().filter(s -> s.target().equals(target)).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/fleet/package-info.java
@@ -0,0 +1,2 @@
+/** The world that decisions are made about: entry hosts, backend servers, workspaces, routes. */
+package org.orioleshed.fleet;
--- /dev/null
+++ b/src/main/java/org/orioleshed/model/WorkspaceId.java
@@ -0,0 +1,23 @@
+package org.orioleshed.model;
+
+/**
+ * Names a workspace.
+ *
+ * @param value the id, not blank, at most 200 characters
+ */
+public record WorkspaceId(String value) implements Comparable<WorkspaceId> {
+    /** Checks the argument. */
+    public WorkspaceId {
+        Ids.require(value, "workspace");
+    }
+
+    @Override
+    public int compareTo(WorkspaceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/model/package-info.java
@@ -0,0 +1,2 @@
+/** Value types that every layer shares: ids, tiers, requests and their outcomes. */
+package org.orioleshed.model;
--- /dev/null
+++ b/src/main/java/org/orioleshed/package-info.java
@@ -0,0 +1,2 @@
+/** The entry point of orioleshed, a request scheduler for unlike engines. */
+package org.orioleshed;
--- /dev/null
+++ b/src/main/java/org/orioleshed/request/Fate.java
@@ -0,0 +1,15 @@
+package org.orioleshed.request;
+
+import org.orioleshed.model.Outcome;
+
+/** What is known of a request key. */
+public sealed interface Fate {
+    /** No host that could be asked knows the key, and no claim stands for it. */
+    record Unknown() implements Fate {}
+
+    /** The request waits or runs. */
+    record Pending() implements Fate {}
+
+    /** The request has its final outcome. */
+    record Final(Outcome outcome) implements Fate {}
+}
