--- /dev/null
+++ b/src/main/java/org/orioleshed/model/PromptBlocks.java
@@ -0,0 +1,63 @@
+package org.orioleshed.model;
+
+import com.google.common.hash.Hashing;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Cuts a prompt into blocks of tokens and hashes its leading parts, as prefix caches do. */
+public final class PromptBlocks {
+    private PromptBlocks() {}
+
+    /**
+     * Returns the number of tokens in {@code prompt}, a token being a run of characters without
+     * white space.
+     */
+    public static int tokens(String prompt) {
+        int count = 0;
+        boolean inside = false;
+        for (int i = 0; i < prompt.length(); i++) {
+            boolean space = Character.isWhitespace(prompt.charAt(i));
+            if (!space && !inside) {
+                count++;
+            }
+            inside = !space;
+        }
+        return count;
+    }
+
+    /**
+     * Returns a hash for each whole leading part of {@link Work#PREFIX_BLOCK_TOKENS} tokens, the
+     * shortest first.
+     */
+    public static List<Long> hashes(String prompt) {
+        List<Long> hashes = new ArrayList<>();
+        int tokens = 0;
+        long previous = 0;
+        int blockStart = 0;
+        for (int i = 0; i < prompt.length(); i++) {
+            boolean endsToken =
+                    !Character.isWhitespace(prompt.charAt(i))
+                            && (i + 1 == prompt.length()
+                                    || Character.isWhitespace(prompt.charAt(i + 1)));
+            if (!endsToken) {
+                continue;
+            }
+            tokens++;
+            if (tokens % Work.PREFIX_BLOCK_TOKENS == 0) {
+                previous = chain(previous, prompt, blockStart, i + 1);
+                hashes.add(previous);
+                blockStart = i + 1;
+            }
+        }
+        return hashes;
+    }
+
+    private static long chain(long previous, String prompt, int start, int end) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putLong(previous)
+                .putUnencodedChars(prompt.subSequence(start, end))
+                .hash()
+                .asLong();
+    }
+}
