--- /dev/null
+++ b/src/test/java/org/orioleshed/peer/PeerNetworkTest.java
@@ -0,0 +1,173 @@
+package org.orioleshed.peer;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotNull;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Random;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.orioleshed.model.HostId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PeerNetwork} over loopback sockets. */
+public class PeerNetworkTest {
+    private static final HostId A = new HostId("a");
+    private static final HostId B = new HostId("b");
+    private static final long PATIENCE_SECONDS = 60;
+
+    @DataProvider
+    Object[][] sizes() {
+        return new Object[][] {{10}, {PeerLimits.DEFAULT.bulkBytes()}, {1 << 20}};
+    }
+
+    @Test(dataProvider = "sizes")
+    public void messagesArriveWholeOnEitherLane(int bytes) throws Exception {
+        byte[] message = new byte[bytes];
+        new Random(1).nextBytes(message);
+        LinkedBlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        InetSocketAddress address = freeAddress();
+        try (PeerNetwork b = network(B, address, received);
+                PeerNetwork a = network(A, freeAddress(), new LinkedBlockingQueue<>())) {
+            a.know(B, address);
+            a.send(B, MessageKind.ROUTING, message);
+            assertEquals(received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), message);
+            assertEquals(b.droppedMessages(), 0);
+        }
+        assertEquals(received.size(), 0);
+    }
+
+    @Test
+    public void unknownHostDropsTheMessage() throws Exception {
+        try (PeerNetwork a = network(A, freeAddress(), new LinkedBlockingQueue<>())) {
+            assertFalse(a.send(B, MessageKind.ROUTING, new byte[1]));
+            assertEquals(a.droppedMessages(), 1);
+        }
+    }
+
+    /** The first connection swallows all that is sent and stays open; a new one works. */
+    @Test
+    public void connectionGoneSilentIsReplacedAndNothingIsLost() throws Exception {
+        LinkedBlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        InetSocketAddress address = freeAddress();
+        try (PeerNetwork b = network(B, address, received);
+                SilencingProxy proxy = new SilencingProxy(address);
+                PeerNetwork a = network(A, freeAddress(), new LinkedBlockingQueue<>())) {
+            a.know(B, proxy.address());
+            a.send(B, MessageKind.ROUTING, new byte[] {1});
+            assertNotNull(received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            proxy.silence();
+            a.send(B, MessageKind.ROUTING, new byte[] {2});
+            assertEquals(received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), new byte[] {2});
+            assertEquals(received.size(), 0);
+            assertEquals(b.droppedMessages(), 0);
+        }
+    }
+
+    @Test
+    public void randomBytesCloseOnlyTheirConnection() throws Exception {
+        LinkedBlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
+        InetSocketAddress address = freeAddress();
+        try (PeerNetwork b = network(B, address, received);
+                PeerNetwork a = network(A, freeAddress(), new LinkedBlockingQueue<>())) {
+            byte[] garbage = new byte[4_096];
+            for (int seed = 0; seed < 20; seed++) {
+                new Random(seed).nextBytes(garbage);
+                try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+                    socket.getOutputStream().write(garbage);
+                } catch (IOException e) {
+                    // The other end may close first.
+                }
+            }
+            a.know(B, address);
+            a.send(B, MessageKind.MOVE, new byte[] {3});
+            assertEquals(received.poll(PATIENCE_SECONDS, TimeUnit.SECONDS), new byte[] {3});
+            assertEquals(b.droppedMessages(), 0);
+        }
+    }
+
+    private static PeerNetwork network(
+            HostId id, InetSocketAddress address, LinkedBlockingQueue<byte[]> received) {
+        return new PeerNetwork(
+                id, 1, address, PeerLimits.DEFAULT, (from, kind, body) -> received.add(body));
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(socket.getInetAddress(), socket.getLocalPort());
+        }
+    }
+
+    /** Passes bytes on until told to swallow those of the connections open by then. */
+    private static final class SilencingProxy implements AutoCloseable {
+        private final ServerSocket server =
+                new ServerSocket(0, 8, InetAddress.getLoopbackAddress());
+        private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+        private final InetSocketAddress target;
+        private volatile AtomicBoolean silent = new AtomicBoolean();
+
+        SilencingProxy(InetSocketAddress target) throws IOException {
+            this.target = target;
+            threads.execute(this::accept);
+        }
+
+        InetSocketAddress address() {
+            return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+        }
+
+        void silence() {
+            AtomicBoolean old = silent;
+            silent = new AtomicBoolean();
+            old.set(true);
+        }
+
+        private void accept() {
+            try {
+                while (true) {
+                    Socket near = server.accept();
+                    Socket far = new Socket(target.getAddress(), target.getPort());
+                    AtomicBoolean mine = silent;
+                    threads.execute(() -> copy(near, far, mine));
+                    threads.execute(() -> copy(far, near, mine));
+                }
+            } catch (IOException e) {
+                // Closed.
+            }
+        }
+
+        private static void copy(Socket from, Socket to, AtomicBoolean mute) {
+            try (from;
+                    to) {
+                InputStream in = from.getInputStream();
+                OutputStream out = to.getOutputStream();
+                byte[] buffer = new byte[8_192];
+                int read = in.read(buffer);
+                while (read >= 0) {
+                    if (!mute.get()) {
+                        out.write(buffer, 0, read);
+                    }
+                    read = in.read(buffer);
+                }
+            } catch (IOException e) {
+                // One end closed.
+            }
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            threads.shutdownNow();
+        }
+    }
+}
