--- a/src/main/java/org/orioleshed/host/HostEvent.java
+++ b/src/main/java/org/orioleshed/host/HostEvent.java
@@ -76,6 +76,13 @@
     /** The process was asked to stop: take nothing new, finish what runs. */
     record DrainAsked() implements HostEvent {}
 
+    /**
+     * The host's wall clock, for daily windows only; comes at the start and at least every minute.
+     *
+     * @param epochMillis milliseconds since 1970-01-01T00:00Z
+     */
+    record WallClock(long epochMillis) implements HostEvent {}
+
     /** Time passed; comes at least every 20 ms. */
     record Tick() implements HostEvent {}
 
