--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/Candidate.java
@@ -0,0 +1,24 @@
+package org.orioleshed.routing;
+
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ServerId;
+
+/**
+ * A backend server that a request may be offered to.
+ *
+ * @param server the server
+ * @param home the server's home, where the offer goes
+ * @param scoreMillis the expected time to the first token plus the cost of a slow stream, in
+ *     milliseconds; the lower the better
+ * @param waitMillis the expected wait for a place, in milliseconds
+ * @param uncachedTokens how many tokens of the prompt are not in the server's prefix cache, as far
+ *     as this host knows
+ */
+public record Candidate(
+        ServerId server, HostId home, long scoreMillis, long waitMillis, int uncachedTokens) {
+    /** Returns the server and its score, as {@code server:score}, for the log. */
+    @Override
+    public String toString() {
+        return server + ":" + scoreMillis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/LengthEstimate.java
@@ -0,0 +1,20 @@
+package org.orioleshed.routing;
+
+/** The mean length of answers, the later ones weighing more. */
+final class LengthEstimate {
+    private static final double NEW_SHARE = 0.05;
+
+    private double meanTokens;
+    private int samples;
+
+    void add(int tokens) {
+        samples++;
+        double share = Math.max(NEW_SHARE, 1.0 / samples);
+        meanTokens += share * (tokens - meanTokens);
+    }
+
+    /** Returns the mean, in tokens, at least one. */
+    int mean() {
+        return Math.max(1, (int) Math.round(meanTokens));
+    }
+}
--- a/src/main/java/org/orioleshed/routing/RoutingMessage.java
+++ b/src/main/java/org/orioleshed/routing/RoutingMessage.java
@@ -187,13 +187,15 @@
      * @param waitMillisByRank the expected wait of a request of each tier rank, in milliseconds,
      *     rank zero first
      * @param prefillTokensPerSecond the observed prefill speed
+     * @param tokenGapMillis the observed time between tokens at the present load, in milliseconds
      */
     record ServerLoad(
             ServerId server,
             int running,
             int limit,
             List<Long> waitMillisByRank,
-            int prefillTokensPerSecond) {
+            int prefillTokensPerSecond,
+            int tokenGapMillis) {
         /** Copies the list. */
         public ServerLoad {
             waitMillisByRank = List.copyOf(waitMillisByRank);
@@ -207,11 +209,18 @@
      * @param servers the number of servers that take work
      * @param freePlaces places free now over all of them
      * @param waitMillisByRank the shortest expected wait by tier rank, in milliseconds
+     * @param best the servers with the shortest wait, the best first; a few at most
      */
-    record ModelLoad(ModelId model, int servers, int freePlaces, List<Long> waitMillisByRank) {
-        /** Copies the list. */
+    record ModelLoad(
+            ModelId model,
+            int servers,
+            int freePlaces,
+            List<Long> waitMillisByRank,
+            List<ServerId> best) {
+        /** Copies the lists. */
         public ModelLoad {
             waitMillisByRank = List.copyOf(waitMillisByRank);
+            best = List.copyOf(best);
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/ServerIndex.java
@@ -0,0 +1,92 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+
+/** The backend servers of a world, laid out for choosing: by target, version and distance. */
+final class ServerIndex {
+    static final ServerIndex EMPTY = new ServerIndex(Homes.NONE, Map.of(), Map.of());
+
+    private final Homes homes;
+    private final Map<ServerId, KnownServer> byId;
+    private final Map<PoolKey, Pool> pools;
+
+    private ServerIndex(Homes homes, Map<ServerId, KnownServer> byId, Map<PoolKey, Pool> pools) {
+        this.homes = homes;
+        this.byId = byId;
+        this.pools = pools;
+    }
+
+    /** Returns the index of {@code world}; this one when neither hosts nor servers changed. */
+    ServerIndex in(HostId self, World world) {
+        Homes now = homes.in(world);
+        if (now == homes) {
+            return this;
+        }
+        EntryHost own = world.hosts().get(self);
+        Optional<FailureDomain> domain = Optional.ofNullable(own).map(EntryHost::domain);
+        Map<ServerId, KnownServer> known = new HashMap<>();
+        Map<PoolKey, Pool> newPools = new HashMap<>();
+        List<BackendServer> servers = new ArrayList<>(world.servers().values());
+        servers.sort(Comparator.comparing(BackendServer::id));
+        for (BackendServer server : servers) {
+            HostId home = now.homeOrNull(server.id());
+            if (server.leaving() || home == null) {
+                continue;
+            }
+            KnownServer entry = new KnownServer(server, home);
+            KnownServer earlier = byId.get(server.id());
+            if (earlier != null) {
+                entry.inherit(earlier);
+            }
+            known.put(server.id(), entry);
+            boolean near = domain.isPresent() && domain.get().equals(server.domain());
+            add(newPools, new PoolKey(server.target(), Optional.empty()), entry, near);
+            add(newPools, new PoolKey(server.target(), Optional.of(server.version())), entry, near);
+        }
+        return new ServerIndex(now, known, newPools);
+    }
+
+    Optional<KnownServer> server(ServerId id) {
+        return Optional.ofNullable(byId.get(id));
+    }
+
+    /** Returns the servers that run {@code target}, of one version if given. */
+    Pool pool(Target target, Optional<VersionId> version) {
+        return pools.getOrDefault(new PoolKey(target, version), Pool.NONE);
+    }
+
+    private static void add(
+            Map<PoolKey, Pool> pools, PoolKey key, KnownServer entry, boolean near) {
+        Pool pool = pools.computeIfAbsent(key, k -> new Pool(new ArrayList<>(), new ArrayList<>()));
+        (near ? pool.near() : pool.far()).add(entry);
+    }
+
+    /**
+     * Servers that can take the place of one another.
+     *
+     * @param near those of this host's failure domain
+     * @param far all others
+     */
+    record Pool(List<KnownServer> near, List<KnownServer> far) {
+        static final Pool NONE = new Pool(List.of(), List.of());
+
+        int size() {
+            return near.size() + far.size();
+        }
+    }
+
+    private record PoolKey(Target target, Optional<VersionId> version) {}
+}
