--- /dev/null
+++ b/src/test/java/org/orioleshed/settings/SettingsTreeTest.java
@@ -0,0 +1,135 @@
+package org.orioleshed.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.fleet.Workspace;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.Tier;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.model.WorkspaceId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link SettingsTree}. */
+public class SettingsTreeTest {
+    static SettingsTree tree(String text) {
+        return ((SettingsTree.Result.Loaded) SettingsTree.parse(text)).tree();
+    }
+
+    static List<Problem> problems(String text) {
+        return ((SettingsTree.Result.Problems) SettingsTree.parse(text)).problems();
+    }
+
+    @Test
+    public void anItemOverridesItsBranchAndABranchItsParent() {
+        SettingsTree tree = tree(SampleTree.TEXT);
+        assertEquals(tree.servers().get(new ServerId("suva-a-1")).places(), 4);
+        assertEquals(tree.servers().get(new ServerId("suva-a-2")).places(), 2);
+        assertEquals(tree.servers().get(new ServerId("suva-a-1")).generation(), "g1");
+        Workspace clerks = tree.workspaces().get(new WorkspaceId("clerks"));
+        assertEquals(clerks.weight(), 5);
+        assertEquals(clerks.maxWaiting(), 50);
+        assertEquals(clerks.maxOutputTokens(), 4000);
+        assertTrue(clerks.patience().isPresent());
+    }
+
+    @Test
+    public void nullTakesAnInheritedValueAway() {
+        Workspace stewards = tree(SampleTree.TEXT).workspaces().get(new WorkspaceId("stewards"));
+        assertEquals(stewards.patience(), Optional.empty());
+    }
+
+    @Test
+    public void aWorkspaceHasTheFleetsTiersButForWhatItOverrides() {
+        SettingsTree tree = tree(SampleTree.TEXT);
+        Workspace clerks = tree.workspaces().get(new WorkspaceId("clerks"));
+        assertEquals(clerks.tiers(), Map.of(Tier.URGENT, 10_000L, Tier.STANDARD, 86_400_000L));
+        assertEquals(clerks.defaultTier(), Tier.STANDARD);
+    }
+
+    @Test
+    public void theWorldHasLeavingMarksAndMovedVersions() {
+        ServerId marked = new ServerId("suva-a-1");
+        RouteId route = new RouteId("gangway");
+        World world =
+                tree(SampleTree.TEXT)
+                        .world(
+                                7,
+                                Map.of(),
+                                Map.of(marked, true),
+                                Map.of(),
+                                Map.of(route, new VersionId("v2")));
+        assertTrue(world.servers().get(marked).leaving());
+        assertFalse(world.servers().get(new ServerId("suva-a-2")).leaving());
+        assertEquals(world.currentVersions().get(route), new VersionId("v2"));
+        assertEquals(world.settingsRevision(), 7);
+    }
+
+    @DataProvider
+    Object[][] badTrees() {
+        return new Object[][] {
+            {"{\"tears\":{}}", "/tears", "tiers"},
+            {"{\"tiers\":{\"urgent\":{\"rank\":-1}}}", "/tiers/urgent/rank", ""},
+            {"{\"tiers\":{\"a\":{\"rank\":1},\"b\":{\"rank\":1}}}", "/tiers/b/rank", ""},
+            {"{\"routes\":{\"r\":{}}}", "/routes/r", ""},
+            {"{\"routes\":{\"r\":{\"model\":\"m\",\"service\":\"s\"}}}", "/routes/r", ""},
+            {
+                "{\"workspaces\":{\"items\":{\"w\":{\"wieght\":2}}}}",
+                "/workspaces/items/w/wieght",
+                "weight"
+            },
+            {
+                "{\"workspaces\":{\"items\":{\"w\":{\"defaultTier\":\"urgnt\"}}}}",
+                "/workspaces/items/w/defaultTier",
+                "urgent"
+            },
+            {
+                "{\"workspaces\":{\"itmes\":{}}}", "/workspaces/itmes", "items",
+            },
+            {
+                "{\"workspaces\":{\"items\":{\"w\":{\"patience\":{\"start\":\"20:00\","
+                        + "\"end\":\"25:00\",\"zone\":\"UTC\"}}}}}",
+                "/workspaces/items/w/patience/end",
+                ""
+            },
+            {
+                "{\"workspaces\":{\"items\":{\"w\":{}},\"branches\":{\"b\":{\"items\":{\"w\":{}}}}}}",
+                "/workspaces/items/w",
+                ""
+            },
+            {"{\"currentVersions\":{\"gangway\":\"v1\"}}", "/currentVersions/gangway", ""},
+            {"{\"limits\":{\"moveMaxUnprovenShare\":2}}", "/limits/moveMaxUnprovenShare", ""},
+            {"[]", "", ""},
+            {"{\"tiers\":{},\"tiers\":{}}", "", ""},
+            {"{", "", ""},
+        };
+    }
+
+    @Test(dataProvider = "badTrees")
+    public void namesThePathAndTheNearestName(String text, String path, String nearest) {
+        List<Problem> problems = problems(text);
+        assertEquals(problems.size(), 1, problems.toString());
+        assertEquals(problems.get(0).path(), path);
+        assertEquals(problems.get(0).nearest().orElse(""), nearest);
+        assertFalse(problems.get(0).allowed().isBlank());
+    }
+
+    @Test
+    public void reportsAllThatAServerLacksInOneGo() {
+        List<Problem> problems = problems("{\"servers\":{\"items\":{\"s\":{}}}}");
+        assertEquals(
+                problems.stream().map(Problem::path).toList(),
+                List.of(
+                        "/servers/items/s/domain",
+                        "/servers/items/s/address",
+                        "/servers/items/s/version",
+                        "/servers/items/s"));
+    }
+}
