--- /dev/null
+++ b/src/main/java/org/orioleshed/load/Experiment.java
@@ -0,0 +1,174 @@
+package org.orioleshed.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.orioleshed.load.FleetLayout.Server;
+import org.orioleshed.load.Result.End;
+
+/** Sends a scenario's load to a running fleet and reports what came of it. */
+final class Experiment {
+    private static final double MILLIS_PER_SECOND = 1_000;
+    private static final long READY_WITHIN_MILLIS = 60_000;
+    private static final long READY_POLL_MILLIS = 100;
+    private static final long PROGRESS_SECONDS = 5;
+    private static final int TIMER_THREADS = 2;
+
+    private final FleetLayout layout;
+    private final Scenario scenario;
+    private final double seconds;
+    private final long seed;
+    private final PrintStream out;
+    private final Http http = new Http();
+    private final Balancer balancer;
+    private final Timings gaps = new Timings();
+    private final Queue<Result> results = new ConcurrentLinkedQueue<>();
+    private final ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
+    private final ScheduledExecutorService timer =
+            Executors.newScheduledThreadPool(TIMER_THREADS, Thread.ofPlatform().daemon().factory());
+
+    Experiment(FleetLayout layout, Scenario scenario, double seconds, long seed, PrintStream out) {
+        this.layout = layout;
+        this.scenario = scenario;
+        this.seconds = seconds;
+        this.seed = seed;
+        this.out = out;
+        this.balancer = new Balancer(http, layout.hosts());
+    }
+
+    /** Runs the experiment and returns its report. */
+    ObjectNode run() throws IOException, InterruptedException {
+        new StoreClient(http, layout.storeUrl()).prepare(layout);
+        awaitReady();
+        List<PlannedRequest> plan = Arrivals.plan(scenario.mix(layout.deployment()), seconds, seed);
+        out.printf(
+                "scenario %s: %d requests in %.0f s, seed %d%n",
+                scenario.name(), plan.size(), seconds, seed);
+        long startNanos = System.nanoTime();
+        scheduleSteps();
+        var progress =
+                timer.scheduleAtFixedRate(
+                        () -> printProgress(plan.size(), startNanos),
+                        PROGRESS_SECONDS,
+                        PROGRESS_SECONDS,
+                        TimeUnit.SECONDS);
+        send(plan, startNanos);
+        progress.cancel(false);
+        return report();
+    }
+
+    private void awaitReady() throws InterruptedException {
+        Thread.ofVirtual().name("balancer").start(balancer);
+        long waitedMillis = 0;
+        while (balancer.readyCount() < layout.hosts().size()) {
+            if (waitedMillis > READY_WITHIN_MILLIS) {
+                throw new IllegalStateException(
+                        String.format(
+                                "only %d of %d entry hosts are ready",
+                                balancer.readyCount(), layout.hosts().size()));
+            }
+            Thread.sleep(READY_POLL_MILLIS);
+            waitedMillis += READY_POLL_MILLIS;
+        }
+        out.println("started");
+        out.flush();
+    }
+
+    private void scheduleSteps() {
+        for (Step step : scenario.steps()) {
+            long delayMillis = Math.round(step.at() * seconds * MILLIS_PER_SECOND);
+            var unused = timer.schedule(() -> take(step), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void take(Step step) {
+        try {
+            switch (step) {
+                case Step.EngineFaults faults -> setEngineFaults(faults);
+                case Step.StoreFaults faults -> setFaults(layout.storeUrl(), faults.faults());
+                case Step.Processes processes -> {}
+            }
+            out.println("step " + step);
+        } catch (IOException e) {
+            out.println("step failed " + step + " " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void setEngineFaults(Step.EngineFaults step) throws IOException, InterruptedException {
+        List<Server> engines = layout.engines();
+        for (int engine : step.engines()) {
+            setFaults(engines.get(engine).url(), step.faults());
+        }
+    }
+
+    private void setFaults(String url, String faults) throws IOException, InterruptedException {
+        http.post(url + "/standin/faults", Json.MAPPER.readTree(faults));
+    }
+
+    private void send(List<PlannedRequest> plan, long startNanos) throws InterruptedException {
+        CountDownLatch open = new CountDownLatch(plan.size());
+        for (PlannedRequest request : plan) {
+            long atNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(request.atMillis());
+            long waitNanos = atNanos - System.nanoTime();
+            if (waitNanos > 0) {
+                TimeUnit.NANOSECONDS.sleep(waitNanos);
+            }
+            var unused = callers.submit(() -> call(request, atNanos, open));
+        }
+        open.await();
+    }
+
+    private void call(PlannedRequest request, long atNanos, CountDownLatch open) {
+        try {
+            results.add(new Caller(http, balancer, gaps, timer, request, atNanos).call());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (RuntimeException e) {
+            out.println("caller failed " + request.tag() + " " + e);
+            results.add(new Result(request, End.LOST, false, true, -1, List.of()));
+        } finally {
+            open.countDown();
+        }
+    }
+
+    private void printProgress(int planned, long startNanos) {
+        long good = results.stream().filter(Result::inTime).count();
+        out.printf(
+                "%3d s: %d of %d requests ended, %d answered whole in time, %d hosts ready%n",
+                TimeUnit.NANOSECONDS.toSeconds(System.nanoTime() - startNanos),
+                results.size(),
+                planned,
+                good,
+                balancer.readyCount());
+        out.flush();
+    }
+
+    private ObjectNode report() throws IOException, InterruptedException {
+        ObjectNode json = Json.MAPPER.createObjectNode();
+        json.put("scenario", scenario.name());
+        json.put("deployment", layout.deployment().id());
+        json.put("seconds", seconds);
+        json.put("seed", seed);
+        Ledger ledger = Ledger.read(http, layout.servers());
+        json.setAll(new Report(new ArrayList<>(results), ledger).json(gaps));
+        var counts = http.get(layout.storeUrl() + "/standin/counts");
+        json.put("storeCalls", counts.path("calls").asLong());
+        return json;
+    }
+
+    /** Returns all results, for those who look for single requests. */
+    List<Result> results() {
+        return new ArrayList<>(results);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/load/LoadMain.java
@@ -0,0 +1,137 @@
+package org.orioleshed.load;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.Required;
+import com.github.rvesse.airline.help.Help;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The program {@code orioleshed-load}. */
+@Cli(
+        name = "orioleshed-load",
+        description = "Load, experiments and their reports",
+        defaultCommand = Help.class,
+        commands = {
+            LoadMain.FleetCommand.class,
+            LoadMain.ScenariosCommand.class,
+            LoadMain.StepsCommand.class,
+            LoadMain.RunCommand.class,
+            Help.class
+        })
+public final class LoadMain {
+    private LoadMain() {}
+
+    /** Runs the program; ends with code 1 when it fails. */
+    public static void main(String[] args) {
+        System.setProperty("jdk.httpclient.keepalive.timeout", "5");
+        try {
+            new com.github.rvesse.airline.Cli<Runnable>(LoadMain.class).parse(args).run();
+        } catch (IllegalStateException | IllegalArgumentException | UncheckedIOException e) {
+            System.err.println("error: " + e.getMessage());
+            System.exit(1);
+        }
+        System.exit(0);
+    }
+
+    /** Options that name an experiment. */
+    public abstract static class ExperimentOptions implements Runnable {
+        @Option(name = "--scenario", description = "The scenario's name")
+        String scenario = "steady";
+
+        @Option(name = "--deployment", description = "association or office")
+        String deployment = "association";
+
+        @Option(name = "--base-port", description = "The first of the loopback ports")
+        int basePort = 21_000;
+
+        @Option(name = "--seconds", description = "How long requests arrive")
+        double seconds = 30;
+
+        @Option(name = "--policy", description = "orioleshed or naive")
+        String policy = "orioleshed";
+
+        FleetLayout layout() {
+            Deployment whose = Deployment.named(deployment);
+            return new FleetLayout(whose, basePort, Scenario.named(scenario).newVersion());
+        }
+    }
+
+    /** Writes the files of an experiment's processes. */
+    @Command(name = "fleet", description = "Writes the files that an experiment's processes read")
+    public static final class FleetCommand extends ExperimentOptions {
+        @Option(name = "--out", description = "The directory to write to")
+        @Required
+        String out;
+
+        @Override
+        public void run() {
+            try {
+                new FleetFiles(layout()).write(Path.of(out), policy);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Lists the scenarios. */
+    @Command(name = "scenarios", description = "Lists the scenarios")
+    public static final class ScenariosCommand implements Runnable {
+        @Override
+        public void run() {
+            for (Scenario scenario : Scenario.all()) {
+                System.out.printf("%-18s%s%n", scenario.name(), scenario.summary());
+            }
+        }
+    }
+
+    /** Lists what the script has to do to processes. */
+    @Command(name = "steps", description = "Prints: second, action and host id, one step a line")
+    public static final class StepsCommand extends ExperimentOptions {
+        @Override
+        public void run() {
+            List<FleetLayout.Host> hosts = layout().hosts();
+            for (Step step : Scenario.named(scenario).steps()) {
+                if (step instanceof Step.Processes processes) {
+                    String host = processes.host() < 0 ? "all" : hosts.get(processes.host()).id();
+                    System.out.printf(
+                            "%.1f %s %s%n", processes.at() * seconds, processes.action(), host);
+                }
+            }
+        }
+    }
+
+    /** Runs an experiment against a fleet that is already started. */
+    @Command(name = "run", description = "Sends a scenario's load to a started fleet and reports")
+    public static final class RunCommand extends ExperimentOptions {
+        @Option(name = "--seed", description = "The seed of all that is drawn")
+        long seed = 1;
+
+        @Option(name = "--report", description = "The file for the report's JSON")
+        String report;
+
+        @Option(name = "--results", description = "A file for every request's outcome, JSON lines")
+        String resultsFile;
+
+        @Override
+        public void run() {
+            Scenario chosen = Scenario.named(scenario);
+            Experiment experiment = new Experiment(layout(), chosen, seconds, seed, System.out);
+            try {
+                ObjectNode json = experiment.run();
+                json.put("policy", policy);
+                ReportTable.print(json, System.out);
+                ReportFiles.write(json, report);
+                ReportFiles.writeLines(experiment.results(), resultsFile);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/load/ReportTable.java
@@ -0,0 +1,43 @@
+package org.orioleshed.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** Prints reports as tables. */
+final class ReportTable {
+    private ReportTable() {}
+
+    /** Prints one report. */
+    static void print(JsonNode report, PrintStream out) {
+        rows("", report).forEach((name, value) -> out.printf("%-44s %s%n", name, value));
+    }
+
+    /** Prints two reports side by side. */
+    static void compare(JsonNode left, JsonNode right, PrintStream out) {
+        Map<String, String> leftRows = rows("", left);
+        Map<String, String> rightRows = rows("", right);
+        List<String> names = new ArrayList<>(leftRows.keySet());
+        rightRows.keySet().stream().filter(n -> !leftRows.containsKey(n)).forEach(names::add);
+        for (String name : names) {
+            out.printf(
+                    "%-44s %16s %16s%n",
+                    name, leftRows.getOrDefault(name, "-"), rightRows.getOrDefault(name, "-"));
+        }
+    }
+
+    private static Map<String, String> rows(String prefix, JsonNode node) {
+        Map<String, String> rows = new java.util.LinkedHashMap<>();
+        for (Map.Entry<String, JsonNode> field : node.properties()) {
+            String name = prefix + field.getKey();
+            if (field.getValue().isObject()) {
+                rows.putAll(rows(name + ".", field.getValue()));
+            } else {
+                rows.put(name, field.getValue().asText());
+            }
+        }
+        return rows;
+    }
+}
