--- a/src/main/java/org/orioleshed/standin/JsonDoor.java
+++ b/src/main/java/org/orioleshed/standin/JsonDoor.java
@@ -76,9 +76,7 @@
 
     private void handleSafely(HttpExchange exchange) {
         try (exchange) {
-            handler.handle(exchange);
-        } catch (JsonProcessingException | IllegalArgumentException e) {
-            replyQuietly(exchange, e.getMessage());
+            handleOrRefuse(exchange);
         } catch (IOException e) {
             log.atFine().log("event=exchange_broken port=%d detail=%s", port, e.getMessage());
         } catch (InterruptedException e) {
@@ -88,11 +86,11 @@
         }
     }
 
-    private static void replyQuietly(HttpExchange exchange, String message) {
+    private void handleOrRefuse(HttpExchange exchange) throws IOException, InterruptedException {
         try {
-            error(exchange, 400, "bad_request", message);
-        } catch (IOException e) {
-            log.atFine().log("event=reply_lost detail=%s", e.getMessage());
+            handler.handle(exchange);
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            error(exchange, 400, "bad_request", e.getMessage());
         }
     }
 
