Serve a request from end to end: one entry host, naive policy

Cause: the whole path comes first. The entry program reads its file, polls the tree of settings from the store, takes callers' requests and runs them round robin on engines, streamed and whole.

--- a/src/main/java/org/orioleshed/entry/CallerServer.java
+++ b/src/main/java/org/orioleshed/entry/CallerServer.java
@@ -38,6 +38,8 @@
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int TOO_LARGE = 413;
     private static final int UNAVAILABLE = 503;
+    private static final String MAX_REQUEST_SECONDS = "20";
+    private static final String MAX_CONNECTIONS = "8000";
     private static final int BACKLOG = 1_024;
     private static final long FATE_TIMEOUT_MILLIS = 2_000;
     private static final long RETRY_AFTER_MILLIS = 1_000;
@@ -81,6 +83,16 @@
         server.createContext("/", guarded(http -> CallerReply.sendError(http, notFound())));
     }
 
+    /**
+     * Sets the properties of the JDK's server that bound slow callers; before the first server is
+     * made.
+     */
+    static void boundSlowCallers() {
+        System.setProperty("sun.net.httpserver.maxReqTime", MAX_REQUEST_SECONDS);
+        System.setProperty("jdk.httpserver.maxConnections", MAX_CONNECTIONS);
+        System.setProperty("sun.net.httpserver.nodelay", "true");
+    }
+
     void start() {
         server.start();
     }
--- /dev/null
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -0,0 +1,154 @@
+package org.orioleshed.entry;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.orioleshed.backend.BackendLimits;
+import org.orioleshed.backend.Backends;
+import org.orioleshed.fleet.World;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.host.NaiveHost;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Machine;
+import org.orioleshed.peer.MessageKind;
+import org.orioleshed.peer.PeerLimits;
+import org.orioleshed.peer.PeerNetwork;
+import org.orioleshed.settings.EntrySettings;
+import org.orioleshed.store.Store;
+
+/** One entry host: its threads and what joins them. */
+final class EntryProcess implements AutoCloseable {
+    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+    private static final long CLOSE_MARGIN_MILLIS = 2_000;
+
+    private final EntrySettings settings;
+    private final EntryLimits limits = EntryLimits.DEFAULT;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final long incarnation = System.currentTimeMillis();
+    private final CountDownLatch stopAsked = new CountDownLatch(1);
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private final DecisionLog log;
+    private final HostActions actions;
+    private final HostDuty duty;
+    private final Backends backends;
+    private final PeerNetwork peers;
+    private final PeerMail mail;
+    private final CallerDoor door;
+    private final CallerServer callers;
+    private final TreePoller poller;
+    private volatile World world = World.EMPTY;
+
+    EntryProcess(EntrySettings settings, Store store) throws IOException {
+        this.settings = settings;
+        this.log = new DecisionLog(limits.logLines(), metrics.counter("log.dropped"));
+        this.mail = new PeerMail(metrics);
+        this.actions = new HostActions(log, store, mail);
+        this.duty = new HostDuty(core(), actions, limits);
+        this.backends = new Backends(BackendLimits.DEFAULT, duty::add);
+        actions.connect(backends, duty::add);
+        this.peers =
+                new PeerNetwork(
+                        settings.host(),
+                        incarnation,
+                        settings.peerAddress(),
+                        PeerLimits.DEFAULT,
+                        this::received);
+        mail.connect(peers);
+        this.door = new CallerDoor(settings.host(), incarnation);
+        this.callers =
+                new CallerServer(
+                        settings.callerAddress(),
+                        door,
+                        actions,
+                        duty,
+                        limits,
+                        metrics,
+                        this::ready);
+        this.poller = new TreePoller(settings, incarnation, store, this::changed);
+        gauges();
+    }
+
+    private Machine<HostEvent, HostAction> core() {
+        return new NaiveHost();
+    }
+
+    /** Starts all threads. */
+    void start() {
+        Thread.ofPlatform().name("decision-log").daemon().start(log);
+        Thread.ofPlatform().name("decisions").daemon().start(duty);
+        poller.start();
+        callers.start();
+        Runtime.getRuntime().addShutdownHook(new Thread(this::stopAndWait, "stop"));
+        logger.atInfo().log(
+                "event=started host=%s domain=%s incarnation=%d callers=%s",
+                settings.host(), settings.domain(), incarnation, settings.callerAddress());
+    }
+
+    /**
+     * Waits for the signal to stop and for all that runs to finish, within the bound that the
+     * settings state.
+     */
+    void awaitStop() throws InterruptedException {
+        stopAsked.await();
+        callers.drain();
+        duty.add(new HostEvent.DrainAsked());
+        boolean finished = actions.drained().await(settings.drainMillis(), TimeUnit.MILLISECONDS);
+        logger.atInfo().log(
+                "event=stopped host=%s finished=%s open=%d",
+                settings.host(), finished, actions.openCallers());
+    }
+
+    private void stopAndWait() {
+        stopAsked.countDown();
+        try {
+            boolean closed =
+                    stopped.await(
+                            settings.drainMillis() + CLOSE_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
+            if (!closed) {
+                logger.atWarning().log("event=stop-timeout host=%s", settings.host());
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void changed(World newWorld) {
+        world = newWorld;
+        actions.world(newWorld);
+        door.world(newWorld);
+        newWorld.hosts().values().forEach(host -> peers.know(host.id(), host.peerAddress()));
+        duty.add(new HostEvent.WorldChanged(newWorld));
+    }
+
+    private void received(HostId from, MessageKind kind, byte[] body) {
+        mail.open(from, kind, body).ifPresent(duty::add);
+    }
+
+    private boolean ready() {
+        return world.settingsRevision() > 0;
+    }
+
+    private void gauges() {
+        metrics.register("callers.open", (Gauge<Integer>) actions::openCallers);
+        metrics.register("streams.open", (Gauge<Integer>) backends::openStreams);
+        metrics.register("ring.waiting", (Gauge<Integer>) duty::waiting);
+        metrics.register("peers.sentBytes", (Gauge<Long>) peers::sentBytes);
+        metrics.register("peers.dropped", (Gauge<Long>) peers::droppedMessages);
+        metrics.register("settings.revision", (Gauge<Long>) () -> world.settingsRevision());
+    }
+
+    @Override
+    public void close() {
+        poller.close();
+        callers.close();
+        duty.close();
+        backends.close();
+        peers.close();
+        log.close();
+        stopped.countDown();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/backend/BackendsTest.java
@@ -0,0 +1,236 @@
+package org.orioleshed.backend;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ModelId;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.routing.RunEnd;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link Backends} against a small fake server. */
+public class BackendsTest {
+    private static final long PATIENCE_SECONDS = 60;
+    private static final BackendLimits LIMITS =
+            new BackendLimits(500, 300, 500, 2, 1 << 12, 1 << 16);
+    private static final RunId RUN = new RunId(new RequestId(new HostId("h"), 1, 1), 1);
+    private static final String TOKEN =
+            "data: {\"choices\":[{\"delta\":{\"content\":\"x\"}}],\"offset\":%d,\"count\":1}\n\n";
+
+    private final LinkedBlockingQueue<HostEvent> events = new LinkedBlockingQueue<>();
+    private final CountDownLatch release = new CountDownLatch(1);
+    private final AtomicInteger cancels = new AtomicInteger();
+    private final AtomicInteger calls = new AtomicInteger();
+    private HttpServer server;
+    private Backends backends;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        HttpClients.forbidResends();
+        events.clear();
+        cancels.set(0);
+        calls.set(0);
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        server.createContext("/v1/runs/", this::cancel);
+        server.start();
+        backends = new Backends(LIMITS, events::add);
+    }
+
+    @AfterMethod
+    public void close() {
+        backends.close();
+        server.stop(0);
+    }
+
+    @Test
+    public void wholeStreamEndsFinished() throws Exception {
+        stream(TOKEN.formatted(0) + TOKEN.formatted(1) + "data: [DONE]\n\n", false);
+        backends.start(RUN, backendServer(address()), Payload.of("{}"), 0);
+        assertEquals(kinds(), List.of("RunAccepted", "RunTokens", "RunTokens"));
+        assertEquals(end(), new RunEnd.Finished(2));
+    }
+
+    @DataProvider
+    Object[][] brokenStreams() {
+        return new Object[][] {
+            {TOKEN.formatted(0), true},
+            {TOKEN.formatted(0), false},
+            {TOKEN.formatted(0) + "data: {{{\n\n", true},
+            {TOKEN.formatted(0) + "x".repeat(5_000) + "\n", true},
+        };
+    }
+
+    /**
+     * Silent, cut, malformed and endless lines: the run is cancelled at the engine before its end
+     * is told.
+     */
+    @Test(dataProvider = "brokenStreams")
+    public void brokenStreamIsCancelledBeforeItsEndIsTold(String text, boolean hang)
+            throws Exception {
+        stream(text, hang);
+        backends.start(RUN, backendServer(address()), Payload.of("{}"), 0);
+        assertEquals(kinds(), List.of("RunAccepted", "RunTokens"));
+        assertEquals(end(), new RunEnd.Broken(false, true));
+        assertEquals(cancels.get(), 1);
+    }
+
+    @Test
+    public void engineThatIsDownHasNoRuns() throws Exception {
+        backends.start(RUN, backendServer(deadAddress()), Payload.of("{}"), 0);
+        assertEquals(end(), new RunEnd.Broken(true, true));
+        assertEquals(events.size(), 0);
+    }
+
+    @Test
+    public void refusedRunIsAnEngineError() throws Exception {
+        server.createContext("/v1/chat/completions", http -> answer(http, 503, "{}"));
+        backends.start(RUN, backendServer(address()), Payload.of("{}"), 0);
+        assertEquals(end(), new RunEnd.EngineError(true, "status 503: {}"));
+    }
+
+    @Test
+    public void cancelOfAnotherHostsRunIsConfirmed() throws Exception {
+        backends.cancel(RUN, backendServer(address()));
+        assertEquals(end(), new RunEnd.Cancelled(7));
+    }
+
+    @Test
+    public void serviceThatIsDownWasNeverSentTheCall() throws Exception {
+        backends.call(RUN, backendServer(deadAddress()), "hold", "k", Payload.of("{}"), 5_000);
+        assertTrue(callEnd() instanceof HostEvent.CallEnd.NeverSent);
+    }
+
+    /**
+     * The service takes the call and drops the connection: the client must not send the call again.
+     */
+    @Test
+    public void callThatBreaksIsSentOnce() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> dropConnections(socket));
+            URI address = URI.create("http://127.0.0.1:" + socket.getLocalPort());
+            backends.call(RUN, backendServer(address), "hold", "k", Payload.of("{}"), 5_000);
+            assertTrue(callEnd() instanceof HostEvent.CallEnd.Broken);
+            assertEquals(calls.get(), 1);
+        }
+    }
+
+    private void dropConnections(ServerSocket socket) {
+        while (true) {
+            try (Socket connection = socket.accept()) {
+                if (connection.getInputStream().read() >= 0) {
+                    calls.incrementAndGet();
+                }
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void stream(String text, boolean hang) {
+        server.createContext(
+                "/v1/chat/completions",
+                http -> {
+                    http.sendResponseHeaders(200, 0);
+                    http.getResponseBody().write(text.getBytes(StandardCharsets.UTF_8));
+                    http.getResponseBody().flush();
+                    if (hang) {
+                        awaitRelease();
+                    }
+                    http.close();
+                });
+    }
+
+    private void awaitRelease() {
+        try {
+            release.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void cancel(HttpExchange http) throws IOException {
+        cancels.incrementAndGet();
+        answer(http, 200, "{\"state\":\"cancelled\",\"prefillTokens\":7}");
+    }
+
+    private static void answer(HttpExchange http, int status, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        http.sendResponseHeaders(status, bytes.length);
+        http.getResponseBody().write(bytes);
+        http.close();
+    }
+
+    /** Returns the kinds of the events before the run's end, which stays queued. */
+    private List<String> kinds() throws InterruptedException {
+        List<String> kinds = new ArrayList<>();
+        HostEvent event = events.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        while (!(event instanceof HostEvent.RunEnded)) {
+            kinds.add(event.getClass().getSimpleName());
+            event = events.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        }
+        events.add(event);
+        return kinds;
+    }
+
+    private RunEnd end() throws InterruptedException {
+        return ((HostEvent.RunEnded) events.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).end();
+    }
+
+    private HostEvent.CallEnd callEnd() throws InterruptedException {
+        return ((HostEvent.CallEnded) events.poll(PATIENCE_SECONDS, TimeUnit.SECONDS)).end();
+    }
+
+    private URI address() {
+        return URI.create("http://127.0.0.1:" + server.getAddress().getPort());
+    }
+
+    private static URI deadAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return URI.create("http://127.0.0.1:" + socket.getLocalPort());
+        }
+    }
+
+    private static BackendServer backendServer(URI address) {
+        return new BackendServer(
+                new ServerId("s"),
+                new FailureDomain("d"),
+                address,
+                new Target.Model(new ModelId("m")),
+                new VersionId("v1"),
+                "g1",
+                4,
+                1_000,
+                true,
+                true,
+                false);
+    }
+}
