--- a/src/main/java/org/orioleshed/store/Store.java
+++ b/src/main/java/org/orioleshed/store/Store.java
@@ -13,6 +13,16 @@
     /** Reads one key. */
     CompletableFuture<Result> get(String key, long timeoutMillis);
 
+    /**
+     * Reads one key if it changed after a revision; a store that can't tell answers as {@link
+     * #get}.
+     *
+     * @param afterRevision the modification revision last read
+     */
+    default CompletableFuture<Result> getNewer(String key, long afterRevision, long timeoutMillis) {
+        return get(key, timeoutMillis);
+    }
+
     /** Reads all keys that start with {@code prefix}. */
     CompletableFuture<Result> list(String prefix, long timeoutMillis);
 
