--- a/src/main/java/org/orioleshed/load/LoadMain.java
+++ b/src/main/java/org/orioleshed/load/LoadMain.java
@@ -1,6 +1,8 @@
 package org.orioleshed.load;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Cli;
 import com.github.rvesse.airline.annotations.Command;
 import com.github.rvesse.airline.annotations.Option;
@@ -9,6 +11,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 
 /** The program {@code orioleshed-load}. */
@@ -21,6 +24,9 @@
             LoadMain.ScenariosCommand.class,
             LoadMain.StepsCommand.class,
             LoadMain.RunCommand.class,
+            LoadMain.CompareCommand.class,
+            LoadMain.PlotCommand.class,
+            LoadMain.PathCommand.class,
             Help.class
         })
 public final class LoadMain {
@@ -134,4 +140,98 @@
             }
         }
     }
+
+    /** Prints reports side by side. */
+    @Command(name = "compare", description = "Prints two reports side by side")
+    public static final class CompareCommand implements Runnable {
+        @Arguments(title = "FILE", description = "Two report files")
+        @Required
+        List<String> files;
+
+        @Override
+        public void run() {
+            if (files.size() != 2) {
+                throw new IllegalArgumentException("compare takes two files");
+            }
+            try {
+                ReportTable.compare(
+                        ReportFiles.read(files.get(0)), ReportFiles.read(files.get(1)), System.out);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Draws reports. */
+    @Command(name = "plot", description = "Draws a field by tier of several reports as SVG")
+    public static final class PlotCommand implements Runnable {
+        @Option(name = "--field", description = "A field that has a value for each tier")
+        String field = "goodput";
+
+        @Option(name = "--out", description = "The SVG file")
+        @Required
+        String out;
+
+        @Arguments(title = "FILE", description = "Report files")
+        @Required
+        List<String> files;
+
+        @Override
+        public void run() {
+            try {
+                List<JsonNode> reports = new ArrayList<>();
+                for (String file : files) {
+                    reports.add(ReportFiles.read(file));
+                }
+                Plot.write(reports, field, Path.of(out));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Measures the time that an entry host adds. */
+    @Command(name = "path", description = "Measures the time to the first byte that a host adds")
+    public static final class PathCommand implements Runnable {
+        @Option(name = "--host", description = "The entry host's base URL for callers")
+        @Required
+        String host;
+
+        @Option(name = "--engine", description = "The engine's base URL")
+        @Required
+        String engine;
+
+        @Option(name = "--host-pid", description = "The entry host's process id")
+        long hostPid;
+
+        @Option(name = "--workspace", description = "Whose bearer key to use")
+        String workspace = "stewards";
+
+        @Option(name = "--route", description = "The route")
+        String route = "gangway";
+
+        @Option(name = "--callers", description = "How many send at once")
+        int callers = 4;
+
+        @Option(name = "--requests", description = "How many requests are measured each way")
+        int requests = 4_000;
+
+        @Option(name = "--report", description = "The file for the JSON")
+        String report;
+
+        @Override
+        public void run() {
+            String key = Deployment.bearerKey(workspace);
+            try {
+                PathMeter meter = new PathMeter(host, engine, key, route);
+                JsonNode json = meter.measure(callers, requests, hostPid);
+                ReportTable.print(json, System.out);
+                ReportFiles.write(json, report);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
 }
--- a/src/main/java/org/orioleshed/standin/EngineServer.java
+++ b/src/main/java/org/orioleshed/standin/EngineServer.java
@@ -22,6 +22,7 @@
     private static final long LOAD_LAG_MILLIS = 500;
     private static final int MAX_LOAD_SAMPLES = 300;
     private static final long CRASH_DOWN_MILLIS = 2_000;
+    private static final long MAX_CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
     /** The load at one moment. */
     private record Load(long atMillis, int running, int waiting) {}
@@ -36,6 +37,7 @@
     private String role = "both";
     private long fence;
     private boolean stepping;
+    private long stepDueNanos;
 
     EngineServer(EngineSpec spec, ScheduledExecutorService clock) {
         this.spec = spec;
@@ -198,6 +200,7 @@
     private synchronized void wake() {
         if (!stepping) {
             stepping = true;
+            stepDueNanos = System.nanoTime();
             clock.execute(this::step);
         }
     }
@@ -209,11 +212,15 @@
             nanos = model.stepNanos();
             stepping = nanos >= 0;
         }
-        if (nanos == 0) {
-            clock.execute(this::step);
-        } else if (nanos > 0) {
-            var unused = clock.schedule(this::step, nanos, TimeUnit.NANOSECONDS);
+        if (nanos < 0) {
+            return;
         }
+        // A late step must not slow the engine down: the next is due as if this one had been on
+        // time, unless it is far behind.
+        long now = System.nanoTime();
+        stepDueNanos = Math.max(stepDueNanos, now - MAX_CATCH_UP_NANOS) + nanos;
+        var unused =
+                clock.schedule(this::step, Math.max(0, stepDueNanos - now), TimeUnit.NANOSECONDS);
     }
 
     private synchronized void sampleLoad() {
