Add the accepting side and the host's core, first version

Model requests end to end against an interim home that grants every offer; calls to plain services with their states, claims still answered 'store away'.

--- /dev/null
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -0,0 +1,371 @@
+package org.orioleshed.request;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
+import org.orioleshed.fleet.Workspace;
+import org.orioleshed.fleet.World;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Fingerprint;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.Outcome.FailReason;
+import org.orioleshed.model.Outcome.NotRunReason;
+import org.orioleshed.model.Request;
+import org.orioleshed.model.RequestKey;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.Tier;
+import org.orioleshed.model.Work;
+import org.orioleshed.model.WorkspaceId;
+import org.orioleshed.request.RequestMessage.Piece;
+import org.orioleshed.routing.RoutingMessage;
+
+/**
+ * The accepting side of an entry host: every request that its callers sent, from the door to the
+ * one final outcome. Owned by one thread.
+ */
+public final class AcceptingSide implements Claims.Listener {
+    /** The share of the host's room that each tier below the first leaves to those above. */
+    private static final double RESERVE_PER_RANK = 0.15;
+
+    private final RequestLimits limits;
+    private final Consumer<HostAction> out;
+    private final PoisonWatch poison;
+    private final Results results;
+    private final ModelRequests models;
+    private final ServiceRequests services;
+    private final Map<RequestKey, KeyedRequest> byKey = new HashMap<>();
+    private final Map<WorkspaceId, Integer> perWorkspace = new HashMap<>();
+    private World world = World.EMPTY;
+    private boolean draining;
+
+    /**
+     * Makes the accepting side of a host that holds nothing yet.
+     *
+     * @param self the host
+     * @param domain its failure domain
+     * @param incarnation the host's incarnation, which grows with each start
+     * @param limits the bounds to keep to
+     * @param random for draws of versions and jitter
+     * @param placement where model requests may be offered
+     * @param claims the claims of non-repeatable calls
+     * @param out takes the actions, in order
+     */
+    public AcceptingSide(
+            HostId self,
+            FailureDomain domain,
+            long incarnation,
+            RequestLimits limits,
+            RandomGenerator random,
+            Placement placement,
+            Claims claims,
+            Consumer<HostAction> out) {
+        this.limits = limits;
+        this.out = out;
+        this.poison =
+                new PoisonWatch(
+                        self, new Poison(limits.poisonMillis(), limits.poisonEntries()), out);
+        this.results = new Results(limits.resultMillis(), limits.resultBytes());
+        this.models = new ModelRequests(limits, random, placement, poison, out, this::modelClosed);
+        this.services =
+                new ServiceRequests(
+                        self, domain, incarnation, limits, random, claims, out, this::callClosed);
+    }
+
+    /** Takes an event that concerns accepted requests; others are ignored. */
+    public void on(long nowNanos, HostEvent event) {
+        switch (event) {
+            case HostEvent.RequestArrived arrived -> arrived(nowNanos, arrived.request());
+            case HostEvent.CallerGone gone -> {
+                models.onCallerGone(nowNanos, gone.request());
+                services.onCallerGone(nowNanos, gone.request());
+            }
+            case HostEvent.CallerTook took -> models.onCallerTook(took.request(), took.tokens());
+            case HostEvent.FateAsked asked -> {
+                Fate fate = fate(nowNanos, asked.key());
+                out.accept(new HostAction.TellFate(asked.ticket(), fate));
+            }
+            case HostEvent.RoutingReceived received ->
+                    routed(nowNanos, received.from(), received.message());
+            case HostEvent.RequestReceived received ->
+                    received(nowNanos, received.from(), received.message());
+            case HostEvent.RunEnded ended -> models.onEnded(nowNanos, ended.run(), ended.end());
+            case HostEvent.CallEnded ended ->
+                    services.onCallEnded(nowNanos, ended.run(), ended.server(), ended.end());
+            case HostEvent.WorldChanged changed -> worldChanged(nowNanos, changed.world());
+            case HostEvent.DrainAsked asked -> drain(nowNanos);
+            case HostEvent.Tick tick -> tick(nowNanos);
+            case HostEvent.RunAccepted accepted -> {}
+            case HostEvent.RunTokens tokens -> {}
+            case HostEvent.LoadReported reported -> {}
+            case HostEvent.CacheReported reported -> {}
+            case HostEvent.StoreAnswered answered -> {}
+            case HostEvent.WallClock clock -> {}
+        }
+    }
+
+    /** Returns whether nothing is left to finish. */
+    public boolean isIdle() {
+        return models.isIdle() && services.isIdle();
+    }
+
+    /** Returns the number of requests under way. */
+    public int size() {
+        return models.size() + services.size();
+    }
+
+    /** Returns whether content must not be run. */
+    public boolean isHeld(long nowNanos, Fingerprint fingerprint) {
+        return poison.isHeld(nowNanos, fingerprint);
+    }
+
+    /** Returns the content that is held or under suspicion. */
+    public List<HeldContent> poison(long nowNanos) {
+        return poison.list(nowNanos);
+    }
+
+    /** Releases content on all hosts; returns whether it was held or under suspicion here. */
+    public boolean releasePoison(Fingerprint fingerprint) {
+        return poison.release(fingerprint);
+    }
+
+    @Override
+    public void onClaimed(long nowNanos, RequestKey key, RunId run, Claims.Result result) {
+        services.onClaimed(nowNanos, run, result);
+    }
+
+    @Override
+    public void onLookedUp(long nowNanos, long ticket, RequestKey key, Claims.Result result) {}
+
+    private void arrived(long nowNanos, Request request) {
+        if (draining) {
+            refuse(request, NotRunReason.DRAINING, 0);
+            return;
+        }
+        if (nowNanos >= request.deadlineNanos()) {
+            refuse(request, NotRunReason.DEADLINE, 0);
+            return;
+        }
+        KeyedRequest running = byKey.get(request.key());
+        if (running != null) {
+            join(running, request);
+            return;
+        }
+        Optional<Results.Result> recent = results.get(nowNanos, request.key());
+        if (recent.isPresent() && !RequestMessage.mayRunAgain(recent.get().outcome())) {
+            replay(request, recent.get());
+            return;
+        }
+        if (poison.isHeld(nowNanos, request.fingerprint())) {
+            refuse(request, NotRunReason.POISON, -1);
+            return;
+        }
+        if (!admit(nowNanos, request)) {
+            return;
+        }
+        perWorkspace.merge(request.workspace(), 1, Integer::sum);
+        start(nowNanos, request);
+    }
+
+    private void start(long nowNanos, Request request) {
+        switch (request.work()) {
+            case Work.Generate generate -> models.start(nowNanos, request, this::opened);
+            case Work.Call call -> services.start(nowNanos, request, this::opened);
+        }
+    }
+
+    private void opened(KeyedRequest request) {
+        byKey.put(request.request.key(), request);
+    }
+
+    private void join(KeyedRequest running, Request request) {
+        if (!running.request.fingerprint().equals(request.fingerprint())) {
+            out.accept(new HostAction.Answer(request.id(), otherContent()));
+            return;
+        }
+        switch (running) {
+            case Execution execution -> models.join(execution, request);
+            case ServiceCall call -> services.join(call, request);
+        }
+    }
+
+    private void replay(Request request, Results.Result recent) {
+        if (!recent.fingerprint().equals(request.fingerprint())) {
+            out.accept(new HostAction.Answer(request.id(), otherContent()));
+            return;
+        }
+        for (Piece piece : recent.pieces()) {
+            out.accept(
+                    new HostAction.WriteTokens(
+                            request.id(), piece.firstToken(), piece.count(), piece.text()));
+        }
+        out.accept(new HostAction.Answer(request.id(), recent.outcome()));
+    }
+
+    private static Outcome otherContent() {
+        return new Outcome.Failed(
+                FailReason.REFUSED, "the idempotency key belongs to other content");
+    }
+
+    /** Returns whether there is room for a request, and makes room among lower tiers if not. */
+    private boolean admit(long nowNanos, Request request) {
+        Workspace workspace = world.workspaces().get(request.workspace());
+        int held = perWorkspace.getOrDefault(request.workspace(), 0);
+        if (workspace != null && held >= workspace.maxWaiting()) {
+            boolean room = evict(nowNanos, request, Optional.of(request.workspace()));
+            if (!room && !outranksAll(request, workspace)) {
+                refuse(request, NotRunReason.WORKSPACE_LIMIT, limits.backoffMaxMillis());
+                return false;
+            }
+        }
+        int rank = Math.min(4, request.tier().rank());
+        int room = (int) (limits.maxRequests() * (1 - RESERVE_PER_RANK * rank));
+        if (size() >= room && !evict(nowNanos, request, Optional.empty())) {
+            refuse(request, NotRunReason.OVERLOAD, limits.backoffMaxMillis());
+            return false;
+        }
+        return true;
+    }
+
+    /** Returns whether a full workspace holds less than its limit of this tier and those above. */
+    private boolean outranksAll(Request request, Workspace workspace) {
+        int same = 0;
+        for (KeyedRequest other : byKey.values()) {
+            boolean counts =
+                    other.request.workspace().equals(request.workspace())
+                            && !request.tier().outranks(other.request.tier());
+            same += counts ? 1 : 0;
+        }
+        return same < workspace.maxWaiting();
+    }
+
+    /** Ends the waiting request of the lowest tier below that of {@code request}, the latest. */
+    private boolean evict(long nowNanos, Request request, Optional<WorkspaceId> within) {
+        Optional<Execution> victim = Optional.empty();
+        Comparator<Execution> order =
+                Comparator.<Execution, Tier>comparing(e -> e.request.tier())
+                        .thenComparingLong(e -> e.request.arrivedNanos());
+        for (Execution execution : models.all()) {
+            boolean fits =
+                    request.tier().outranks(execution.request.tier())
+                            && ModelRequests.isWaiting(execution)
+                            && within.filter(w -> !w.equals(execution.request.workspace()))
+                                    .isEmpty();
+            if (fits && (victim.isEmpty() || order.compare(execution, victim.get()) > 0)) {
+                victim = Optional.of(execution);
+            }
+        }
+        NotRunReason reason =
+                within.isPresent() ? NotRunReason.WORKSPACE_LIMIT : NotRunReason.OVERLOAD;
+        victim.ifPresent(execution -> models.evict(nowNanos, execution, reason));
+        return victim.isPresent();
+    }
+
+    private void refuse(Request request, NotRunReason reason, long retryAfterMillis) {
+        Outcome outcome = new Outcome.NotRun(reason, retryAfterMillis);
+        out.accept(new HostAction.Answer(request.id(), outcome));
+    }
+
+    private Fate fate(long nowNanos, RequestKey key) {
+        if (byKey.containsKey(key)) {
+            return new Fate.Pending();
+        }
+        return results.get(nowNanos, key)
+                .<Fate>map(result -> new Fate.Final(result.outcome()))
+                .orElseGet(Fate.Unknown::new);
+    }
+
+    private void routed(long nowNanos, HostId from, RoutingMessage message) {
+        switch (message) {
+            case RoutingMessage.Granted granted -> models.onGranted(nowNanos, from, granted);
+            case RoutingMessage.Refused refused -> models.onRefused(nowNanos, refused);
+            case RoutingMessage.Tokens tokens -> models.onTokens(nowNanos, tokens);
+            case RoutingMessage.Ended ended -> models.onEnded(nowNanos, ended.run(), ended.end());
+            default -> {}
+        }
+    }
+
+    private void received(long nowNanos, HostId from, RequestMessage message) {
+        switch (message) {
+            case RequestMessage.PoisonSeen seen -> poison.onSeen(nowNanos, seen);
+            case RequestMessage.PoisonCleared cleared -> poison.onCleared(cleared);
+            case RequestMessage.FateAsked asked -> tellFate(nowNanos, from, asked);
+            case RequestMessage.FateTold told -> {
+                if (byKey.get(told.key()) instanceof ServiceCall call) {
+                    services.onFate(nowNanos, call, from, told);
+                }
+            }
+            case RequestMessage.KeyOpened opened -> {}
+            case RequestMessage.KeyHolder holder -> {}
+            case RequestMessage.KeyClosed closed -> {}
+            case RequestMessage.KeyAsked asked -> {}
+            case RequestMessage.ClaimAsked asked -> {}
+            case RequestMessage.ClaimTold told -> {}
+            case RequestMessage.OutcomeAsked asked -> {}
+        }
+    }
+
+    private void tellFate(long nowNanos, HostId from, RequestMessage.FateAsked asked) {
+        if (asked.claim().isPresent()) {
+            Fate fate = services.fateOf(asked.claim().get());
+            send(from, new RequestMessage.FateTold(asked.key(), asked.claim(), fate, List.of()));
+            return;
+        }
+        List<Piece> pieces =
+                results.get(nowNanos, asked.key()).map(Results.Result::pieces).orElseGet(List::of);
+        Fate fate = fate(nowNanos, asked.key());
+        send(from, new RequestMessage.FateTold(asked.key(), asked.claim(), fate, pieces));
+    }
+
+    private void worldChanged(long nowNanos, World changed) {
+        world = changed;
+        poison.onWorld(changed);
+        models.onWorld(nowNanos, changed);
+        services.onWorld(nowNanos, changed);
+    }
+
+    private void drain(long nowNanos) {
+        draining = true;
+        models.drain(nowNanos);
+        services.drain(nowNanos);
+    }
+
+    private void tick(long nowNanos) {
+        models.tick(nowNanos);
+        services.tick(nowNanos);
+        results.trim(nowNanos);
+    }
+
+    private void modelClosed(long nowNanos, Execution execution, Outcome outcome) {
+        List<Piece> pieces =
+                outcome instanceof Outcome.Answered
+                        ? new ArrayList<>(execution.transcript.pieces())
+                        : List.of();
+        closed(
+                nowNanos,
+                execution,
+                new Results.Result(execution.request.fingerprint(), outcome, pieces));
+    }
+
+    private void callClosed(long nowNanos, ServiceCall call, Outcome outcome) {
+        closed(nowNanos, call, new Results.Result(call.request.fingerprint(), outcome, List.of()));
+    }
+
+    private void closed(long nowNanos, KeyedRequest request, Results.Result result) {
+        RequestKey key = request.request.key();
+        byKey.remove(key, request);
+        perWorkspace.computeIfPresent(key.workspace(), (w, n) -> n > 1 ? n - 1 : null);
+        results.put(nowNanos, key, result);
+    }
+
+    private void send(HostId to, RequestMessage message) {
+        out.accept(new HostAction.SendRequest(to, message));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/request/OfferRounds.java
@@ -0,0 +1,205 @@
+package org.orioleshed.request;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.World;
+import org.orioleshed.host.Decision;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Request;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.Work;
+import org.orioleshed.request.Execution.Offered;
+import org.orioleshed.request.Execution.Offering;
+import org.orioleshed.request.Placement.Choice;
+import org.orioleshed.routing.RoutingMessage;
+import org.orioleshed.routing.RoutingMessage.Refused;
+
+/** Offers requests to homes: to a few at first, to more as time passes or homes refuse. */
+final class OfferRounds {
+    /** What a message between hosts may take, taken off the time remaining. */
+    private static final long HOP_MILLIS = 5;
+
+    /** Repeats of an unanswered offer grow no further apart than this. */
+    private static final long MAX_REPEAT_MILLIS = 8_000;
+
+    /** The factor by which the widening of a tier is slower than that of the tier above. */
+    private static final int WIDEN_FACTOR_BITS = 3;
+
+    private final RequestLimits limits;
+    private final Placement placement;
+    private final Consumer<HostAction> out;
+
+    OfferRounds(RequestLimits limits, Placement placement, Consumer<HostAction> out) {
+        this.limits = limits;
+        this.placement = placement;
+        this.out = out;
+    }
+
+    /** Starts the next attempt with offers to the best of {@code choices}, which is not empty. */
+    void begin(long nowNanos, Execution execution, List<Choice> choices) {
+        execution.attempt++;
+        Offering offering = new Offering(execution.run(), choices);
+        execution.state = offering;
+        offering.repeatDelayNanos = nanos(limits.offerRepeatMillis());
+        offering.repeatNanos = nowNanos + offering.repeatDelayNanos;
+        offering.widenNanos = nowNanos + widenDelay(execution);
+        logOffer(execution, choices);
+        for (int i = 0; i < limits.offersAtOnce(); i++) {
+            offerNext(nowNanos, execution, offering);
+        }
+    }
+
+    /** Counts a refusal; returns whether every server has now refused. */
+    boolean refuse(long nowNanos, Execution execution, Offering offering, Refused refusal) {
+        if (offering.offers.remove(refusal.server()) == null) {
+            return false;
+        }
+        offering.refusals.add(refusal);
+        offerNext(nowNanos, execution, offering);
+        return offering.offers.isEmpty();
+    }
+
+    /** Repeats offers and widens the round, as far as due. */
+    void wake(long nowNanos, Execution execution, Offering offering) {
+        if (nowNanos >= offering.widenNanos) {
+            offering.widenNanos = nowNanos + widenDelay(execution);
+            offerNext(nowNanos, execution, offering);
+        }
+        if (nowNanos < offering.repeatNanos) {
+            return;
+        }
+        offering.repeatDelayNanos =
+                Math.min(2 * offering.repeatDelayNanos, nanos(MAX_REPEAT_MILLIS));
+        offering.repeatNanos = nowNanos + offering.repeatDelayNanos;
+        offering.offers.forEach(
+                (server, offer) -> send(nowNanos, execution, offering, server, offer.home()));
+    }
+
+    /** Takes back the offers made to hosts that are gone, so that others can get them. */
+    void dropLostHomes(long nowNanos, World world, Execution execution, Offering offering) {
+        boolean lost = false;
+        Iterator<Map.Entry<ServerId, Offered>> all = offering.offers.entrySet().iterator();
+        while (all.hasNext()) {
+            EntryHost home = world.hosts().get(all.next().getValue().home());
+            if (home == null || home.state() == EntryHost.State.DEAD) {
+                all.remove();
+                lost = true;
+            }
+        }
+        if (lost) {
+            offerNext(nowNanos, execution, offering);
+        }
+    }
+
+    /** Withdraws all offers but the one for {@code placed}. */
+    void withdraw(Offering offering, Optional<ServerId> placed) {
+        offering.offers.forEach(
+                (server, offer) -> {
+                    if (placed.filter(server::equals).isEmpty()) {
+                        withdraw(offering, server, offer.home());
+                    }
+                });
+    }
+
+    private void withdraw(Offering offering, ServerId server, HostId home) {
+        out.accept(
+                new HostAction.SendRouting(
+                        home, new RoutingMessage.Withdrawn(offering.run, server)));
+    }
+
+    private void offerNext(long nowNanos, Execution execution, Offering offering) {
+        if (offering.untried.isEmpty() && !offering.complete) {
+            offering.complete = true;
+            offering.untried.addAll(
+                    placement.choices(
+                            nowNanos,
+                            execution.request,
+                            execution.version,
+                            execution.transcript.tokens(),
+                            offering.tried,
+                            Integer.MAX_VALUE));
+        }
+        if (offering.untried.isEmpty()) {
+            return;
+        }
+        Choice choice = offering.untried.removeFirst();
+        offering.tried.add(choice.server());
+        offering.offers.put(choice.server(), new Offered(choice.home()));
+        send(nowNanos, execution, offering, choice.server(), choice.home());
+    }
+
+    private void send(
+            long nowNanos, Execution execution, Offering offering, ServerId server, HostId home) {
+        out.accept(
+                new HostAction.SendRouting(
+                        home,
+                        new RoutingMessage.Offered(
+                                offering.run, server, describe(nowNanos, execution))));
+    }
+
+    private RoutingMessage.Offer describe(long nowNanos, Execution execution) {
+        Request request = execution.request;
+        Work.Generate work = (Work.Generate) request.work();
+        long remaining = millis(execution.deadlineNanos() - nowNanos) - HOP_MILLIS;
+        return new RoutingMessage.Offer(
+                request.workspace(),
+                request.route(),
+                request.tier(),
+                Math.max(0, remaining),
+                Math.max(0, millis(nowNanos - request.arrivedNanos())),
+                work.promptTokens() + execution.transcript.tokens(),
+                Math.max(1, work.maxOutputTokens() - execution.transcript.tokens()),
+                work.prefixHashes(),
+                execution.preemptions,
+                request.fingerprint());
+    }
+
+    private void logOffer(Execution execution, List<Choice> choices) {
+        String candidates = choices.stream().map(Choice::label).collect(Collectors.joining(","));
+        out.accept(
+                new HostAction.Log(
+                        new Decision(
+                                "offer",
+                                execution.run(),
+                                execution.request.tier(),
+                                Optional.of(choices.getFirst().server()),
+                                candidates,
+                                execution.attempt == 1 ? "arrived" : "again")));
+    }
+
+    private long widenDelay(Execution execution) {
+        int bits = Math.min(6, execution.request.tier().rank() * WIDEN_FACTOR_BITS);
+        return nanos(limits.widenMillis()) << bits;
+    }
+
+    /** Returns the servers that refused for want of room, if none runs work of a lower tier. */
+    static boolean shed(List<Refused> refusals) {
+        return !refusals.isEmpty()
+                && refusals.stream().noneMatch(Refused::lowerTierRuns)
+                && refusals.stream()
+                        .allMatch(r -> r.reason() == RoutingMessage.RefusalReason.OVERLOAD);
+    }
+
+    /** Returns the shortest wait that a refusing home expects, in milliseconds. */
+    static long shortestWaitMillis(List<Refused> refusals) {
+        List<Long> waits = new ArrayList<>();
+        refusals.forEach(r -> waits.add(r.expectedWaitMillis()));
+        return waits.stream().mapToLong(Long::longValue).min().orElse(0);
+    }
+
+    private static long millis(long nanos) {
+        return TimeUnit.NANOSECONDS.toMillis(nanos);
+    }
+
+    private static long nanos(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/request/Poison.java
@@ -0,0 +1,143 @@
+package org.orioleshed.request;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.orioleshed.fleet.VersionSplit;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.Fingerprint;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+
+/**
+ * Content that was running when servers crashed. After two crashes the content is held: nothing of
+ * it is run for a stated time, whatever key it comes under. One crash makes it a suspect, as does
+ * sharing a server with the guilty; a later success clears it. While a move is under way, crashes
+ * of its new version alone do not hold content, since the version may be to blame.
+ *
+ * <p>Bounded: the entry that was touched longest ago is dropped first.
+ */
+final class Poison {
+    /** The crashes that hold content. */
+    static final int CRASHES = 2;
+
+    /** Crashes of one server within this time count once. */
+    private static final long SAME_CRASH_NANOS = TimeUnit.SECONDS.toNanos(5);
+
+    private final long heldNanos;
+    private final int maxEntries;
+    private final LinkedHashMap<Fingerprint, Entry> entries = new LinkedHashMap<>(16, 0.75f, true);
+
+    Poison(long heldMillis, int maxEntries) {
+        this.heldNanos = TimeUnit.MILLISECONDS.toNanos(heldMillis);
+        this.maxEntries = maxEntries;
+    }
+
+    /** One crash with the content on board. */
+    record Crash(ServerId server, Optional<VersionId> version, long atNanos) {}
+
+    /** Counts a crash; returns whether it was news. */
+    boolean crashed(
+            long nowNanos, Fingerprint fingerprint, ServerId server, Optional<VersionId> version) {
+        expire(nowNanos, fingerprint);
+        Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry());
+        for (Crash crash : entry.crashes) {
+            if (crash.server.equals(server) && nowNanos - crash.atNanos < SAME_CRASH_NANOS) {
+                return false;
+            }
+        }
+        entry.crashes.add(new Crash(server, version, nowNanos));
+        if (entry.crashes.size() > 2 * CRASHES) {
+            entry.crashes.removeFirst();
+        }
+        entry.untilNanos = nowNanos + heldNanos;
+        trim();
+        return true;
+    }
+
+    /** Returns whether content must not be run. */
+    boolean isHeld(long nowNanos, World world, Fingerprint fingerprint) {
+        expire(nowNanos, fingerprint);
+        Entry entry = entries.get(fingerprint);
+        return entry != null && isHeld(world, entry);
+    }
+
+    private static boolean isHeld(World world, Entry entry) {
+        if (entry.crashes.size() < CRASHES) {
+            return false;
+        }
+        Set<VersionId> moving = new HashSet<>();
+        for (VersionSplit split : world.splits().values()) {
+            moving.add(split.to());
+        }
+        return entry.crashes.stream()
+                .anyMatch(crash -> crash.version.filter(moving::contains).isEmpty());
+    }
+
+    /** Returns whether content was on a server when it crashed, not yet cleared. */
+    boolean isSuspect(long nowNanos, Fingerprint fingerprint) {
+        expire(nowNanos, fingerprint);
+        return entries.containsKey(fingerprint);
+    }
+
+    /** Clears a suspect that ran well; returns whether there was one. */
+    boolean succeeded(World world, Fingerprint fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        if (entry == null || isHeld(world, entry)) {
+            return false;
+        }
+        entries.remove(fingerprint);
+        return true;
+    }
+
+    /** Clears content at an operator's wish or a peer's word; returns whether there was any. */
+    boolean clear(Fingerprint fingerprint) {
+        return entries.remove(fingerprint) != null;
+    }
+
+    /** Returns the crashes counted for content. */
+    List<Crash> crashes(Fingerprint fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        return entry == null ? List.of() : List.copyOf(entry.crashes);
+    }
+
+    /** Returns all content under suspicion. */
+    List<HeldContent> list(long nowNanos, World world) {
+        List<HeldContent> all = new ArrayList<>();
+        for (Map.Entry<Fingerprint, Entry> entry : entries.entrySet()) {
+            long remaining = entry.getValue().untilNanos - nowNanos;
+            if (remaining > 0) {
+                all.add(
+                        new HeldContent(
+                                entry.getKey(),
+                                entry.getValue().crashes.size(),
+                                isHeld(world, entry.getValue()),
+                                TimeUnit.NANOSECONDS.toMillis(remaining)));
+            }
+        }
+        return all;
+    }
+
+    private void expire(long nowNanos, Fingerprint fingerprint) {
+        Entry entry = entries.get(fingerprint);
+        if (entry != null && nowNanos >= entry.untilNanos) {
+            entries.remove(fingerprint);
+        }
+    }
+
+    private void trim() {
+        while (entries.size() > maxEntries) {
+            entries.remove(entries.keySet().iterator().next());
+        }
+    }
+
+    private static final class Entry {
+        final List<Crash> crashes = new ArrayList<>();
+        long untilNanos;
+    }
+}
--- a/src/main/java/org/orioleshed/request/RequestMessage.java
+++ b/src/main/java/org/orioleshed/request/RequestMessage.java
@@ -1,16 +1,155 @@
 package org.orioleshed.request;
 
+import java.util.List;
+import java.util.Optional;
 import org.orioleshed.model.Fingerprint;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RequestKey;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
 
 /** What hosts say to each other about keys, fates and content that crashes servers. */
 public sealed interface RequestMessage {
     /**
-     * Content crashed a server.
+     * A server crashed while content ran on it.
      *
      * @param fingerprint the content
-     * @param crashes the crashes counted so far
-     * @param heldMillis how long the mark still holds, in milliseconds
+     * @param server the server
+     * @param version the version that the server ran, if known
      */
-    record PoisonSeen(Fingerprint fingerprint, int crashes, long heldMillis)
+    record PoisonSeen(Fingerprint fingerprint, ServerId server, Optional<VersionId> version)
             implements RequestMessage {}
+
+    /**
+     * Content under suspicion ran well, or an operator released it.
+     *
+     * @param fingerprint the content
+     */
+    record PoisonCleared(Fingerprint fingerprint) implements RequestMessage {}
+
+    /**
+     * Accepting host to the key's directory host: I have a request with this key. Answered by
+     * {@link KeyHolder}.
+     *
+     * @param key the key
+     * @param request the request that would run
+     */
+    record KeyOpened(RequestKey key, RequestId request) implements RequestMessage {}
+
+    /**
+     * Directory host to asker: who runs the key.
+     *
+     * @param key the key
+     * @param asker the request that asked, when it was {@link KeyOpened}
+     * @param holder the request that runs, or ran last; empty when none is known
+     */
+    record KeyHolder(RequestKey key, Optional<RequestId> asker, Optional<RequestId> holder)
+            implements RequestMessage {}
+
+    /**
+     * Accepting host to directory host: the request ended and may be run again.
+     *
+     * @param key the key
+     * @param request the request that ended
+     */
+    record KeyClosed(RequestKey key, RequestId request) implements RequestMessage {}
+
+    /**
+     * To the key's directory host: who runs the key? Answered by {@link KeyHolder}.
+     *
+     * @param key the key
+     */
+    record KeyAsked(RequestKey key) implements RequestMessage {}
+
+    /**
+     * To the host that accepted a request with the key: what became of it? Answered by {@link
+     * FateTold}.
+     *
+     * @param key the key
+     * @param claim the claimed run asked about; empty for the key's latest request
+     */
+    record FateAsked(RequestKey key, Optional<RunId> claim) implements RequestMessage {}
+
+    /**
+     * Accepting host to asker.
+     *
+     * @param key the key
+     * @param claim as asked
+     * @param fate what is known of it
+     * @param pieces a model's whole answer, when {@code fate} is an answer; empty otherwise
+     */
+    record FateTold(RequestKey key, Optional<RunId> claim, Fate fate, List<Piece> pieces)
+            implements RequestMessage {
+        /** Copies the list. */
+        public FateTold {
+            pieces = List.copyOf(pieces);
+        }
+    }
+
+    /**
+     * A part of a model's answer.
+     *
+     * @param firstToken the offset of its first token in the whole answer
+     * @param count the number of tokens
+     * @param text the part
+     */
+    record Piece(int firstToken, int count, Payload text) {}
+
+    /**
+     * To the host that writes the key's page of claims: claim it for a run of the asker. Answered
+     * by {@link ClaimTold}; may be repeated.
+     *
+     * @param key the key
+     * @param run the run to claim it for
+     * @param replaces an earlier claim that is proved never to be sent
+     */
+    record ClaimAsked(RequestKey key, RunId run, Optional<RunId> replaces)
+            implements RequestMessage {}
+
+    /**
+     * Writer to asker: what became of {@link ClaimAsked} or {@link OutcomeAsked}.
+     *
+     * @param key the key
+     * @param run the run asked for
+     * @param result what became of it
+     */
+    record ClaimTold(RequestKey key, RunId run, ClaimResult result) implements RequestMessage {}
+
+    /**
+     * To the host that writes the key's page of claims: record the outcome of a claimed run. May be
+     * repeated.
+     *
+     * @param key the key
+     * @param run the claimed run
+     * @param outcome its outcome
+     */
+    record OutcomeAsked(RequestKey key, RunId run, Outcome outcome) implements RequestMessage {}
+
+    /** What became of a claim asked for, or of an outcome to be recorded. */
+    sealed interface ClaimResult {
+        /** The claim stands in the store. */
+        record Owned() implements ClaimResult {}
+
+        /** Another run has the key; its outcome is given when it is recorded. */
+        record Taken(RunId owner, Optional<Outcome> outcome) implements ClaimResult {}
+
+        /** The store is away, or the host asked is not the writer. */
+        record Away() implements ClaimResult {}
+
+        /** The outcome stands in the store. */
+        record Recorded() implements ClaimResult {}
+    }
+
+    /** Returns whether an outcome leaves the key free to be run again. */
+    static boolean mayRunAgain(Outcome outcome) {
+        return switch (outcome) {
+            case Outcome.Answered answered -> false;
+            case Outcome.InDoubt doubt -> false;
+            case Outcome.NotRun notRun -> true;
+            case Outcome.Failed failed -> true;
+        };
+    }
 }
--- /dev/null
+++ b/src/main/java/org/orioleshed/request/RunCanceller.java
@@ -0,0 +1,117 @@
+package org.orioleshed.request;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.World;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.routing.RoutingMessage;
+
+/**
+ * Cancels runs until their end is proved: by way of the home first, straight at the engine when the
+ * home is gone or does not answer.
+ */
+final class RunCanceller {
+    /** Unanswered messages to a home before the engine is asked itself. */
+    private static final int HOME_TRIES = 4;
+
+    /** Tries after which a run that nobody waits for is given up. */
+    private static final int MAX_TRIES = 240;
+
+    private final long repeatNanos;
+    private final Consumer<HostAction> out;
+    private final Map<RunId, Cancelling> pending = new LinkedHashMap<>();
+
+    RunCanceller(long repeatMillis, Consumer<HostAction> out) {
+        this.repeatNanos = TimeUnit.MILLISECONDS.toNanos(repeatMillis);
+        this.out = out;
+    }
+
+    /** Starts to cancel a run that its home should know of. */
+    void viaHome(long nowNanos, World world, RunId run, ServerId server, HostId home) {
+        start(nowNanos, world, run, new Cancelling(server, home, 0));
+    }
+
+    /** Starts to cancel a run at its engine, as its home can't. */
+    void atEngine(long nowNanos, World world, RunId run, ServerId server, HostId home) {
+        start(nowNanos, world, run, new Cancelling(server, home, HOME_TRIES));
+    }
+
+    private void start(long nowNanos, World world, RunId run, Cancelling cancelling) {
+        pending.put(run, cancelling);
+        send(nowNanos, world, run, cancelling);
+    }
+
+    /** Returns whether the run was being cancelled, and stops it. */
+    boolean onEnd(RunId run) {
+        return pending.remove(run) != null;
+    }
+
+    /** Returns whether the run is being cancelled. */
+    boolean isPending(RunId run) {
+        return pending.containsKey(run);
+    }
+
+    /** Returns how many runs are being cancelled. */
+    int size() {
+        return pending.size();
+    }
+
+    /** Repeats what is due, and what a changed world asks for. */
+    void tick(long nowNanos, World world) {
+        if (pending.isEmpty()) {
+            return;
+        }
+        List<RunId> given = new ArrayList<>();
+        for (Map.Entry<RunId, Cancelling> entry : pending.entrySet()) {
+            Cancelling cancelling = entry.getValue();
+            boolean homeLost = cancelling.tries < HOME_TRIES && !reachable(world, cancelling.home);
+            if (nowNanos < cancelling.nextNanos && !homeLost) {
+                continue;
+            }
+            if (cancelling.tries >= MAX_TRIES) {
+                given.add(entry.getKey());
+                continue;
+            }
+            send(nowNanos, world, entry.getKey(), cancelling);
+        }
+        given.forEach(pending::remove);
+    }
+
+    private void send(long nowNanos, World world, RunId run, Cancelling cancelling) {
+        cancelling.nextNanos = nowNanos + repeatNanos;
+        boolean home = cancelling.tries < HOME_TRIES && reachable(world, cancelling.home);
+        cancelling.tries = home ? cancelling.tries + 1 : Math.max(HOME_TRIES, cancelling.tries) + 1;
+        if (home) {
+            out.accept(
+                    new HostAction.SendRouting(cancelling.home, new RoutingMessage.Cancelled(run)));
+            return;
+        }
+        out.accept(new HostAction.CancelRun(run, cancelling.server));
+    }
+
+    private static boolean reachable(World world, HostId home) {
+        EntryHost host = world.hosts().get(home);
+        return host != null && host.state() != EntryHost.State.DEAD;
+    }
+
+    private static final class Cancelling {
+        final ServerId server;
+        final HostId home;
+        int tries;
+        long nextNanos;
+
+        Cancelling(ServerId server, HostId home, int tries) {
+            this.server = server;
+            this.home = home;
+            this.tries = tries;
+        }
+    }
+}
