--- /dev/null
+++ b/src/main/java/org/orioleshed/move/MoveEvent.java
@@ -0,0 +1,89 @@
+package org.orioleshed.move;
+
+import java.util.List;
+import java.util.Optional;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.MoveId;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+
+/** What can happen to {@link MoveCore}. */
+public sealed interface MoveEvent {
+    /**
+     * A run that this host accepted ended on a backend server. Feed every run of every route; those
+     * of routes without a move are ignored.
+     */
+    record Observed(RouteId route, VersionId version, ServerId server, RunResult result)
+            implements MoveEvent {}
+
+    /**
+     * A move's record was read or watched, or a read failed to find it.
+     *
+     * @param value empty when the key does not exist
+     * @param revision the key's modification revision; zero when it does not exist
+     */
+    record RecordRead(MoveId move, Optional<Payload> value, long revision) implements MoveEvent {}
+
+    /**
+     * All records under {@link MoveRecord#KEY_PREFIX}, the answer to {@link
+     * MoveAction.ListRecords}.
+     */
+    record RecordsListed(List<RecordRead> records) implements MoveEvent {
+        /** Copies the list. */
+        public RecordsListed {
+            records = List.copyOf(records);
+        }
+    }
+
+    /** The answer to {@link MoveAction.GrantLease} or {@link MoveAction.KeepLease}. */
+    record LeaseResult(long ticket, LeaseAnswer answer) implements MoveEvent {}
+
+    /** The answer to {@link MoveAction.SwapRecord}. */
+    record SwapResult(long ticket, SwapAnswer answer) implements MoveEvent {}
+
+    /** A peer's message about moves. */
+    record PeerReceived(HostId from, MoveMessage message) implements MoveEvent {}
+
+    /** The membership view or the settings changed. */
+    record WorldChanged(World world) implements MoveEvent {}
+
+    /** The answer to {@link MoveAction.Order}: the order was taken, or not. */
+    record OrderAnswered(ServerId server, long fence, boolean taken) implements MoveEvent {}
+
+    /** The answer to {@link MoveAction.ReadState}; empty when the server could not be asked. */
+    record StateRead(ServerId server, Optional<VersionId> version) implements MoveEvent {}
+
+    /**
+     * Time passed; comes at least every 100 ms.
+     *
+     * @param epochMillis the host's wall clock, in milliseconds since the epoch
+     */
+    record Tick(long epochMillis) implements MoveEvent {}
+
+    /** What the store said about a lease. */
+    sealed interface LeaseAnswer {
+        /** The lease stands for {@code ttlMillis} from the moment it was asked for. */
+        record Held(long leaseId, long ttlMillis) implements LeaseAnswer {}
+
+        /** The lease does not stand, or nothing is known of it. */
+        record Lost(String detail) implements LeaseAnswer {}
+    }
+
+    /** What the store said about a swap. */
+    sealed interface SwapAnswer {
+        /** The swap took effect. */
+        record Swapped(long revision) implements SwapAnswer {}
+
+        /** The swap did not take effect; the present value is given. */
+        record Conflict(Optional<Payload> value, long revision) implements SwapAnswer {}
+
+        /** The answer was lost: the swap may have taken effect. */
+        record Unknown(String detail) implements SwapAnswer {}
+
+        /** The swap did not take effect: the store was not asked. */
+        record Away(String detail) implements SwapAnswer {}
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/move/MoveRecordJson.java
@@ -0,0 +1,115 @@
+package org.orioleshed.move;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.model.ModelId;
+import org.orioleshed.model.MoveId;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.VersionId;
+
+/** Writes and reads {@link MoveRecord} as JSON. */
+final class MoveRecordJson {
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private MoveRecordJson() {}
+
+    static Payload write(MoveRecord move) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("id", move.id().value());
+        switch (move.target()) {
+            case Target.Model model -> node.put("model", model.model().value());
+            case Target.Service service -> node.put("service", service.service().value());
+        }
+        node.put("from", move.from().value());
+        node.put("to", move.to().value());
+        ArrayNode routes = node.putArray("routes");
+        move.routes().forEach(route -> routes.add(route.value()));
+        node.put("plannedMillis", move.plannedMillis());
+        node.put("completeByMillis", move.completeByMillis());
+        ArrayNode loads = node.putArray("loads");
+        move.loads().forEach(server -> loads.add(server.value()));
+        node.put("state", move.state().name());
+        node.put("step", move.step());
+        node.put("startedMillis", move.startedMillis());
+        node.put("fence", move.fence());
+        node.put("decidedMillis", move.decidedMillis());
+        node.put("author", move.author());
+        node.put("reason", move.reason());
+        return Payload.of(node.toString());
+    }
+
+    static MoveRecord read(Payload payload) throws BadRecordException {
+        try {
+            JsonNode node = MAPPER.readTree(payload.toBytes());
+            if (node == null || !node.isObject()) {
+                throw new IllegalArgumentException("not a JSON object");
+            }
+            return record(node);
+        } catch (IOException | IllegalArgumentException e) {
+            throw new BadRecordException("not a move record: " + e.getMessage(), e);
+        }
+    }
+
+    private static MoveRecord record(JsonNode node) {
+        Target target =
+                node.has("model")
+                        ? new Target.Model(new ModelId(text(node, "model")))
+                        : new Target.Service(new ServiceId(text(node, "service")));
+        return new MoveRecord(
+                new MoveId(text(node, "id")),
+                target,
+                new VersionId(text(node, "from")),
+                new VersionId(text(node, "to")),
+                texts(node, "routes").stream().map(RouteId::new).toList(),
+                number(node, "plannedMillis"),
+                number(node, "completeByMillis"),
+                texts(node, "loads").stream().map(ServerId::new).toList(),
+                MoveState.valueOf(text(node, "state")),
+                (int) Math.min(Integer.MAX_VALUE, number(node, "step")),
+                number(node, "startedMillis"),
+                number(node, "fence"),
+                number(node, "decidedMillis"),
+                text(node, "author"),
+                text(node, "reason"));
+    }
+
+    private static String text(JsonNode node, String name) {
+        JsonNode value = node.get(name);
+        if (value == null || !value.isTextual()) {
+            throw new IllegalArgumentException(name + " must be a string");
+        }
+        return value.textValue();
+    }
+
+    private static long number(JsonNode node, String name) {
+        JsonNode value = node.get(name);
+        if (value == null || !value.canConvertToLong() || !value.isIntegralNumber()) {
+            throw new IllegalArgumentException(name + " must be a whole number");
+        }
+        return value.longValue();
+    }
+
+    private static List<String> texts(JsonNode node, String name) {
+        JsonNode values = node.get(name);
+        if (values == null || !values.isArray()) {
+            throw new IllegalArgumentException(name + " must be a list of strings");
+        }
+        List<String> texts = new ArrayList<>();
+        for (JsonNode value : values) {
+            if (!value.isTextual()) {
+                throw new IllegalArgumentException(name + " must be a list of strings");
+            }
+            texts.add(value.textValue());
+        }
+        return texts;
+    }
+}
