--- /dev/null
+++ b/src/main/java/org/orioleshed/move/Cell.java
@@ -0,0 +1,6 @@
+package org.orioleshed.move;
+
+import org.orioleshed.model.RouteId;
+
+/** What versions are compared within. */
+record Cell(RouteId route, LoadBand band) {}
--- /dev/null
+++ b/src/main/java/org/orioleshed/move/LocalEvidence.java
@@ -0,0 +1,125 @@
+package org.orioleshed.move;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+
+/** What one host has seen of a move's two versions itself. */
+final class LocalEvidence {
+    private final VersionId from;
+    private final VersionId to;
+    private final MoveLimits limits;
+    private final SlowScale scale = new SlowScale();
+    private final Blame blame = new Blame();
+    private final Map<MoveMessage.Key, Tally> tallies = new HashMap<>();
+    private final Map<Cell, VersionTest> tests = new HashMap<>();
+    private final Map<ServerId, Integer> coldRuns = new HashMap<>();
+
+    LocalEvidence(VersionId from, VersionId to, MoveLimits limits) {
+        this.from = from;
+        this.to = to;
+        this.limits = limits;
+    }
+
+    /**
+     * Takes in one run.
+     *
+     * @param generation the server's hardware generation; empty where it must not matter
+     */
+    void observe(
+            long nowNanos,
+            RouteId route,
+            VersionId version,
+            ServerId server,
+            String generation,
+            RunResult result) {
+        if (!version.equals(from) && !version.equals(to)) {
+            return;
+        }
+        boolean onNew = version.equals(to);
+        LoadBand band = LoadBand.of(result.load());
+        MoveMessage.Key key = new MoveMessage.Key(route, version, band);
+        switch (result.verdict()) {
+            case OK -> {
+                blame.succeeded(onNew, result.fingerprint());
+                count(key, 1, 0, 0);
+                time(key, onNew, server, generation, result);
+                if (!onNew) {
+                    scale.learn(route, band, generation, result);
+                }
+            }
+            case FAILED -> settle(key, blame.failed(onNew, key, result.fingerprint()));
+            case CRASHED ->
+                    settle(key, blame.crashed(nowNanos, onNew, key, server, result.fingerprint()));
+            case CUT -> timeCut(key, generation, result);
+        }
+    }
+
+    /** Returns the counters, which only grow. */
+    Map<MoveMessage.Key, Tally> tallies() {
+        return tallies;
+    }
+
+    /** Returns the strongest evidence against the new version. */
+    double alarm() {
+        double strongest = 0;
+        for (VersionTest test : tests.values()) {
+            strongest = Math.max(strongest, test.alarm());
+        }
+        return strongest;
+    }
+
+    private void settle(MoveMessage.Key key, Blame.Verdict verdict) {
+        switch (verdict) {
+            case Blame.Verdict.Version version -> count(key, 1, 1, 0);
+            case Blame.Verdict.Content content ->
+                    content.excused().ifPresent(earlier -> count(earlier, 0, 0, 1));
+        }
+    }
+
+    private void time(
+            MoveMessage.Key key,
+            boolean onNew,
+            ServerId server,
+            String generation,
+            RunResult result) {
+        if (onNew && coldRuns.merge(server, 1, Integer::sum) <= limits.coldRuns()) {
+            return;
+        }
+        switch (scale.judge(key.route(), key.band(), generation, result)) {
+            case SLOW -> countTimed(key, 1);
+            case NORMAL -> countTimed(key, 0);
+            case UNKNOWN -> {}
+        }
+    }
+
+    /** A run that was ended from outside says nothing, unless it had taken too long already. */
+    private void timeCut(MoveMessage.Key key, String generation, RunResult result) {
+        SlowScale.Answer answer = scale.judge(key.route(), key.band(), generation, result);
+        if (answer == SlowScale.Answer.SLOW) {
+            countTimed(key, 1);
+        }
+    }
+
+    private void countTimed(MoveMessage.Key key, int slow) {
+        count(key, new Tally(0, 0, 0, 1, slow));
+    }
+
+    private void count(MoveMessage.Key key, int runs, int failed, int excused) {
+        count(key, new Tally(runs, failed, excused, 0, 0));
+    }
+
+    private void count(MoveMessage.Key key, Tally more) {
+        tallies.merge(key, more, Tally::plus);
+        VersionTest test =
+                tests.computeIfAbsent(
+                        new Cell(key.route(), key.band()), cell -> new VersionTest(limits));
+        if (key.version().equals(to)) {
+            test.addNew(more);
+        } else {
+            test.addOld(more);
+        }
+    }
+}
--- a/src/main/java/org/orioleshed/move/MoveEvent.java
+++ b/src/main/java/org/orioleshed/move/MoveEvent.java
@@ -68,8 +68,11 @@
         /** The lease stands for {@code ttlMillis} from the moment it was asked for. */
         record Held(long leaseId, long ttlMillis) implements LeaseAnswer {}
 
-        /** The lease does not stand, or nothing is known of it. */
+        /** The lease does not stand. */
         record Lost(String detail) implements LeaseAnswer {}
+
+        /** The store did not answer: nothing new is known of the lease. */
+        record Away(String detail) implements LeaseAnswer {}
     }
 
     /** What the store said about a swap. */
--- /dev/null
+++ b/src/main/java/org/orioleshed/move/MoverTurn.java
@@ -0,0 +1,89 @@
+package org.orioleshed.move;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.MoveId;
+
+/**
+ * Says when this host should try to become a move's mover, and which hosts list the moves. The
+ * order of hosts differs by move, by rendezvous hashing; it only saves calls of the store, for the
+ * lease decides.
+ */
+final class MoverTurn {
+    private static final long SILENCE_NANOS = 2_000_000_000L;
+    private static final long PER_RANK_NANOS = 1_500_000_000L;
+
+    /** Hosts further back in the order never try, so that calls do not grow with the fleet. */
+    private static final int MOST_TRYING = 8;
+
+    private static final int LISTING_PER_DOMAIN = 2;
+
+    private final HostId self;
+    private final Map<MoveId, Long> heardNanos = new HashMap<>();
+    private List<EntryHost> hosts = List.of();
+
+    MoverTurn(HostId self) {
+        this.self = self;
+    }
+
+    void changeHosts(World world) {
+        hosts = world.hosts().values().stream().filter(EntryHost::takesWork).toList();
+    }
+
+    /** A move was seen for the first time; the first in the order may try at once. */
+    void moveKnown(MoveId move, long nowNanos) {
+        heardNanos.putIfAbsent(move, nowNanos - SILENCE_NANOS);
+    }
+
+    /** Another host is the mover. */
+    void moverHeard(MoveId move, long nowNanos) {
+        heardNanos.put(move, nowNanos);
+    }
+
+    /** Returns whether this host should try now, no other mover having been heard of for long. */
+    boolean isMine(MoveId move, long nowNanos) {
+        int rank = rank(move.value(), ids(null));
+        if (rank >= MOST_TRYING) {
+            return false;
+        }
+        long silenceNanos = SILENCE_NANOS + rank * PER_RANK_NANOS;
+        return nowNanos - heardNanos.getOrDefault(move, nowNanos) >= silenceNanos;
+    }
+
+    /** Returns whether this host is one of those of its domain that list the moves. */
+    boolean lists(FailureDomain domain) {
+        return rank("moves", ids(domain)) < LISTING_PER_DOMAIN;
+    }
+
+    private List<HostId> ids(FailureDomain only) {
+        List<HostId> ids = new ArrayList<>();
+        for (EntryHost host : hosts) {
+            if (only == null || host.domain().equals(only)) {
+                ids.add(host.id());
+            }
+        }
+        if (!ids.contains(self)) {
+            ids.add(self);
+        }
+        return ids;
+    }
+
+    private int rank(String name, List<HostId> ids) {
+        List<HostId> ordered = new ArrayList<>(ids);
+        ordered.sort(Comparator.comparingLong((HostId id) -> weight(name, id)).reversed());
+        return ordered.indexOf(self);
+    }
+
+    private static long weight(String name, HostId host) {
+        return Hashing.murmur3_128().hashString(name + "/" + host, StandardCharsets.UTF_8).asLong();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/move/PooledEvidence.java
@@ -0,0 +1,218 @@
+package org.orioleshed.move;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeMap;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
+
+/** What all reachable hosts have seen of a move's two versions, merged by maximum. */
+final class PooledEvidence {
+    /** From so many runs of the old version on, a domain's new runs must have been seen too. */
+    private static final long BUSY_RUNS = 200;
+
+    private static final long BUSY_NEW_RUNS = 3;
+
+    /** The part of the old version's runs from which on a load band counts. */
+    private static final double BAND_PART = 0.1;
+
+    /** The old version's runs that must be known before load bands are judged. */
+    private static final long BAND_RUNS = 50;
+
+    private final MoveRecord move;
+    private final MoveLimits limits;
+    private final Map<HostId, Source> sources = new HashMap<>();
+    private final Map<Cell, VersionTest> tests = new HashMap<>();
+    private final Map<Place, Runs> places = new HashMap<>();
+
+    PooledEvidence(MoveRecord move, MoveLimits limits) {
+        this.move = move;
+        this.limits = limits;
+    }
+
+    /** Takes in one host's counters; repeated and older ones change nothing. */
+    void merge(
+            long nowNanos,
+            HostId host,
+            FailureDomain domain,
+            long incarnation,
+            Map<MoveMessage.Key, Tally> tallies) {
+        Source source = sources.get(host);
+        if (source == null || source.incarnation < incarnation) {
+            source = new Source(incarnation, domain);
+            sources.put(host, source);
+        }
+        if (source.incarnation > incarnation) {
+            return;
+        }
+        source.heardNanos = nowNanos;
+        Map<MoveMessage.Key, Tally> newer = new TreeMap<>();
+        for (Map.Entry<MoveMessage.Key, Tally> entry : tallies.entrySet()) {
+            MoveMessage.Key key = entry.getKey();
+            if (!move.routes().contains(key.route())) {
+                continue;
+            }
+            Tally before = source.tallies.getOrDefault(key, Tally.NONE);
+            Tally after = before.max(entry.getValue());
+            if (after.equals(before)) {
+                continue;
+            }
+            source.tallies.put(key, after);
+            newer.put(key, after.since(before));
+        }
+        newer.forEach((key, more) -> countOld(domain, key, more));
+        newer.forEach((key, more) -> countNew(domain, key, more));
+    }
+
+    private void countOld(FailureDomain domain, MoveMessage.Key key, Tally more) {
+        if (key.version().equals(move.from())) {
+            test(key).addOld(more);
+            place(domain, key).ofOld += more.runs();
+        }
+    }
+
+    private void countNew(FailureDomain domain, MoveMessage.Key key, Tally more) {
+        if (key.version().equals(move.to())) {
+            test(key).addNew(more);
+            place(domain, key).ofNew += more.runs();
+        }
+    }
+
+    private VersionTest test(MoveMessage.Key key) {
+        return tests.computeIfAbsent(
+                new Cell(key.route(), key.band()), cell -> new VersionTest(limits));
+    }
+
+    private Runs place(FailureDomain domain, MoveMessage.Key key) {
+        return places.computeIfAbsent(new Place(domain, key.route()), place -> new Runs());
+    }
+
+    /** Returns the strongest evidence against the new version. */
+    double alarm() {
+        double strongest = 0;
+        for (VersionTest test : tests.values()) {
+            strongest = Math.max(strongest, test.alarm());
+        }
+        return strongest;
+    }
+
+    /** Returns the evidence for the new version over all routes together. */
+    double proofOverall() {
+        double failures = 0;
+        double slowness = 0;
+        for (VersionTest test : tests.values()) {
+            failures += test.failureProof();
+            slowness += test.slownessProof();
+        }
+        return -Math.max(failures, slowness);
+    }
+
+    /** Returns the evidence for the new version on the route that has least of it. */
+    double proofOfEachRoute() {
+        double least = Double.POSITIVE_INFINITY;
+        for (RouteId route : move.routes()) {
+            least = Math.min(least, proof(route));
+        }
+        return least;
+    }
+
+    private double proof(RouteId route) {
+        double failures = 0;
+        double slowness = 0;
+        for (LoadBand band : LoadBand.values()) {
+            VersionTest test = tests.get(new Cell(route, band));
+            if (test != null) {
+                failures += test.failureProof();
+                slowness += test.slownessProof();
+            }
+        }
+        return -Math.max(failures, slowness);
+    }
+
+    /**
+     * Returns whether the new version lacks proof under load on a route where the old one is often
+     * under load.
+     */
+    boolean lacksProofUnderLoad(double level) {
+        for (RouteId route : move.routes()) {
+            VersionTest high = tests.get(new Cell(route, LoadBand.HIGH));
+            if (high == null) {
+                continue;
+            }
+            VersionTest low = tests.get(new Cell(route, LoadBand.LOW));
+            long all = high.oldRuns() + (low == null ? 0 : low.oldRuns());
+            boolean often = all >= BAND_RUNS && high.oldRuns() >= BAND_PART * all;
+            if (often && -high.failureProof() < level) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether a domain that is busy has hardly run the new version. */
+    boolean lacksRunsInBusyDomain() {
+        for (Runs runs : places.values()) {
+            if (runs.ofOld >= BUSY_RUNS && runs.ofNew < BUSY_NEW_RUNS) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Returns whether each of {@code domains} has a host heard of lately. */
+    boolean isFresh(long nowNanos, Collection<FailureDomain> domains) {
+        long freshNanos = limits.freshMillis() * MoveCore.NANOS_PER_MILLI;
+        for (FailureDomain domain : domains) {
+            boolean heard =
+                    sources.values().stream()
+                            .anyMatch(
+                                    source ->
+                                            source.domain.equals(domain)
+                                                    && nowNanos - source.heardNanos <= freshNanos);
+            if (!heard) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    /** Starts the proof anew, as for a new step. Alarms go on. */
+    void restartProof() {
+        tests.values().forEach(VersionTest::restartProof);
+        places.clear();
+    }
+
+    /** Returns the runs of the new version that all reachable hosts have counted. */
+    long newRuns() {
+        long runs = 0;
+        for (Source source : sources.values()) {
+            for (Map.Entry<MoveMessage.Key, Tally> entry : source.tallies.entrySet()) {
+                if (entry.getKey().version().equals(move.to())) {
+                    runs += entry.getValue().runs();
+                }
+            }
+        }
+        return runs;
+    }
+
+    private record Place(FailureDomain domain, RouteId route) {}
+
+    private static final class Runs {
+        long ofOld;
+        long ofNew;
+    }
+
+    private static final class Source {
+        final long incarnation;
+        final FailureDomain domain;
+        final Map<MoveMessage.Key, Tally> tallies = new HashMap<>();
+        long heardNanos;
+
+        Source(long incarnation, FailureDomain domain) {
+            this.incarnation = incarnation;
+            this.domain = domain;
+        }
+    }
+}
