--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -4,13 +4,16 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.backend.BackendLimits;
 import org.orioleshed.backend.Backends;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.HostAction;
+import org.orioleshed.host.HostCore;
 import org.orioleshed.host.HostEvent;
+import org.orioleshed.host.HostLimits;
 import org.orioleshed.host.NaiveHost;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Machine;
@@ -73,7 +76,16 @@
     }
 
     private Machine<HostEvent, HostAction> core() {
-        return new NaiveHost();
+        return switch (settings.policy()) {
+            case NAIVE -> new NaiveHost();
+            case ORIOLESHED ->
+                    new HostCore(
+                            settings.host(),
+                            settings.domain(),
+                            incarnation,
+                            HostLimits.DEFAULTS,
+                            new SplittableRandom(incarnation));
+        };
     }
 
     /** Starts all threads. */
--- a/src/main/java/org/orioleshed/entry/PeerMail.java
+++ b/src/main/java/org/orioleshed/entry/PeerMail.java
@@ -7,6 +7,7 @@
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerPort;
+import org.orioleshed.request.RequestCodec;
 import org.orioleshed.request.RequestMessage;
 import org.orioleshed.routing.RoutingCodec;
 import org.orioleshed.routing.RoutingMessage;
@@ -14,6 +15,7 @@
 /** Turns the decisions' messages into bytes for peers, and back. */
 final class PeerMail implements PeerMessages {
     private final RoutingCodec routing = new RoutingCodec();
+    private final RequestCodec requests = new RequestCodec();
     private final MetricRegistry metrics;
     private PeerPort port;
 
@@ -33,7 +35,7 @@
 
     @Override
     public void send(HostId to, RequestMessage message) {
-        // Until the codec of request messages lands.
+        port.send(to, MessageKind.REQUEST, requests.encode(message));
     }
 
     /**
@@ -45,7 +47,9 @@
             return switch (kind) {
                 case ROUTING ->
                         Optional.of(new HostEvent.RoutingReceived(from, routing.decode(body)));
-                case REQUEST, MEMBERSHIP, SETTINGS, MOVE -> Optional.empty();
+                case REQUEST ->
+                        Optional.of(new HostEvent.RequestReceived(from, requests.decode(body)));
+                case MEMBERSHIP, SETTINGS, MOVE -> Optional.empty();
             };
         } catch (BadMessageException e) {
             metrics.counter("peers.bad").inc();
