Decide on a backend server's home who waits, who runs and who yields

Queues by tier, weighted fairness and deadline; a limit that follows the engine's own streams; preemption of the run that wastes least; places kept for urgent work and for patient work near its last safe start.

--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/HomeCore.java
@@ -0,0 +1,276 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.World;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Machine;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.routing.RoutingMessage.DomainLoads;
+import org.orioleshed.routing.RoutingMessage.ModelLoad;
+import org.orioleshed.routing.RoutingMessage.RefusalReason;
+import org.orioleshed.routing.RoutingMessage.ServerLoad;
+import org.orioleshed.routing.RoutingMessage.ServerLoads;
+
+/**
+ * The home's side of routing on one entry host: keeps the queue, the places and the estimates of
+ * each backend server that this host is home of. Owned by one thread.
+ *
+ * <p>Events that are none of its business are ignored, so a host may pass it all of them. Messages
+ * may be lost, repeated or reordered. It sends messages to its own host in the same way as to
+ * others.
+ */
+public final class HomeCore implements Machine<HostEvent, HostAction> {
+    private final HostId self;
+    private final RoutingLimits limits;
+    private final Outbox outbox = new Outbox();
+    private final SpeedBook book = new SpeedBook();
+    private final LoadBoard board;
+    private final Map<ServerId, HomeServer> servers = new TreeMap<>();
+    private World world = World.EMPTY;
+    private Homes homes = Homes.NONE;
+    private boolean draining;
+    private boolean wallKnown;
+    private long wallEpochMillis;
+    private long wallAtNanos;
+
+    /**
+     * Makes a core that is home of no server until it hears of the world.
+     *
+     * @param self the host that it runs on
+     * @param limits the policy and its bounds
+     */
+    public HomeCore(HostId self, RoutingLimits limits) {
+        if (self == null || limits == null) {
+            throw new IllegalArgumentException("self and limits must be given");
+        }
+        this.self = self;
+        this.limits = limits;
+        board = new LoadBoard(self);
+    }
+
+    @Override
+    public List<HostAction> on(long nowNanos, HostEvent event) {
+        Moment moment = moment(nowNanos);
+        switch (event) {
+            case HostEvent.RoutingReceived e -> received(moment, e.from(), e.message());
+            case HostEvent.RunAccepted e -> at(e.server()).ifPresent(s -> s.accepted(e.run()));
+            case HostEvent.RunTokens e -> at(e.server()).ifPresent(s -> s.tokens(moment, e));
+            case HostEvent.RunEnded e ->
+                    at(e.server()).ifPresent(s -> s.ended(moment, e.run(), e.end()));
+            case HostEvent.LoadReported e -> at(e.server()).ifPresent(s -> s.loadReported(e));
+            case HostEvent.CacheReported e -> at(e.server()).ifPresent(s -> s.cacheReported(e));
+            case HostEvent.WorldChanged e -> worldChanged(nowNanos, e.world());
+            case HostEvent.WallClock e -> wallClock(nowNanos, e.epochMillis());
+            case HostEvent.DrainAsked e -> drain(moment);
+            case HostEvent.Tick e -> tick(moment);
+            case HostEvent.RequestArrived e -> {}
+            case HostEvent.CallerGone e -> {}
+            case HostEvent.CallerTook e -> {}
+            case HostEvent.FateAsked e -> {}
+            case HostEvent.RequestReceived e -> {}
+            case HostEvent.CallEnded e -> {}
+            case HostEvent.StoreAnswered e -> {}
+        }
+        return outbox.drain();
+    }
+
+    /** Returns whether nothing waits or runs here for any accepting host. */
+    public boolean isIdle() {
+        return servers.values().stream().allMatch(HomeServer::isIdle);
+    }
+
+    /**
+     * Returns the loads of the servers that this host is home of.
+     *
+     * @param nowNanos the time on the host's monotonic clock
+     */
+    public ServerLoads serverLoads(long nowNanos) {
+        Moment moment = moment(nowNanos);
+        List<ServerLoad> loads = openServers().stream().map(s -> s.load(moment)).toList();
+        return new ServerLoads(loads);
+    }
+
+    /**
+     * Returns the load of each model in this host's failure domain, as its homes told it lately;
+     * empty while the host does not know its own failure domain.
+     *
+     * @param nowNanos the time on the host's monotonic clock
+     */
+    public List<ModelLoad> modelLoads(long nowNanos) {
+        EntryHost own = world.hosts().get(self);
+        return own == null ? List.of() : board.sums(moment(nowNanos), own.domain());
+    }
+
+    private Moment moment(long nowNanos) {
+        OptionalLong wall = OptionalLong.empty();
+        if (wallKnown) {
+            long sinceMillis = (nowNanos - wallAtNanos) / Moment.NANOS_PER_MILLI;
+            wall = OptionalLong.of(wallEpochMillis + sinceMillis);
+        }
+        return new Moment(nowNanos, wall, world);
+    }
+
+    private Optional<HomeServer> at(ServerId server) {
+        return Optional.ofNullable(servers.get(server));
+    }
+
+    private void received(Moment moment, HostId from, RoutingMessage message) {
+        switch (message) {
+            case RoutingMessage.Offered m -> offered(moment, from, m);
+            case RoutingMessage.Withdrawn m ->
+                    at(m.server()).ifPresent(s -> s.withdrawn(moment, m.run()));
+            case RoutingMessage.Placed m -> placed(moment, from, m);
+            case RoutingMessage.Credit m -> credit(moment, m);
+            case RoutingMessage.Cancelled m -> cancelled(moment, from, m.run());
+            case ServerLoads m -> board.learn(moment, m);
+            case DomainLoads m -> board.passOn(moment, from, m, outbox);
+            case RoutingMessage.Granted m -> {}
+            case RoutingMessage.Refused m -> {}
+            case RoutingMessage.Tokens m -> {}
+            case RoutingMessage.Ended m -> {}
+        }
+    }
+
+    private void offered(Moment moment, HostId from, RoutingMessage.Offered message) {
+        RunId run = message.run();
+        if (outbox.endOf(run).isPresent()) {
+            outbox.ended(from, run, outbox.endOf(run).get());
+            return;
+        }
+        HomeServer server = servers.get(message.server());
+        if (server != null) {
+            server.offered(moment, from, run, message.offer());
+            return;
+        }
+        RefusalReason reason =
+                world.servers().containsKey(message.server())
+                        ? RefusalReason.NOT_HOME
+                        : RefusalReason.NO_SERVER;
+        outbox.refused(
+                from,
+                run,
+                message.offer().tier(),
+                message.server(),
+                draining ? RefusalReason.DRAINING : reason,
+                false,
+                0);
+    }
+
+    private void placed(Moment moment, HostId from, RoutingMessage.Placed message) {
+        Optional<RunEnd> end = outbox.endOf(message.run());
+        if (end.isPresent()) {
+            outbox.ended(from, message.run(), end.get());
+            return;
+        }
+        HomeServer server = servers.get(message.server());
+        if (server == null) {
+            outbox.ended(from, message.run(), new RunEnd.NeverStarted());
+            return;
+        }
+        server.placed(moment, from, message);
+    }
+
+    private void credit(Moment moment, RoutingMessage.Credit message) {
+        for (HomeServer server : servers.values()) {
+            if (server.credit(moment, message.run(), message.tokens())) {
+                return;
+            }
+        }
+    }
+
+    private void cancelled(Moment moment, HostId from, RunId run) {
+        boolean found = false;
+        for (HomeServer server : servers.values()) {
+            found |= server.cancelled(moment, run);
+        }
+        if (found) {
+            return;
+        }
+        // A run that this incarnation never saw may still be on an engine since an earlier one.
+        RunEnd end = outbox.endOf(run).orElse(new RunEnd.Broken(false, false));
+        outbox.ended(from, run, end);
+    }
+
+    private void worldChanged(long nowNanos, World now) {
+        world = now;
+        homes = homes.in(now);
+        Moment moment = moment(nowNanos);
+        for (HomeServer server : List.copyOf(servers.values())) {
+            settle(moment, server);
+        }
+        for (BackendServer server : now.servers().values()) {
+            if (isHome(server.id()) && !server.leaving() && !servers.containsKey(server.id())) {
+                HomeServer home = new HomeServer(limits, book, outbox, server);
+                servers.put(server.id(), home);
+                settle(moment, home);
+            }
+        }
+        servers.values()
+                .forEach(s -> s.hostsGone(moment, run -> isGone(run.request().host(), run)));
+        servers.values().removeIf(s -> !s.isOpen() && s.isEmpty());
+    }
+
+    /** Opens or closes a server as the world now has it. */
+    private void settle(Moment moment, HomeServer home) {
+        BackendServer server = world.servers().get(home.id());
+        if (server != null) {
+            home.change(server);
+        }
+        if (server == null || server.leaving()) {
+            home.close(moment, RefusalReason.NO_SERVER);
+        } else if (!isHome(home.id())) {
+            home.close(moment, RefusalReason.NOT_HOME);
+        } else if (draining) {
+            home.close(moment, RefusalReason.DRAINING);
+        } else {
+            home.open();
+        }
+    }
+
+    private boolean isHome(ServerId server) {
+        return homes.home(server).filter(self::equals).isPresent();
+    }
+
+    private boolean isGone(HostId host, RunId run) {
+        if (host.equals(self)) {
+            return false;
+        }
+        EntryHost known = world.hosts().get(host);
+        return known == null
+                || known.state() == EntryHost.State.DEAD
+                || known.incarnation() > run.request().incarnation();
+    }
+
+    private void drain(Moment moment) {
+        draining = true;
+        servers.values().stream()
+                .filter(HomeServer::isOpen)
+                .forEach(server -> server.close(moment, RefusalReason.DRAINING));
+    }
+
+    private void wallClock(long nowNanos, long epochMillis) {
+        wallKnown = true;
+        wallEpochMillis = epochMillis;
+        wallAtNanos = nowNanos;
+    }
+
+    private void tick(Moment moment) {
+        servers.values().forEach(server -> server.tick(moment));
+        servers.values().removeIf(s -> !s.isOpen() && s.isEmpty());
+        board.tick(moment, openServers(), outbox);
+    }
+
+    private List<HomeServer> openServers() {
+        return new ArrayList<>(servers.values().stream().filter(HomeServer::isOpen).toList());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/LoadBoard.java
@@ -0,0 +1,173 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ModelId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.routing.RoutingMessage.DomainLoads;
+import org.orioleshed.routing.RoutingMessage.ModelLoad;
+import org.orioleshed.routing.RoutingMessage.ServerLoad;
+import org.orioleshed.routing.RoutingMessage.ServerLoads;
+
+/**
+ * Spreads loads: those of a home's servers to the hosts of its own failure domain, and sums by
+ * model from one host of each failure domain to one host of each other, which passes them on.
+ */
+final class LoadBoard {
+    private static final long DETAIL_NANOS = 250_000_000L;
+    private static final long SUM_NANOS = 1_000_000_000L;
+    private static final long FORGET_NANOS = 5_000_000_000L;
+    private static final long LOAD_BYTES = 24;
+    private static final long DETAIL_BYTES_PER_SECOND = 6_000;
+    private static final int BEST_SERVERS = 4;
+
+    private final HostId self;
+    private final Map<ServerId, Heard> heard = new HashMap<>();
+    private long nextDetailNanos = Long.MIN_VALUE;
+    private long nextSumNanos = Long.MIN_VALUE;
+
+    LoadBoard(HostId self) {
+        this.self = self;
+    }
+
+    /** Takes in the detail of another home. */
+    void learn(Moment moment, ServerLoads loads) {
+        loads.loads().forEach(load -> heard.put(load.server(), new Heard(load, moment.nowNanos())));
+    }
+
+    /** Passes a sum from another failure domain on to the hosts of this one. */
+    void passOn(Moment moment, HostId from, DomainLoads loads, Outbox outbox) {
+        EntryHost sender = moment.world().hosts().get(from);
+        Optional<FailureDomain> own = ownDomain(moment.world());
+        if (sender == null || own.isEmpty() || sender.domain().equals(own.get())) {
+            return;
+        }
+        for (HostId host : hostsOf(moment.world(), own.get())) {
+            if (!host.equals(self)) {
+                outbox.send(host, loads);
+            }
+        }
+    }
+
+    /** Sends what is due; {@code loads} are those of the servers that this host is home of. */
+    void tick(Moment moment, Collection<HomeServer> servers, Outbox outbox) {
+        Optional<FailureDomain> own = ownDomain(moment.world());
+        if (own.isEmpty()) {
+            return;
+        }
+        List<HostId> hosts = hostsOf(moment.world(), own.get());
+        if (due(nextDetailNanos, moment)) {
+            List<ServerLoad> loads = servers.stream().map(s -> s.load(moment)).toList();
+            ServerLoads message = new ServerLoads(loads);
+            learn(moment, message);
+            hosts.forEach(host -> outbox.send(host, message));
+            nextDetailNanos = moment.nowNanos() + detailNanos(hosts.size(), loads.size());
+        }
+        if (due(nextSumNanos, moment)) {
+            nextSumNanos = moment.nowNanos() + SUM_NANOS;
+            if (isSpeaker(hosts, own.get())) {
+                sendSums(moment, own.get(), outbox);
+            }
+        }
+    }
+
+    /** Returns the load of each model in this host's failure domain, as far as it was heard. */
+    List<ModelLoad> sums(Moment moment, FailureDomain domain) {
+        heard.values().removeIf(h -> moment.nowNanos() - h.atNanos() > FORGET_NANOS);
+        Map<ModelId, List<ServerLoad>> byModel = new TreeMap<>();
+        for (Heard h : heard.values()) {
+            BackendServer server = moment.world().servers().get(h.load().server());
+            if (server != null
+                    && !server.leaving()
+                    && server.domain().equals(domain)
+                    && server.target() instanceof Target.Model target) {
+                byModel.computeIfAbsent(target.model(), m -> new ArrayList<>()).add(h.load());
+            }
+        }
+        List<ModelLoad> sums = new ArrayList<>();
+        byModel.forEach((model, loads) -> sums.add(sum(model, loads)));
+        return sums;
+    }
+
+    private static boolean due(long atNanos, Moment moment) {
+        return atNanos == Long.MIN_VALUE || atNanos - moment.nowNanos() <= 0;
+    }
+
+    private static long detailNanos(int hosts, int loads) {
+        long bytes = (hosts - 1L) * loads * LOAD_BYTES;
+        return Math.max(DETAIL_NANOS, bytes * 1_000_000_000L / DETAIL_BYTES_PER_SECOND);
+    }
+
+    private boolean isSpeaker(List<HostId> hosts, FailureDomain domain) {
+        return Homes.winner(hosts, domain.value()).filter(self::equals).isPresent();
+    }
+
+    private void sendSums(Moment moment, FailureDomain own, Outbox outbox) {
+        DomainLoads message = new DomainLoads(own, sums(moment, own));
+        Map<FailureDomain, List<HostId>> byDomain = new TreeMap<>();
+        for (EntryHost host : moment.world().hosts().values()) {
+            if (host.takesWork() && !host.domain().equals(own)) {
+                byDomain.computeIfAbsent(host.domain(), d -> new ArrayList<>()).add(host.id());
+            }
+        }
+        byDomain.forEach(
+                (domain, hosts) ->
+                        Homes.winner(hosts, domain.value())
+                                .ifPresent(host -> outbox.send(host, message)));
+    }
+
+    private static ModelLoad sum(ModelId model, List<ServerLoad> loads) {
+        List<ServerLoad> sorted = new ArrayList<>(loads);
+        sorted.sort(
+                Comparator.comparingLong(
+                                (ServerLoad load) ->
+                                        KnownServer.forRank(load.waitMillisByRank(), 0))
+                        .thenComparingInt(ServerLoad::tokenGapMillis)
+                        .thenComparingInt(load -> load.running() - load.limit())
+                        .thenComparing(ServerLoad::server));
+        int free = 0;
+        for (ServerLoad load : sorted) {
+            free += Math.max(0, load.limit() - load.running());
+        }
+        List<Long> waits = new ArrayList<>();
+        for (int rank = 0; rank <= Admission.PATIENT_RANK; rank++) {
+            waits.add(shortestWait(sorted, rank));
+        }
+        List<ServerId> best = sorted.stream().limit(BEST_SERVERS).map(ServerLoad::server).toList();
+        return new ModelLoad(model, sorted.size(), free, waits, best);
+    }
+
+    private static long shortestWait(List<ServerLoad> loads, int rank) {
+        return loads.stream()
+                .mapToLong(load -> KnownServer.forRank(load.waitMillisByRank(), rank))
+                .min()
+                .orElse(0);
+    }
+
+    private Optional<FailureDomain> ownDomain(World world) {
+        return Optional.ofNullable(world.hosts().get(self)).map(EntryHost::domain);
+    }
+
+    private static List<HostId> hostsOf(World world, FailureDomain domain) {
+        return world.hosts().values().stream()
+                .filter(host -> host.domain().equals(domain) && host.takesWork())
+                .map(EntryHost::id)
+                .sorted()
+                .toList();
+    }
+
+    /** A load and when it came in. */
+    private record Heard(ServerLoad load, long atNanos) {}
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/OfferQueue.java
@@ -0,0 +1,120 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.WorkspaceId;
+
+/**
+ * The offers that wait for one backend server, by tier. Under {@link Policy#NAIVE} all share one
+ * tier and one workspace's order: first in, first out.
+ */
+final class OfferQueue {
+    private final Policy policy;
+    private final NavigableMap<Integer, FairQueue> tiers = new TreeMap<>();
+    private final Map<RunId, Waiting> byRun = new HashMap<>();
+
+    OfferQueue(Policy policy) {
+        this.policy = policy;
+    }
+
+    int size() {
+        return byRun.size();
+    }
+
+    int size(int rank) {
+        FairQueue tier = tiers.get(rank);
+        return tier == null ? 0 : tier.size();
+    }
+
+    Optional<Waiting> get(RunId run) {
+        return Optional.ofNullable(byRun.get(run));
+    }
+
+    Collection<Waiting> all() {
+        return Collections.unmodifiableCollection(byRun.values());
+    }
+
+    void add(Waiting waiting, int weight) {
+        if (byRun.putIfAbsent(waiting.run(), waiting) == null) {
+            tiers.computeIfAbsent(rankOf(waiting), rank -> new FairQueue(order()))
+                    .add(waiting, weight);
+        }
+    }
+
+    Optional<Waiting> remove(RunId run) {
+        Waiting waiting = byRun.remove(run);
+        if (waiting != null) {
+            tiers.get(rankOf(waiting)).remove(waiting);
+        }
+        return Optional.ofNullable(waiting);
+    }
+
+    /** Removes an offer that gets a place. */
+    void take(Waiting waiting) {
+        tiers.get(rankOf(waiting)).take(waiting);
+        byRun.remove(waiting.run());
+    }
+
+    /** Notes that a place given by {@link #take} was not used. */
+    void refund(Waiting waiting) {
+        FairQueue tier = tiers.get(rankOf(waiting));
+        if (tier != null) {
+            tier.refund(waiting);
+        }
+    }
+
+    /** Returns the tiers that have offers waiting, the most urgent first. */
+    List<Integer> ranks() {
+        List<Integer> ranks = new ArrayList<>();
+        tiers.forEach(
+                (rank, tier) -> {
+                    if (tier.size() > 0) {
+                        ranks.add(rank);
+                    }
+                });
+        return ranks;
+    }
+
+    FairQueue tier(int rank) {
+        return tiers.computeIfAbsent(rank, r -> new FairQueue(order()));
+    }
+
+    /** Returns the last offer of the least urgent tier, if that tier is below {@code rank}. */
+    Optional<Waiting> leastUrgentBelow(int rank) {
+        return ranks().reversed().stream()
+                .filter(lower -> lower > rank)
+                .findFirst()
+                .flatMap(lower -> tiers.get(lower).latest());
+    }
+
+    /** Returns the expected work of all that goes before a new offer of {@code rank}. */
+    long workMillisUpTo(int rank) {
+        return tiers.headMap(rank, true).values().stream().mapToLong(FairQueue::workMillis).sum();
+    }
+
+    /** Returns the offer whose turn it is when tiers and windows don't matter. */
+    Optional<Waiting> firstOfAll() {
+        return ranks().stream().findFirst().flatMap(rank -> tiers.get(rank).earliest());
+    }
+
+    private int rankOf(Waiting waiting) {
+        return policy == Policy.NAIVE ? 0 : waiting.rank();
+    }
+
+    private Comparator<Waiting> order() {
+        return policy == Policy.NAIVE ? Waiting.BY_ARRIVAL_HERE : Waiting.BY_DEADLINE;
+    }
+
+    static boolean anyWorkspace(WorkspaceId workspace) {
+        return workspace != null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/Outbox.java
@@ -0,0 +1,77 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.host.Decision;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.Tier;
+import org.orioleshed.routing.RoutingMessage.RefusalReason;
+
+/** Collects the actions of one event, and remembers how the latest runs ended. */
+final class Outbox {
+    private static final int REMEMBERED_ENDS = 4_096;
+
+    private final Map<RunId, RunEnd> ends =
+            new LinkedHashMap<>() {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<RunId, RunEnd> eldest) {
+                    return size() > REMEMBERED_ENDS;
+                }
+            };
+    private List<HostAction> actions = new ArrayList<>();
+
+    /** Returns the actions collected since the last call. */
+    List<HostAction> drain() {
+        List<HostAction> drained = actions;
+        actions = new ArrayList<>();
+        return drained;
+    }
+
+    Optional<RunEnd> endOf(RunId run) {
+        return Optional.ofNullable(ends.get(run));
+    }
+
+    void add(HostAction action) {
+        actions.add(action);
+    }
+
+    void send(HostId to, RoutingMessage message) {
+        actions.add(new HostAction.SendRouting(to, message));
+    }
+
+    void granted(Waiting waiting, ServerId server, long reservedMillis) {
+        send(waiting.from(), new RoutingMessage.Granted(waiting.run(), server, reservedMillis));
+    }
+
+    void refused(
+            HostId to,
+            RunId run,
+            Tier tier,
+            ServerId server,
+            RefusalReason reason,
+            boolean lowerTierRuns,
+            long waitMillis) {
+        send(to, new RoutingMessage.Refused(run, server, reason, lowerTierRuns, waitMillis));
+        String why = reason.name().toLowerCase(Locale.ROOT).replace('_', '-');
+        log("refuse", run, tier, server, server + ":" + waitMillis, why);
+    }
+
+    void ended(HostId to, RunId run, RunEnd end) {
+        ends.put(run, end);
+        send(to, new RoutingMessage.Ended(run, end));
+    }
+
+    void log(String kind, RunId run, Tier tier, ServerId server, String candidates, String reason) {
+        Decision decision = new Decision(kind, run, tier, Optional.of(server), candidates, reason);
+        actions.add(new HostAction.Log(decision));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/Preemption.java
@@ -0,0 +1,136 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.model.ServerId;
+
+/**
+ * Chooses the runs that give their places to more urgent requests: those of the lowest tier first,
+ * and among them those whose stop wastes least.
+ */
+final class Preemption {
+    private static final double SAFETY = 1.25;
+    private static final long REQUEUE_MILLIS = 500;
+
+    /** The longest that an urgent request waits for a place to become free by itself. */
+    private static final long LONGEST_DELAY_MILLIS = 200;
+
+    private final RoutingLimits limits;
+    private final OfferQueue queue;
+    private final Places places;
+    private final ServerSpeed speed;
+    private final long salt;
+
+    Preemption(
+            RoutingLimits limits,
+            OfferQueue queue,
+            Places places,
+            ServerSpeed speed,
+            ServerId server) {
+        salt = Spread.mix(server.hashCode());
+        this.limits = limits;
+        this.queue = queue;
+        this.places = places;
+        this.speed = speed;
+    }
+
+    /**
+     * Returns the runs to stop now.
+     *
+     * @param free places that urgent work may take without any stop
+     */
+    List<Running> victims(Moment moment, BackendServer server, int free) {
+        if (limits.policy() == Policy.NAIVE || places.running().isEmpty()) {
+            return List.of();
+        }
+        List<Running> victims = new ArrayList<>();
+        int onTheWay = free + places.beingPreempted();
+        for (int rank : queue.ranks()) {
+            List<Waiting> pressed = queue.tier(rank).matching(w -> presses(w, moment));
+            int needed = pressed.size() - onTheWay;
+            if (needed > 0) {
+                boolean lastResort = pressed.stream().anyMatch(w -> wouldBeShed(w, moment));
+                List<Running> found =
+                        choose(moment, server, rank, needed, rank == 0 && lastResort, victims);
+                victims.addAll(found);
+            }
+            onTheWay = Math.max(0, onTheWay - pressed.size());
+        }
+        return victims;
+    }
+
+    /** Returns all runs of lower tiers than {@code rank}, the protected ones included. */
+    List<Running> allBelow(int rank) {
+        if (limits.policy() == Policy.NAIVE) {
+            return List.of();
+        }
+        return places.running().stream().filter(r -> r.rank() > rank && !r.stopping()).toList();
+    }
+
+    private List<Running> choose(
+            Moment moment,
+            BackendServer server,
+            int rank,
+            int needed,
+            boolean lastResort,
+            List<Running> chosen) {
+        Comparator<Running> order =
+                Comparator.comparing((Running r) -> isProtected(r, moment, server))
+                        .thenComparing(Running::rank, Comparator.reverseOrder())
+                        .thenComparingLong(r -> waste(r, moment, server))
+                        .thenComparing(Running::run, Waiting.BY_RUN);
+        return places.running().stream()
+                .filter(r -> r.rank() > rank && !r.stopping() && !chosen.contains(r))
+                .filter(r -> lastResort || !isProtected(r, moment, server))
+                .sorted(order)
+                .limit(needed)
+                .toList();
+    }
+
+    private boolean presses(Waiting waiting, Moment moment) {
+        if (waiting.rank() > 0) {
+            return waiting.rank() < Admission.PATIENT_RANK && nearlyLate(waiting, moment);
+        }
+        // Homes that hold the same offer wait for different times, so that not all of them preempt.
+        long delayMillis =
+                Math.floorMod(Spread.mix(salt ^ waiting.run().hashCode()), LONGEST_DELAY_MILLIS);
+        return queue.size(0) >= places.inFlight()
+                || -moment.millisUntil(waiting.queuedNanos()) >= delayMillis
+                || wouldBeShed(waiting, moment);
+    }
+
+    private boolean nearlyLate(Waiting waiting, Moment moment) {
+        long leftMillis = moment.millisUntil(waiting.deadlineNanos());
+        return leftMillis >= waiting.workMillis()
+                && leftMillis < waiting.workMillis() * SAFETY + REQUEUE_MILLIS;
+    }
+
+    private boolean wouldBeShed(Waiting waiting, Moment moment) {
+        long leftMillis = moment.millisUntil(waiting.deadlineNanos());
+        return leftMillis < waiting.workMillis() * SAFETY + REQUEUE_MILLIS;
+    }
+
+    private long waste(Running run, Moment moment, BackendServer server) {
+        long gapMicros = speed.gapMicros(run.waiting().offer().route());
+        return run.wasteMillis(moment.nowNanos(), server.canResume(), gapMicros);
+    }
+
+    /**
+     * Returns whether a run must be let alone unless an urgent request would be shed otherwise: it
+     * was preempted often enough, or it would miss a deadline that it can meet if it goes on.
+     */
+    boolean isProtected(Running run, Moment moment, BackendServer server) {
+        if (run.waiting().offer().preemptions() >= limits.maxPreemptions()) {
+            return true;
+        }
+        long gapMicros = speed.gapMicros(run.waiting().offer().route());
+        long remaining = run.remainingMillis(moment.nowNanos(), gapMicros);
+        long again = remaining + waste(run, moment, server);
+        long leftMillis = moment.millisUntil(run.waiting().deadlineNanos());
+        boolean meetsIt = leftMillis >= remaining;
+        boolean wouldMiss = leftMillis < again * SAFETY + REQUEUE_MILLIS;
+        return meetsIt && wouldMiss;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/ServerSpeed.java
@@ -0,0 +1,110 @@
+package org.orioleshed.routing;
+
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.routing.RoutingMessage.Offer;
+
+/** How fast one engine is now, from its own streams; where those are silent, from its like. */
+final class ServerSpeed {
+    private static final long DEFAULT_GAP_MICROS = 30_000;
+    private static final long DEFAULT_PREFILL_NANOS = 500_000;
+    private static final double GAP_SHARE = 0.02;
+    private static final double PREFILL_SHARE = 0.1;
+    private static final int FEWEST_PREFILL_TOKENS = 64;
+    private static final int FEWEST_SAMPLES = 20;
+
+    private final SpeedBook book;
+    private BackendServer server;
+    private double gapMicros = -1;
+    private double prefillNanosPerToken = -1;
+
+    ServerSpeed(SpeedBook book, BackendServer server) {
+        this.book = book;
+        this.server = server;
+    }
+
+    void setServer(BackendServer now) {
+        server = now;
+    }
+
+    /** Forgets what was seen: the engine runs another version. */
+    void clear() {
+        gapMicros = -1;
+        prefillNanosPerToken = -1;
+    }
+
+    void gap(RouteId route, long micros) {
+        gapMicros = gapMicros < 0 ? micros : gapMicros + GAP_SHARE * (micros - gapMicros);
+        book.of(server, route).gapMicros().add(micros);
+    }
+
+    void firstToken(RouteId route, int uncachedTokens, long nanos) {
+        if (uncachedTokens < FEWEST_PREFILL_TOKENS) {
+            return;
+        }
+        double sample = (double) nanos / uncachedTokens;
+        prefillNanosPerToken =
+                prefillNanosPerToken < 0
+                        ? sample
+                        : prefillNanosPerToken + PREFILL_SHARE * (sample - prefillNanosPerToken);
+        book.of(server, route).prefillNanosPerToken().add((long) sample);
+    }
+
+    void answered(RouteId route, int tokens) {
+        book.of(server, route).outputTokens().add(tokens);
+    }
+
+    long gapMicros(RouteId route) {
+        if (gapMicros >= 0) {
+            return (long) gapMicros;
+        }
+        Quantiles known = book.of(server, route).gapMicros();
+        return known.count() > 0 ? known.median() : DEFAULT_GAP_MICROS;
+    }
+
+    /** Returns the time between tokens at the present load; zero when none was seen. */
+    long gapMicrosNow() {
+        return Math.max(0, (long) gapMicros);
+    }
+
+    /** Returns the speed of prefill; zero when none was seen. */
+    int prefillTokensPerSecond() {
+        return prefillNanosPerToken <= 0 ? 0 : (int) (1e9 / prefillNanosPerToken);
+    }
+
+    long prefillMillis(RouteId route, int uncachedTokens) {
+        return (long) (uncachedTokens * prefillNanos(route) / Moment.NANOS_PER_MILLI);
+    }
+
+    /** Returns how long the prefill takes on an engine that has nothing else to do. */
+    long prefillAloneMicros(RouteId route, int uncachedTokens) {
+        Quantiles known = book.of(server, route).prefillNanosPerToken();
+        long nanos = known.count() > 0 ? known.median() : DEFAULT_PREFILL_NANOS;
+        return uncachedTokens * nanos / 1_000;
+    }
+
+    /** Returns the expected time of a whole run, in milliseconds. */
+    long workMillis(Offer offer, int uncachedTokens) {
+        return prefillMillis(offer.route(), uncachedTokens)
+                + offer.outputTokens() * gapMicros(offer.route()) / 1_000;
+    }
+
+    /** Returns a time that nine of ten runs like this one take at most, in milliseconds. */
+    long safeWorkMillis(Offer offer, int uncachedTokens) {
+        Quantiles lengths = book.of(server, offer.route()).outputTokens();
+        long tokens = offer.outputTokens();
+        if (lengths.count() >= FEWEST_SAMPLES) {
+            tokens = Math.max(tokens, lengths.p90());
+        }
+        return prefillMillis(offer.route(), uncachedTokens)
+                + tokens * gapMicros(offer.route()) / 1_000;
+    }
+
+    private double prefillNanos(RouteId route) {
+        if (prefillNanosPerToken > 0) {
+            return prefillNanosPerToken;
+        }
+        Quantiles known = book.of(server, route).prefillNanosPerToken();
+        return known.count() > 0 ? known.median() : DEFAULT_PREFILL_NANOS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/routing/SpeedBook.java
@@ -0,0 +1,56 @@
+package org.orioleshed.routing;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.VersionId;
+
+/** What past runs showed of speeds and lengths, by model, version, generation and route. */
+final class SpeedBook {
+    private static final int MAX_ENTRIES = 512;
+
+    private final Map<Key, Speed> speeds =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Key, Speed> eldest) {
+                    return size() > MAX_ENTRIES;
+                }
+            };
+
+    Speed of(BackendServer server, RouteId route) {
+        Key key = new Key(server.target(), server.version(), server.generation(), route);
+        return speeds.computeIfAbsent(key, k -> new Speed());
+    }
+
+    /** What is known of runs that are alike. */
+    static final class Speed {
+        private static final long HIGHEST_GAP_MICROS = 60_000_000;
+        private static final long HIGHEST_PREFILL_NANOS = 1_000_000_000;
+        private static final long HIGHEST_TOKENS = 1_000_000;
+
+        private final Quantiles gapMicros = new Quantiles(HIGHEST_GAP_MICROS);
+        private final Quantiles prefillNanosPerToken = new Quantiles(HIGHEST_PREFILL_NANOS);
+        private final Quantiles outputTokens = new Quantiles(HIGHEST_TOKENS);
+
+        /** Returns the time between tokens, in microseconds. */
+        Quantiles gapMicros() {
+            return gapMicros;
+        }
+
+        /** Returns the time to prefill a token, in nanoseconds. */
+        Quantiles prefillNanosPerToken() {
+            return prefillNanosPerToken;
+        }
+
+        /** Returns the length of whole answers, in tokens. */
+        Quantiles outputTokens() {
+            return outputTokens;
+        }
+    }
+
+    private record Key(Target target, VersionId version, String generation, RouteId route) {}
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/routing/OneServer.java
@@ -0,0 +1,114 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.orioleshed.fleet.World;
+import org.orioleshed.host.HostAction;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.Tier;
+import org.orioleshed.routing.RoutingMessage.Offer;
+import org.orioleshed.routing.RoutingMessage.Refused;
+
+/** A home core with one backend server, and an accepting host that places what is granted. */
+final class OneServer {
+    static final ServerId SERVER = new ServerId("suva-a-1");
+
+    private static final long MILLI = 1_000_000;
+
+    final HomeCore core;
+    final List<RunId> granted = new ArrayList<>();
+    final Map<RunId, Refused> refused = new LinkedHashMap<>();
+    final Map<RunId, RunEnd> ended = new LinkedHashMap<>();
+    final Set<RunId> onEngine = new LinkedHashSet<>();
+    final Set<RunId> cancelling = new LinkedHashSet<>();
+    final List<HostAction> actions = new ArrayList<>();
+    final Map<RunId, Tier> tiers = new HashMap<>();
+    boolean places = true;
+    long nowNanos = 1_000 * MILLI;
+
+    OneServer(RoutingLimits limits, int places) {
+        core = new HomeCore(Worlds.SELF, limits);
+        tell(new HostEvent.WorldChanged(Worlds.of(1, 1, 1, places)));
+    }
+
+    void world(World world) {
+        tell(new HostEvent.WorldChanged(world));
+    }
+
+    void offer(RunId run, Offer offer) {
+        tiers.put(run, offer.tier());
+        receive(new RoutingMessage.Offered(run, SERVER, offer));
+    }
+
+    void receive(RoutingMessage message) {
+        tell(new HostEvent.RoutingReceived(Worlds.SELF, message));
+    }
+
+    void pass(long millis) {
+        for (long left = millis; left > 0; left -= 20) {
+            nowNanos += Math.min(20, left) * MILLI;
+            tell(new HostEvent.Tick());
+        }
+    }
+
+    void tokens(RunId run, int firstToken, int count) {
+        tell(new HostEvent.RunTokens(run, SERVER, firstToken, count, Payload.of("t ")));
+    }
+
+    void end(RunId run, RunEnd end) {
+        onEngine.remove(run);
+        cancelling.remove(run);
+        tell(new HostEvent.RunEnded(run, SERVER, end));
+    }
+
+    void finish(RunId run) {
+        end(run, new RunEnd.Finished(50));
+    }
+
+    void confirmCancel(RunId run) {
+        end(run, new RunEnd.Cancelled(100));
+    }
+
+    /** Returns the runs on the engine that nobody asked to stop and whose tier is so. */
+    List<RunId> running(Predicate<Tier> tier) {
+        return onEngine.stream()
+                .filter(run -> !cancelling.contains(run) && tier.test(tiers.get(run)))
+                .toList();
+    }
+
+    void tell(HostEvent event) {
+        List<HostAction> out = core.on(nowNanos, event);
+        actions.addAll(out);
+        for (HostAction action : out) {
+            switch (action) {
+                case HostAction.SendRouting send -> heard(send.message());
+                case HostAction.StartRun start -> onEngine.add(start.run());
+                case HostAction.CancelRun cancel -> cancelling.add(cancel.run());
+                default -> {}
+            }
+        }
+    }
+
+    private void heard(RoutingMessage message) {
+        switch (message) {
+            case RoutingMessage.Granted m -> {
+                granted.add(m.run());
+                if (places) {
+                    receive(new RoutingMessage.Placed(m.run(), SERVER, Payload.EMPTY, 0, 1_000));
+                }
+            }
+            case Refused m -> refused.put(m.run(), m);
+            case RoutingMessage.Ended m -> ended.put(m.run(), m.end());
+            default -> {}
+        }
+    }
+}
