--- a/src/main/java/org/orioleshed/load/Deployment.java
+++ b/src/main/java/org/orioleshed/load/Deployment.java
@@ -5,7 +5,7 @@
 import org.orioleshed.load.Traffic.Ask;
 
 /**
- * A user's deployment, at the size of today and in the time scale of the stand-ins.
+ * A deployment: those of the users are at the size of today, in the time scale of the stand-ins.
  *
  * @param id its name on the command line
  * @param domains its failure domains
@@ -15,6 +15,7 @@
  * @param serviceRoute the plain service's name, and its route's
  * @param workspaces the workspaces
  * @param mix the requests at full load
+ * @param costless whether engines take no time at all
  */
 record Deployment(
         String id,
@@ -24,7 +25,8 @@
         int services,
         String serviceRoute,
         List<String> workspaces,
-        List<Traffic> mix) {
+        List<Traffic> mix,
+        boolean costless) {
     static final Deployment ASSOCIATION =
             new Deployment(
                     "association",
@@ -34,7 +36,8 @@
                     4,
                     "bookings",
                     List.of("stewards", "clerks", "reviews", "marina", "guides"),
-                    associationMix());
+                    associationMix(),
+                    false);
     static final Deployment OFFICE =
             new Deployment(
                     "office",
@@ -44,13 +47,27 @@
                     3,
                     "renewals",
                     List.of("hotline", "counter", "letters-desk", "scans", "archive"),
-                    officeMix());
+                    officeMix(),
+                    false);
+
+    /** One entry host and one engine that takes no time, to measure what the host adds. */
+    static final Deployment SINGLE =
+            new Deployment(
+                    "single",
+                    List.of("only"),
+                    1,
+                    1,
+                    1,
+                    "bookings",
+                    List.of("stewards", "clerks", "reviews", "marina", "guides"),
+                    associationMix(),
+                    true);
 
     private static final String MODEL = "letters";
 
     /** Returns the deployment with this id. */
     static Deployment named(String id) {
-        return Stream.of(ASSOCIATION, OFFICE)
+        return Stream.of(ASSOCIATION, OFFICE, SINGLE)
                 .filter(deployment -> deployment.id().equals(id))
                 .findFirst()
                 .orElseThrow(() -> new IllegalArgumentException("no deployment is named " + id));
--- a/src/main/java/org/orioleshed/load/Experiment.java
+++ b/src/main/java/org/orioleshed/load/Experiment.java
@@ -22,6 +22,7 @@
     private static final long READY_POLL_MILLIS = 100;
     private static final long PROGRESS_SECONDS = 5;
     private static final int TIMER_THREADS = 2;
+    private static final double WARM_UP_SECONDS = 4;
 
     private final FleetLayout layout;
     private final Scenario scenario;
@@ -49,6 +50,7 @@
     ObjectNode run() throws IOException, InterruptedException {
         new StoreClient(http, layout.storeUrl()).prepare(layout);
         awaitReady();
+        warmUp();
         List<PlannedRequest> plan = Arrivals.plan(scenario.mix(layout.deployment()), seconds, seed);
         out.printf(
                 "scenario %s: %d requests in %.0f s, seed %d%n",
@@ -66,6 +68,19 @@
         return report();
     }
 
+    /** Sends a light load whose results are left out, so that no cold process is measured. */
+    private void warmUp() throws InterruptedException {
+        List<Traffic> light = Scenario.named("steady").mix(layout.deployment());
+        List<PlannedRequest> plan = Arrivals.plan(light, WARM_UP_SECONDS, -seed);
+        send(plan, System.nanoTime());
+        long good = results.stream().filter(Result::inTime).count();
+        out.printf("warm-up: %d of %d answered whole in time%n", good, plan.size());
+        results.clear();
+        gaps.clear();
+        out.println("started");
+        out.flush();
+    }
+
     private void awaitReady() throws InterruptedException {
         Thread.ofVirtual().name("balancer").start(balancer);
         long waitedMillis = 0;
@@ -79,8 +94,6 @@
             Thread.sleep(READY_POLL_MILLIS);
             waitedMillis += READY_POLL_MILLIS;
         }
-        out.println("started");
-        out.flush();
     }
 
     private void scheduleSteps() {
--- a/src/main/java/org/orioleshed/load/FleetLayout.java
+++ b/src/main/java/org/orioleshed/load/FleetLayout.java
@@ -86,7 +86,7 @@
                             true,
                             deployment.model(),
                             isNew ? NEW_VERSION : OLD_VERSION,
-                            Generation.of(number)));
+                            deployment.costless() ? Generation.COSTLESS : Generation.of(number)));
         }
         return servers;
     }
--- a/src/main/java/org/orioleshed/load/Generation.java
+++ b/src/main/java/org/orioleshed/load/Generation.java
@@ -4,7 +4,9 @@
 enum Generation {
     G1(24, 2.5, 6_000),
     G2(16, 1.8, 9_000),
-    G3(12, 1.2, 14_000);
+    G3(12, 1.2, 14_000),
+    /** Takes no time at all. */
+    COSTLESS(0, 0, 0);
 
     /** The time of a decoding step with one run, in milliseconds. */
     final double stepMillis;
--- a/src/main/java/org/orioleshed/load/Timings.java
+++ b/src/main/java/org/orioleshed/load/Timings.java
@@ -20,6 +20,10 @@
         histogram.recordValue(Math.max(0, Math.min(MAX_MICROS, micros)));
     }
 
+    void clear() {
+        byTier.clear();
+    }
+
     /** Returns a percentile in milliseconds, zero when nothing was recorded. */
     double millis(String tier, double percentile) {
         Histogram histogram = byTier.get(tier);
