Add settings-spread, good-version and bad-version to the demo

Racing operators and one move through the admin API, judged from outside: revisions in force on each host, the record in the store, the runs of each version.

--- a/src/main/java/org/orioleshed/load/Experiment.java
+++ b/src/main/java/org/orioleshed/load/Experiment.java
@@ -12,12 +12,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.orioleshed.load.FleetLayout.Server;
 import org.orioleshed.load.Result.End;
 
 /** Sends a scenario's load to a running fleet and reports what came of it. */
 final class Experiment {
-    private static final double MILLIS_PER_SECOND = 1_000;
     private static final long READY_WITHIN_MILLIS = 60_000;
     private static final long READY_POLL_MILLIS = 100;
     private static final long PROGRESS_SECONDS = 5;
@@ -31,6 +29,7 @@
     private final PrintStream out;
     private final Http http = new Http();
     private final Balancer balancer;
+    private final Steps steps;
     private final Timings gaps = new Timings();
     private final Queue<Result> results = new ConcurrentLinkedQueue<>();
     private final ExecutorService callers = Executors.newVirtualThreadPerTaskExecutor();
@@ -44,6 +43,7 @@
         this.seed = seed;
         this.out = out;
         this.balancer = new Balancer(http, layout.hosts());
+        this.steps = new Steps(http, layout, scenario, seconds, out);
     }
 
     /** Runs the experiment and returns its report. */
@@ -56,7 +56,7 @@
                 "scenario %s: %d requests in %.0f s, seed %d%n",
                 scenario.name(), plan.size(), seconds, seed);
         long startNanos = System.nanoTime();
-        scheduleSteps();
+        steps.schedule(timer);
         var progress =
                 timer.scheduleAtFixedRate(
                         () -> printProgress(plan.size(), startNanos),
@@ -65,6 +65,7 @@
                         TimeUnit.SECONDS);
         send(plan, startNanos);
         progress.cancel(false);
+        steps.await();
         return report();
     }
 
@@ -96,39 +97,6 @@
         }
     }
 
-    private void scheduleSteps() {
-        for (Step step : scenario.steps()) {
-            long delayMillis = Math.round(step.at() * seconds * MILLIS_PER_SECOND);
-            var unused = timer.schedule(() -> take(step), delayMillis, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    private void take(Step step) {
-        try {
-            switch (step) {
-                case Step.EngineFaults faults -> setEngineFaults(faults);
-                case Step.StoreFaults faults -> setFaults(layout.storeUrl(), faults.faults());
-                case Step.Processes processes -> {}
-            }
-            out.println("step " + step);
-        } catch (IOException e) {
-            out.println("step failed " + step + " " + e.getMessage());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private void setEngineFaults(Step.EngineFaults step) throws IOException, InterruptedException {
-        List<Server> engines = layout.engines();
-        for (int engine : step.engines()) {
-            setFaults(engines.get(engine).url(), step.faults());
-        }
-    }
-
-    private void setFaults(String url, String faults) throws IOException, InterruptedException {
-        http.post(url + "/standin/faults", Json.MAPPER.readTree(faults));
-    }
-
     private void send(List<PlannedRequest> plan, long startNanos) throws InterruptedException {
         CountDownLatch open = new CountDownLatch(plan.size());
         for (PlannedRequest request : plan) {
@@ -177,6 +145,7 @@
         json.setAll(new Report(new ArrayList<>(results), ledger).json(gaps));
         var counts = http.get(layout.storeUrl() + "/standin/counts");
         json.put("storeCalls", counts.path("calls").asLong());
+        steps.report(json, ledger);
         return json;
     }
 
--- a/src/main/java/org/orioleshed/load/Ledger.java
+++ b/src/main/java/org/orioleshed/load/Ledger.java
@@ -32,6 +32,11 @@
         return new Ledger(runs);
     }
 
+    /** Returns all runs that began. */
+    List<RunRecord> runs() {
+        return byTag.values().stream().flatMap(List::stream).toList();
+    }
+
     /** Returns the runs of a request in order of their start; those that never began left out. */
     List<RunRecord> runs(PlannedRequest request) {
         return byTag.getOrDefault(request.tag(), List.of());
--- a/src/main/java/org/orioleshed/load/LoadMain.java
+++ b/src/main/java/org/orioleshed/load/LoadMain.java
@@ -61,6 +61,16 @@
         @Option(name = "--policy", description = "orioleshed or naive")
         String policy = "orioleshed";
 
+        @Option(name = "--fault", description = "What is wrong with a bad version")
+        String fault = "at-once";
+
+        Scenario chosen() {
+            Scenario named = Scenario.named(scenario);
+            return named.bad()
+                    ? named.withFault(VersionFault.named(fault), Deployment.named(deployment))
+                    : named;
+        }
+
         FleetLayout layout() {
             Deployment whose = Deployment.named(deployment);
             return new FleetLayout(whose, basePort, Scenario.named(scenario).newVersion());
@@ -125,11 +135,13 @@
 
         @Override
         public void run() {
-            Scenario chosen = Scenario.named(scenario);
-            Experiment experiment = new Experiment(layout(), chosen, seconds, seed, System.out);
+            Experiment experiment = new Experiment(layout(), chosen(), seconds, seed, System.out);
             try {
                 ObjectNode json = experiment.run();
                 json.put("policy", policy);
+                if (chosen().bad()) {
+                    json.put("fault", fault);
+                }
                 ReportTable.print(json, System.out);
                 ReportFiles.write(json, report);
                 ReportFiles.writeLines(experiment.results(), resultsFile);
--- a/src/main/java/org/orioleshed/load/Scenario.java
+++ b/src/main/java/org/orioleshed/load/Scenario.java
@@ -1,5 +1,6 @@
 package org.orioleshed.load;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.IntStream;
@@ -20,7 +21,10 @@
         boolean newVersion,
         List<Step> steps) {
     private static final Map<String, Double> STEADY = load(0.6, 0.6, 0.6);
+    private static final Map<String, Double> BUSY = load(0.8, 0.8, 0.8);
     private static final int SUVA_B_HOST = 1;
+    private static final double COMPLETE_BY = 0.9;
+    private static final double LATER = 0.4;
 
     private static final List<Scenario> ALL =
             List.of(
@@ -62,7 +66,25 @@
                             false,
                             List.of(
                                     new Step.StoreFaults(0.25, "{\"down\":true}"),
-                                    new Step.StoreFaults(0.75, "{}"))));
+                                    new Step.StoreFaults(0.75, "{}"))),
+                    new Scenario(
+                            "settings-spread",
+                            "four operators change settings at once, at several hosts",
+                            STEADY,
+                            false,
+                            List.of(new Step.Operators(0.1, 0.9, 4))),
+                    new Scenario(
+                            "good-version",
+                            "a move to a good new version",
+                            BUSY,
+                            true,
+                            List.of(new Step.Move(0, COMPLETE_BY))),
+                    new Scenario(
+                            "bad-version",
+                            "a move to a bad new version, with --fault KIND",
+                            BUSY,
+                            true,
+                            List.of(new Step.Move(0, COMPLETE_BY))));
 
     static List<Scenario> all() {
         return ALL;
@@ -82,8 +104,21 @@
                 .toList();
     }
 
+    /** Returns this scenario with the faults of the new version added. */
+    Scenario withFault(VersionFault fault, Deployment deployment) {
+        double at = fault == VersionFault.LATER ? LATER : 0;
+        List<Step> all = new ArrayList<>(steps);
+        all.addFirst(new Step.EngineFaults(at, newEngines(deployment), fault.faults));
+        return new Scenario(name, summary + ": " + fault.id(), load, newVersion, all);
+    }
+
+    /** Returns whether a move to a bad version is part of it. */
+    boolean bad() {
+        return name.equals("bad-version");
+    }
+
     /** Returns the numbers of a deployment's engines of the new version. */
-    static List<Integer> newEngines(Deployment deployment) {
+    private static List<Integer> newEngines(Deployment deployment) {
         return IntStream.range(deployment.engines(), 2 * deployment.engines()).boxed().toList();
     }
 
--- a/src/main/java/org/orioleshed/load/Step.java
+++ b/src/main/java/org/orioleshed/load/Step.java
@@ -30,4 +30,19 @@
      * @param host the host's place in the layout; negative for all, one after another
      */
     record Processes(double at, String action, int host) implements Step {}
+
+    /**
+     * Operators change settings.
+     *
+     * @param until when they stop, as a share of the length
+     * @param operators how many there are
+     */
+    record Operators(double at, double until, int operators) implements Step {}
+
+    /**
+     * A move to the new version is planned.
+     *
+     * @param completeBy when it must be completed, as a share of the length
+     */
+    record Move(double at, double completeBy) implements Step {}
 }
--- a/src/main/java/org/orioleshed/load/StoreClient.java
+++ b/src/main/java/org/orioleshed/load/StoreClient.java
@@ -32,6 +32,15 @@
         putIfAbsent("orioleshed/settings/tree", new FleetFiles(layout).tree());
     }
 
+    /** Returns a key's JSON value; a missing node when there is no such key. */
+    JsonNode value(String key) throws IOException, InterruptedException {
+        ObjectNode range = Json.MAPPER.createObjectNode().put("key", encode(key));
+        JsonNode value = http.post(url + "/v3/kv/range", range).at("/kvs/0/value");
+        return value.isMissingNode()
+                ? value
+                : Json.MAPPER.readTree(Base64.getDecoder().decode(value.asText()));
+    }
+
     private void putIfAbsent(String key, JsonNode value) throws IOException, InterruptedException {
         ObjectNode transaction = Json.MAPPER.createObjectNode();
         transaction
