Tell how each run went, as evidence about the version that ran it

Cause: moves are judged by what the accepting hosts see of their own requests. The core watches its own placements and ends; no adapter has to know of it.

--- a/src/main/java/org/orioleshed/entry/EntryMain.java
+++ b/src/main/java/org/orioleshed/entry/EntryMain.java
@@ -42,6 +42,7 @@
 
     /** Runs the program. */
     public static void main(String[] arguments) throws Exception {
+        System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
         HttpClients.forbidResends();
         CallerServer.boundSlowCallers();
         System.exit(run(arguments));
--- a/src/main/java/org/orioleshed/entry/HostActions.java
+++ b/src/main/java/org/orioleshed/entry/HostActions.java
@@ -38,6 +38,7 @@
     private final PeerMessages peers;
     private Backends backends;
     private Consumer<HostEvent> events;
+    private volatile Consumer<HostAction.Observe> observer = observed -> {};
     private volatile World world = World.EMPTY;
 
     HostActions(DecisionLog log, Store store, PeerMessages peers) {
@@ -55,6 +56,11 @@
         events = newEvents;
     }
 
+    /** Takes the one who hears of evidence about versions. */
+    void observer(Consumer<HostAction.Observe> newObserver) {
+        observer = newObserver;
+    }
+
     /** Takes the world in which servers are looked up. */
     void world(World newWorld) {
         world = newWorld;
@@ -117,6 +123,7 @@
                                     0,
                                     swap.timeoutMillis())
                             .thenAccept(result -> answer(swap.ticket(), result));
+            case HostAction.Observe observed -> observer.accept(observed);
             case HostAction.Log line -> log.add(line.decision());
             case HostAction.Drained done -> drained.countDown();
         }
--- a/src/main/java/org/orioleshed/host/HostAction.java
+++ b/src/main/java/org/orioleshed/host/HostAction.java
@@ -4,8 +4,11 @@
 import org.orioleshed.model.Outcome;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RouteId;
 import org.orioleshed.model.RunId;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.move.RunResult;
 import org.orioleshed.request.Fate;
 import org.orioleshed.request.RequestMessage;
 import org.orioleshed.routing.RoutingMessage;
@@ -58,6 +61,10 @@
             long ticket, String key, long expectedRevision, Payload value, long timeoutMillis)
             implements HostAction {}
 
+    /** Hand evidence about a version to the duty that judges moves. */
+    record Observe(RouteId route, VersionId version, ServerId server, RunResult result)
+            implements HostAction {}
+
     /** Write a decision to the log. */
     record Log(Decision decision) implements HostAction {}
 
--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -36,9 +36,11 @@
     private final ServerChooser chooser;
     private final ClaimCore claims;
     private final AcceptingSide accepting;
+    private final RunEvidence evidence;
     private final Deque<HostEvent> events = new ArrayDeque<>();
     private List<HostAction> actions = new ArrayList<>();
     private World world = World.EMPTY;
+    private long eventNanos;
     private boolean draining;
     private boolean homesDrained;
     private boolean drained;
@@ -75,6 +77,7 @@
                         claims,
                         this::act);
         claims.listener(accepting);
+        this.evidence = new RunEvidence(action -> actions.add(action));
     }
 
     /**
@@ -120,6 +123,8 @@
     }
 
     private void handle(long nowNanos, HostEvent event) {
+        eventNanos = nowNanos;
+        evidence.before(nowNanos, event);
         switch (event) {
             case HostEvent.WorldChanged changed -> world = changed.world();
             case HostEvent.DrainAsked asked -> draining = true;
@@ -163,6 +168,7 @@
 
     /** Hands an action out; messages to this host itself become events. */
     private void act(HostAction action) {
+        evidence.after(eventNanos, action);
         switch (action) {
             case HostAction.SendRouting send when send.to().equals(self) ->
                     events.add(new HostEvent.RoutingReceived(self, send.message()));
--- /dev/null
+++ b/src/main/java/org/orioleshed/host/RunEvidence.java
@@ -0,0 +1,181 @@
+package org.orioleshed.host;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.Request;
+import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.Work;
+import org.orioleshed.move.RunResult;
+import org.orioleshed.routing.RoutingMessage;
+import org.orioleshed.routing.RunEnd;
+
+/**
+ * Watches the runs of the requests that this host accepted, and tells how each went, as evidence
+ * about the version that ran it.
+ */
+final class RunEvidence {
+    private static final double UNKNOWN_LOAD = -1;
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+    private static final int STATUS_SERVER_ERROR = 500;
+
+    private final Map<RequestId, Request> requests = new HashMap<>();
+
+    /** The one open run of each request. */
+    private final Map<RequestId, Run> runs = new HashMap<>();
+
+    private final Map<ServerId, Double> loads = new HashMap<>();
+    private final Consumer<HostAction> out;
+    private World world = World.EMPTY;
+
+    private static final class Run {
+        final RunId id;
+        final Request request;
+        final ServerId server;
+        final long startedNanos;
+        final double load;
+        int tokens;
+
+        Run(RunId id, Request request, ServerId server, long startedNanos, double load) {
+            this.id = id;
+            this.request = request;
+            this.server = server;
+            this.startedNanos = startedNanos;
+            this.load = load;
+        }
+    }
+
+    RunEvidence(Consumer<HostAction> out) {
+        this.out = out;
+    }
+
+    /** Takes what happened, before the decisions do. */
+    void before(long nowNanos, HostEvent event) {
+        switch (event) {
+            case HostEvent.RequestArrived arrived ->
+                    requests.put(arrived.request().id(), arrived.request());
+            case HostEvent.RoutingReceived received -> learn(nowNanos, received.message());
+            case HostEvent.RunEnded ended -> end(nowNanos, ended.run(), ended.end());
+            case HostEvent.CallEnded ended -> end(nowNanos, ended.run(), ended.end());
+            case HostEvent.CallerGone gone -> forget(nowNanos, gone.request());
+            case HostEvent.WorldChanged changed -> {
+                world = changed.world();
+                loads.keySet().retainAll(world.servers().keySet());
+            }
+            default -> {}
+        }
+    }
+
+    /** Takes what the accepting side asks for. */
+    void after(long nowNanos, HostAction action) {
+        switch (action) {
+            case HostAction.SendRouting send
+                    when send.message() instanceof RoutingMessage.Placed placed ->
+                    open(nowNanos, placed.run(), placed.server());
+            case HostAction.CallService call -> open(nowNanos, call.run(), call.server());
+            case HostAction.Answer answer -> forget(nowNanos, answer.request());
+            default -> {}
+        }
+    }
+
+    private void learn(long nowNanos, RoutingMessage message) {
+        switch (message) {
+            case RoutingMessage.Tokens tokens -> {
+                Run run = runs.get(tokens.run().request());
+                if (run != null && run.id.equals(tokens.run())) {
+                    run.tokens = Math.max(run.tokens, tokens.firstToken() + tokens.count());
+                }
+            }
+            case RoutingMessage.Ended ended -> end(nowNanos, ended.run(), ended.end());
+            case RoutingMessage.ServerLoads reported -> reported.loads().forEach(this::learnLoad);
+            default -> {}
+        }
+    }
+
+    private void learnLoad(RoutingMessage.ServerLoad load) {
+        BackendServer server = world.servers().get(load.server());
+        if (server != null) {
+            loads.put(load.server(), load.running() / (double) Math.max(1, server.places()));
+        }
+    }
+
+    private void open(long nowNanos, RunId run, ServerId server) {
+        Request request = requests.get(run.request());
+        if (request != null) {
+            double load = loads.getOrDefault(server, UNKNOWN_LOAD);
+            runs.put(run.request(), new Run(run, request, server, nowNanos, load));
+        }
+    }
+
+    private void end(long nowNanos, RunId run, RunEnd end) {
+        switch (end) {
+            case RunEnd.Finished finished -> close(nowNanos, run, RunResult.Verdict.OK);
+            case RunEnd.Cancelled cancelled -> close(nowNanos, run, RunResult.Verdict.CUT);
+            case RunEnd.Preempted preempted -> close(nowNanos, run, RunResult.Verdict.CUT);
+            case RunEnd.NeverStarted never -> runs.remove(run.request());
+            case RunEnd.EngineError error -> close(nowNanos, run, RunResult.Verdict.FAILED);
+            case RunEnd.Broken broken ->
+                    close(
+                            nowNanos,
+                            run,
+                            broken.crashed()
+                                    ? RunResult.Verdict.CRASHED
+                                    : RunResult.Verdict.FAILED);
+        }
+    }
+
+    private void end(long nowNanos, RunId run, HostEvent.CallEnd end) {
+        switch (end) {
+            case HostEvent.CallEnd.Answered answered ->
+                    close(
+                            nowNanos,
+                            run,
+                            answered.status() >= STATUS_SERVER_ERROR
+                                    ? RunResult.Verdict.FAILED
+                                    : RunResult.Verdict.OK);
+            case HostEvent.CallEnd.NeverSent never ->
+                    close(nowNanos, run, RunResult.Verdict.CRASHED);
+            case HostEvent.CallEnd.Broken broken -> close(nowNanos, run, RunResult.Verdict.FAILED);
+        }
+    }
+
+    /** Ends what still runs for a request that has its answer. */
+    private void forget(long nowNanos, RequestId request) {
+        if (requests.remove(request) == null) {
+            return;
+        }
+        Run run = runs.get(request);
+        if (run != null) {
+            close(nowNanos, run.id, RunResult.Verdict.CUT);
+        }
+    }
+
+    private void close(long nowNanos, RunId id, RunResult.Verdict verdict) {
+        Run run = runs.get(id.request());
+        if (run == null || !run.id.equals(id)) {
+            return;
+        }
+        runs.remove(id.request());
+        BackendServer server = world.servers().get(run.server);
+        if (server == null) {
+            return;
+        }
+        RunResult result =
+                new RunResult(
+                        verdict,
+                        Math.max(0, (nowNanos - run.startedNanos) / NANOS_PER_MILLI),
+                        run.tokens,
+                        run.request.work() instanceof Work.Generate generate
+                                ? generate.promptTokens()
+                                : 0,
+                        0,
+                        run.load,
+                        run.request.fingerprint());
+        out.accept(
+                new HostAction.Observe(run.request.route(), server.version(), server.id(), result));
+    }
+}
