--- /dev/null
+++ b/src/main/java/org/orioleshed/claim/ClaimPage.java
@@ -0,0 +1,63 @@
+package org.orioleshed.claim;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.model.RequestKey;
+
+/**
+ * Older claims of one bucket.
+ *
+ * @param generation tells the page from others that had its slot
+ * @param version grows with each write of the page
+ * @param records the claims
+ */
+record ClaimPage(long generation, int version, List<ClaimRecord> records) {
+    /** Copies the list. */
+    ClaimPage {
+        records = List.copyOf(records);
+    }
+
+    /** Returns an upper bound of the encoded size. */
+    int bytes() {
+        return records.stream().mapToInt(ClaimRecord::bytes).sum();
+    }
+
+    /** Returns the next version of this page, with further and newer records. */
+    ClaimPage with(Collection<ClaimRecord> newer) {
+        Map<RequestKey, ClaimRecord> merged = new LinkedHashMap<>();
+        records.forEach(record -> merged.put(record.key(), record));
+        newer.forEach(record -> merged.put(record.key(), record));
+        return new ClaimPage(generation, version + 1, new ArrayList<>(merged.values()));
+    }
+
+    Optional<ClaimRecord> find(RequestKey key) {
+        return records.stream().filter(record -> record.key().equals(key)).findFirst();
+    }
+
+    /** Returns the hashes of its keys, sorted. */
+    long[] index() {
+        long[] hashes = new long[records.size()];
+        for (int i = 0; i < hashes.length; i++) {
+            hashes[i] = hash(records.get(i).key());
+        }
+        Arrays.sort(hashes);
+        return hashes;
+    }
+
+    static long hash(RequestKey key) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putString(key.workspace().value(), StandardCharsets.UTF_8)
+                .putByte((byte) 0)
+                .putString(key.key(), StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+}
--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -63,7 +63,7 @@
         this.self = self;
         this.homes = new GrantingHome();
         this.chooser = new ServerChooser(self, limits.routing());
-        this.claims = new ClaimCore(self, incarnation, limits.claim(), this::act);
+        this.claims = new ClaimCore(self, limits.claim(), this::act);
         this.accepting =
                 new AcceptingSide(
                         self,
@@ -134,6 +134,7 @@
         homes.on(nowNanos, event).forEach(this::actOfHomes);
         claims.on(nowNanos, event);
         accepting.on(nowNanos, event);
+        claims.deliver();
     }
 
     /** Refuses an offer of content that is held, whoever accepted it. */
