--- a/src/main/java/org/orioleshed/move/LoadTrial.java
+++ b/src/main/java/org/orioleshed/move/LoadTrial.java
@@ -20,7 +20,7 @@
  */
 final class LoadTrial {
     /** The evidence under load that ends the trial. */
-    static final double PROOF = 3;
+    static final double PROOF = 5;
 
     private static final long TURN_MILLIS = 4_000;
     private static final int ROUNDS_PER_LEVEL = 2;
--- a/src/main/java/org/orioleshed/move/LocalEvidence.java
+++ b/src/main/java/org/orioleshed/move/LocalEvidence.java
@@ -8,6 +8,13 @@
 
 /** What one host has seen of a move's two versions itself. */
 final class LocalEvidence {
+    private static final Tally NORMAL = new Tally(1, 0, 0, 1, 0);
+    private static final Tally SLOW = new Tally(1, 0, 0, 1, 1);
+    private static final Tally UNTIMED = new Tally(1, 0, 0, 0, 0);
+    private static final Tally FAILED = new Tally(1, 1, 0, 0, 0);
+    private static final Tally EXCUSED = new Tally(0, 0, 1, 0, 0);
+    private static final Tally CUT_SLOW = new Tally(0, 0, 0, 1, 1);
+
     private final VersionId from;
     private final VersionId to;
     private final MoveLimits limits;
@@ -44,8 +51,7 @@
         switch (result.verdict()) {
             case OK -> {
                 blame.succeeded(onNew, result.fingerprint());
-                count(key, 1, 0, 0);
-                time(key, onNew, server, generation, result);
+                count(key, succeeded(key, onNew, server, generation, result));
                 if (!onNew) {
                     scale.learn(route, band, generation, result);
                 }
@@ -73,44 +79,36 @@
 
     private void settle(MoveMessage.Key key, Blame.Verdict verdict) {
         switch (verdict) {
-            case Blame.Verdict.Version version -> count(key, 1, 1, 0);
+            case Blame.Verdict.Version version -> count(key, FAILED);
             case Blame.Verdict.Content content ->
-                    content.excused().ifPresent(earlier -> count(earlier, 0, 0, 1));
+                    content.excused().ifPresent(earlier -> count(earlier, EXCUSED));
         }
     }
 
-    private void time(
+    private Tally succeeded(
             MoveMessage.Key key,
             boolean onNew,
             ServerId server,
             String generation,
             RunResult result) {
         if (onNew && coldRuns.merge(server, 1, Integer::sum) <= limits.coldRuns()) {
-            return;
-        }
-        switch (scale.judge(key.route(), key.band(), generation, result)) {
-            case SLOW -> countTimed(key, 1);
-            case NORMAL -> countTimed(key, 0);
-            case UNKNOWN -> {}
+            return UNTIMED;
         }
+        return switch (scale.judge(key.route(), key.band(), generation, result)) {
+            case SLOW -> SLOW;
+            case NORMAL -> NORMAL;
+            case UNKNOWN -> UNTIMED;
+        };
     }
 
     /** A run that was ended from outside says nothing, unless it had taken too long already. */
     private void timeCut(MoveMessage.Key key, String generation, RunResult result) {
         SlowScale.Answer answer = scale.judge(key.route(), key.band(), generation, result);
         if (answer == SlowScale.Answer.SLOW) {
-            countTimed(key, 1);
+            count(key, CUT_SLOW);
         }
     }
 
-    private void countTimed(MoveMessage.Key key, int slow) {
-        count(key, new Tally(0, 0, 0, 1, slow));
-    }
-
-    private void count(MoveMessage.Key key, int runs, int failed, int excused) {
-        count(key, new Tally(runs, failed, excused, 0, 0));
-    }
-
     private void count(MoveMessage.Key key, Tally more) {
         tallies.merge(key, more, Tally::plus);
         VersionTest test =
--- a/src/main/java/org/orioleshed/move/PooledEvidence.java
+++ b/src/main/java/org/orioleshed/move/PooledEvidence.java
@@ -132,23 +132,25 @@
     }
 
     /**
-     * Returns whether the new version lacks proof under load on a route where the old one is often
-     * under load.
+     * Returns whether the new version lacks proof under load while the old one is often under load.
+     * Routes count together here, for load is the servers'; alarms stay apart by route.
      */
     boolean lacksProofUnderLoad(double level) {
-        for (RouteId route : move.routes()) {
-            VersionTest high = tests.get(new Cell(route, LoadBand.HIGH));
-            if (high == null) {
-                continue;
-            }
-            VersionTest low = tests.get(new Cell(route, LoadBand.LOW));
-            long all = high.oldRuns() + (low == null ? 0 : low.oldRuns());
-            boolean often = all >= BAND_RUNS && high.oldRuns() >= BAND_PART * all;
-            if (often && -high.failureProof() < level) {
-                return true;
+        long all = 0;
+        long high = 0;
+        double failures = 0;
+        double slowness = 0;
+        for (Map.Entry<Cell, VersionTest> entry : tests.entrySet()) {
+            VersionTest test = entry.getValue();
+            all += test.oldRuns();
+            if (entry.getKey().band() == LoadBand.HIGH) {
+                high += test.oldRuns();
+                failures += test.failureProof();
+                slowness += test.slownessProof();
             }
         }
-        return false;
+        boolean often = all >= BAND_RUNS && high >= BAND_PART * all;
+        return often && -Math.max(failures, slowness) < level;
     }
 
     /** Returns whether a domain that is busy has hardly run the new version. */
--- /dev/null
+++ b/src/test/java/org/orioleshed/move/MoveStatisticsTest.java
@@ -0,0 +1,110 @@
+package org.orioleshed.move;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.testng.annotations.Test;
+
+/** Measures the outcomes of many moves against the stated targets and {@link NaiveMove}. */
+public class MoveStatisticsTest {
+    private static final int GOOD_MOVES = Integer.getInteger("moves.good", 1_000);
+    private static final int BAD_MOVES = Integer.getInteger("moves.bad", 1_000);
+    private static final int THREADS = 3;
+
+    @Test
+    public void goodVersionsCompleteAndBadOnesAreTakenBack() throws Exception {
+        List<MoveSimulation.Result> results = runAll();
+        int good = 0;
+        int goodCompleted = 0;
+        int bad = 0;
+        int badCompleted = 0;
+        double worstShare = 0;
+        long late = 0;
+        for (MoveSimulation.Result result : results) {
+            assertEquals(result.outcomes(), 1, "outcomes of one move");
+            boolean completed = result.outcome() == MoveState.COMPLETED;
+            late += result.lateRequests();
+            if (result.fault() == MoveSimulation.Fault.NONE) {
+                good++;
+                goodCompleted += completed ? 1 : 0;
+            } else {
+                bad++;
+                badCompleted += completed ? 1 : 0;
+                worstShare =
+                        Math.max(worstShare, (double) result.newRequests() / result.requests());
+            }
+            boolean wrong = completed != (result.fault() == MoveSimulation.Fault.NONE);
+            if (wrong) {
+                print("wrong %s", result);
+            }
+        }
+        printByFault(results);
+        print(
+                "good=%d completed=%d bad=%d completed=%d worstShare=%.4f lateRequests=%d",
+                good, goodCompleted, bad, badCompleted, worstShare, late);
+        assertTrue(good - goodCompleted <= 0.01 * good, "false take-backs");
+        assertTrue(badCompleted <= 0.001 * bad, "bad versions completed");
+        assertTrue(worstShare <= 0.05, "share of a bad version: " + worstShare);
+        assertEquals(late, 0, "requests to a bad version a second after a fuse blew");
+    }
+
+    private static void printByFault(List<MoveSimulation.Result> results) {
+        for (MoveSimulation.Fault fault : MoveSimulation.Fault.values()) {
+            long moves = 0;
+            long completed = 0;
+            long sent = 0;
+            long naive = 0;
+            for (MoveSimulation.Result result : results) {
+                if (result.fault() != fault) {
+                    continue;
+                }
+                moves++;
+                completed += result.outcome() == MoveState.COMPLETED ? 1 : 0;
+                sent += result.badRequests();
+                naive += result.naiveBadRequests();
+            }
+            print(
+                    "fault=%s moves=%d completed=%d faultyRequestsPerMove=%.1f naive=%.1f",
+                    fault,
+                    moves,
+                    completed,
+                    (double) sent / Math.max(1, moves),
+                    (double) naive / Math.max(1, moves));
+        }
+    }
+
+    private static void print(String format, Object... arguments) {
+        System.out.println(String.format(Locale.ROOT, format, arguments));
+    }
+
+    private static List<MoveSimulation.Result> runAll()
+            throws InterruptedException, ExecutionException {
+        List<Future<MoveSimulation.Result>> futures = new ArrayList<>();
+        try (ExecutorService threads = Executors.newFixedThreadPool(THREADS)) {
+            for (int i = 0; i < GOOD_MOVES; i++) {
+                long seed = i;
+                futures.add(
+                        threads.submit(
+                                () -> new MoveSimulation(seed, MoveSimulation.Fault.NONE).run()));
+            }
+            MoveSimulation.Fault[] faults = MoveSimulation.Fault.values();
+            for (int i = 0; i < BAD_MOVES; i++) {
+                long seed = 1_000_000L + i;
+                MoveSimulation.Fault fault = faults[1 + i % (faults.length - 1)];
+                futures.add(threads.submit(() -> new MoveSimulation(seed, fault).run()));
+            }
+            List<MoveSimulation.Result> results = new ArrayList<>();
+            for (Future<MoveSimulation.Result> future : futures) {
+                results.add(future.get());
+            }
+            return results;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/move/NaiveMove.java
@@ -0,0 +1,18 @@
+package org.orioleshed.move;
+
+/** A move by fixed steps, evenly spread over the time, that looks at no evidence. */
+final class NaiveMove {
+    private static final double[] SHARES = {0.01, 0.05, 0.25, 0.5, 1};
+
+    private NaiveMove() {}
+
+    /**
+     * Returns the new version's share.
+     *
+     * @param progress the part of the time that has passed, from 0 to 1
+     */
+    static double share(double progress) {
+        int step = (int) (progress * SHARES.length);
+        return SHARES[Math.min(step, SHARES.length - 1)];
+    }
+}
