--- a/src/main/java/org/orioleshed/entry/EntryMain.java
+++ b/src/main/java/org/orioleshed/entry/EntryMain.java
@@ -20,6 +20,10 @@
                 "Serves callers as one of many alike entry hosts. Exit code 0 after a graceful stop,"
                         + " 1 when it can't start, 2 for bad arguments or settings.")
 public final class EntryMain {
+    /** One line for each event: the time, then key=value pairs. */
+    private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
+
+    private static final String LOG_FORMAT = "time=%1$tFT%1$tT.%1$tL%1$tz level=%4$s %5$s%6$s%n";
     private static final int EXIT_OK = 0;
     private static final int EXIT_FAILED = 1;
     private static final int EXIT_BAD_SETTINGS = 2;
--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -22,6 +22,7 @@
 import org.orioleshed.request.HeldContent;
 import org.orioleshed.request.Placement;
 import org.orioleshed.routing.Candidate;
+import org.orioleshed.routing.HomeCore;
 import org.orioleshed.routing.RoutingMessage;
 import org.orioleshed.routing.ServerChooser;
 
@@ -63,7 +64,7 @@
             HostLimits limits,
             RandomGenerator random) {
         this.self = self;
-        this.homes = new GrantingHome();
+        this.homes = new HomeCore(self, limits.routing());
         this.chooser = new ServerChooser(self, limits.routing());
         this.claims = new ClaimCore(self, limits.claim(), this::act);
         this.accepting =
