--- a/src/main/java/org/orioleshed/routing/Admission.java
+++ b/src/main/java/org/orioleshed/routing/Admission.java
@@ -95,7 +95,7 @@
         if (leftMillis < waiting.workMillis() / 2) {
             return 0;
         }
-        return Math.min(1, (double) waiting.workMillis() / Math.max(1, leftMillis));
+        return Math.min(1, (double) waiting.safeMillis() / Math.max(1, leftMillis));
     }
 
     private Optional<Waiting> firstIn(int maxPlaces) {
--- a/src/main/java/org/orioleshed/routing/HomeCore.java
+++ b/src/main/java/org/orioleshed/routing/HomeCore.java
@@ -27,7 +27,8 @@
  *
  * <p>Events that are none of its business are ignored, so a host may pass it all of them. Messages
  * may be lost, repeated or reordered. It sends messages to its own host in the same way as to
- * others.
+ * others. After {@link HostEvent.DrainAsked} it says {@link HostAction.Drained} once, when no
+ * accepting host waits for anything here any more.
  */
 public final class HomeCore implements Machine<HostEvent, HostAction> {
     private final HostId self;
@@ -39,6 +40,7 @@
     private World world = World.EMPTY;
     private Homes homes = Homes.NONE;
     private boolean draining;
+    private boolean drained;
     private boolean wallKnown;
     private long wallEpochMillis;
     private long wallAtNanos;
@@ -81,6 +83,10 @@
             case HostEvent.CallEnded e -> {}
             case HostEvent.StoreAnswered e -> {}
         }
+        if (draining && !drained && isIdle()) {
+            drained = true;
+            outbox.add(new HostAction.Drained());
+        }
         return outbox.drain();
     }
 
--- a/src/main/java/org/orioleshed/routing/HomeServer.java
+++ b/src/main/java/org/orioleshed/routing/HomeServer.java
@@ -262,7 +262,8 @@
                 now - ageMillis * Moment.NANOS_PER_MILLI,
                 now,
                 uncached,
-                speed.workMillis(offer, uncached));
+                speed.workMillis(offer, uncached),
+                speed.safeWorkMillis(offer, uncached));
     }
 
     private Optional<RefusalReason> refusal(Moment moment, Waiting waiting) {
@@ -379,7 +380,7 @@
     private void preempt(Moment moment) {
         int allowed = admission.allowance(0, moment.nowNanos(), limit(), server.places());
         int free = Math.max(0, allowed - places.inFlight()) + admission.swaps();
-        for (Running victim : preemption.victims(moment, server, free)) {
+        for (Running victim : preemption.victims(moment, free)) {
             preempt(moment, victim, "place-needed");
         }
     }
--- a/src/main/java/org/orioleshed/routing/Preemption.java
+++ b/src/main/java/org/orioleshed/routing/Preemption.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
-import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.model.ServerId;
 
 /**
@@ -41,7 +40,7 @@
      *
      * @param free places that urgent work may take without any stop
      */
-    List<Running> victims(Moment moment, BackendServer server, int free) {
+    List<Running> victims(Moment moment, int free) {
         if (limits.policy() == Policy.NAIVE || places.running().isEmpty()) {
             return List.of();
         }
@@ -53,7 +52,7 @@
             if (needed > 0) {
                 boolean lastResort = pressed.stream().anyMatch(w -> wouldBeShed(w, moment));
                 List<Running> found =
-                        choose(moment, server, rank, needed, rank == 0 && lastResort, victims);
+                        choose(moment, rank, needed, rank == 0 && lastResort, victims);
                 victims.addAll(found);
             }
             onTheWay = Math.max(0, onTheWay - pressed.size());
@@ -70,20 +69,15 @@
     }
 
     private List<Running> choose(
-            Moment moment,
-            BackendServer server,
-            int rank,
-            int needed,
-            boolean lastResort,
-            List<Running> chosen) {
+            Moment moment, int rank, int needed, boolean lastResort, List<Running> chosen) {
         Comparator<Running> order =
-                Comparator.comparing((Running r) -> isProtected(r, moment, server))
+                Comparator.comparing((Running r) -> isProtected(r, moment))
                         .thenComparing(Running::rank, Comparator.reverseOrder())
-                        .thenComparingLong(r -> waste(r, moment, server))
+                        .thenComparingLong(r -> speed.wasteMillis(r, moment.nowNanos()))
                         .thenComparing(Running::run, Waiting.BY_RUN);
         return places.running().stream()
                 .filter(r -> r.rank() > rank && !r.stopping() && !chosen.contains(r))
-                .filter(r -> lastResort || !isProtected(r, moment, server))
+                .filter(r -> lastResort || !isProtected(r, moment))
                 .sorted(order)
                 .limit(needed)
                 .toList();
@@ -104,30 +98,24 @@
     private boolean nearlyLate(Waiting waiting, Moment moment) {
         long leftMillis = moment.millisUntil(waiting.deadlineNanos());
         return leftMillis >= waiting.workMillis()
-                && leftMillis < waiting.workMillis() * SAFETY + REQUEUE_MILLIS;
+                && leftMillis < waiting.safeMillis() * SAFETY + REQUEUE_MILLIS;
     }
 
     private boolean wouldBeShed(Waiting waiting, Moment moment) {
         long leftMillis = moment.millisUntil(waiting.deadlineNanos());
-        return leftMillis < waiting.workMillis() * SAFETY + REQUEUE_MILLIS;
-    }
-
-    private long waste(Running run, Moment moment, BackendServer server) {
-        long gapMicros = speed.gapMicros(run.waiting().offer().route());
-        return run.wasteMillis(moment.nowNanos(), server.canResume(), gapMicros);
+        return leftMillis < waiting.safeMillis() * SAFETY + REQUEUE_MILLIS;
     }
 
     /**
      * Returns whether a run must be let alone unless an urgent request would be shed otherwise: it
      * was preempted often enough, or it would miss a deadline that it can meet if it goes on.
      */
-    boolean isProtected(Running run, Moment moment, BackendServer server) {
+    boolean isProtected(Running run, Moment moment) {
         if (run.waiting().offer().preemptions() >= limits.maxPreemptions()) {
             return true;
         }
-        long gapMicros = speed.gapMicros(run.waiting().offer().route());
-        long remaining = run.remainingMillis(moment.nowNanos(), gapMicros);
-        long again = remaining + waste(run, moment, server);
+        long remaining = speed.remainingMillis(run, moment.nowNanos());
+        long again = remaining + speed.wasteMillis(run, moment.nowNanos());
         long leftMillis = moment.millisUntil(run.waiting().deadlineNanos());
         boolean meetsIt = leftMillis >= remaining;
         boolean wouldMiss = leftMillis < again * SAFETY + REQUEUE_MILLIS;
--- a/src/main/java/org/orioleshed/routing/Quantiles.java
+++ b/src/main/java/org/orioleshed/routing/Quantiles.java
@@ -15,6 +15,7 @@
     private int sinceRefresh;
     private long median;
     private long p90;
+    private long mean;
 
     /** Makes one for values from 0 to {@code highest}; larger ones count as {@code highest}. */
     Quantiles(long highest) {
@@ -50,12 +51,17 @@
         return p90;
     }
 
+    long mean() {
+        return mean;
+    }
+
     private void refresh() {
         Histogram both = new Histogram(highest, SIGNIFICANT_DIGITS);
         both.add(current);
         both.add(previous);
         median = both.getValueAtPercentile(50);
         p90 = both.getValueAtPercentile(90);
+        mean = Math.round(both.getMean());
         sinceRefresh = 0;
     }
 }
--- a/src/main/java/org/orioleshed/routing/RoutingMessage.java
+++ b/src/main/java/org/orioleshed/routing/RoutingMessage.java
@@ -142,7 +142,8 @@
      * @param ageMillis the time since the request first arrived, in milliseconds; keeps its order
      *     over resends
      * @param promptTokens the estimated length of the prompt, in tokens
-     * @param outputTokens the estimated length of the answer still to come, in tokens
+     * @param outputTokens the most tokens that the answer may still have; the home estimates the
+     *     length from the route's history
      * @param prefixHashes as in {@link org.orioleshed.model.Work.Generate}
      * @param preemptions how often the request was preempted before
      * @param fingerprint the digest of the content
--- a/src/main/java/org/orioleshed/routing/Running.java
+++ b/src/main/java/org/orioleshed/routing/Running.java
@@ -175,9 +175,13 @@
         lastTokenNanos = nowNanos;
     }
 
-    /** Returns the expected time until the run ends, in milliseconds, at {@code gapMicros}. */
-    long remainingMillis(long nowNanos, long gapMicros) {
-        int expected = Math.max(1, waiting.offer().outputTokens());
+    /**
+     * Returns the expected time until the run ends, in milliseconds.
+     *
+     * @param expected the expected length of the answer, in tokens
+     * @param gapMicros the time between tokens, in microseconds
+     */
+    long remainingMillis(long nowNanos, int expected, long gapMicros) {
         // Lengths are heavy-tailed: what outlived its estimate goes on for a good while.
         int tokens = Math.max(expected - generatedTokens(), expected / 4);
         long prefill = 0;
--- a/src/main/java/org/orioleshed/routing/ServerSpeed.java
+++ b/src/main/java/org/orioleshed/routing/ServerSpeed.java
@@ -86,7 +86,28 @@
     /** Returns the expected time of a whole run, in milliseconds. */
     long workMillis(Offer offer, int uncachedTokens) {
         return prefillMillis(offer.route(), uncachedTokens)
-                + offer.outputTokens() * gapMicros(offer.route()) / 1_000;
+                + expectedTokens(offer) * gapMicros(offer.route()) / 1_000;
+    }
+
+    /** Returns the expected length of the answer, in tokens: the mean of its like. */
+    int expectedTokens(Offer offer) {
+        Quantiles lengths = book.of(server, offer.route()).outputTokens();
+        if (lengths.count() < FEWEST_SAMPLES) {
+            return offer.outputTokens();
+        }
+        return (int) Math.min(offer.outputTokens(), lengths.mean());
+    }
+
+    /** Returns the expected time until {@code run} ends, in milliseconds. */
+    long remainingMillis(Running run, long nowNanos) {
+        Offer offer = run.waiting().offer();
+        return run.remainingMillis(nowNanos, expectedTokens(offer), gapMicros(offer.route()));
+    }
+
+    /** Returns the work that would be done again if {@code run} were stopped, in milliseconds. */
+    long wasteMillis(Running run, long nowNanos) {
+        long gapMicros = gapMicros(run.waiting().offer().route());
+        return run.wasteMillis(nowNanos, server.canResume(), gapMicros);
     }
 
     /** Returns a time that nine of ten runs like this one take at most, in milliseconds. */
@@ -94,7 +115,7 @@
         Quantiles lengths = book.of(server, offer.route()).outputTokens();
         long tokens = offer.outputTokens();
         if (lengths.count() >= FEWEST_SAMPLES) {
-            tokens = Math.max(tokens, lengths.p90());
+            tokens = Math.min(tokens, lengths.p90());
         }
         return prefillMillis(offer.route(), uncachedTokens)
                 + tokens * gapMicros(offer.route()) / 1_000;
--- a/src/main/java/org/orioleshed/routing/WaitEstimate.java
+++ b/src/main/java/org/orioleshed/routing/WaitEstimate.java
@@ -57,8 +57,7 @@
         }
         long sum = 0;
         for (Running run : places.running()) {
-            long gapMicros = speed.gapMicros(run.waiting().offer().route());
-            sum += run.remainingMillis(nowNanos, gapMicros);
+            sum += speed.remainingMillis(run, nowNanos);
         }
         return sum / places.runningCount();
     }
--- a/src/main/java/org/orioleshed/routing/Waiting.java
+++ b/src/main/java/org/orioleshed/routing/Waiting.java
@@ -17,6 +17,7 @@
  * @param queuedNanos when the offer came in here
  * @param uncachedTokens tokens of the prompt that are not in the server's cache
  * @param workMillis how long the run is expected to take
+ * @param safeMillis how long nine of ten runs like it take at most
  */
 record Waiting(
         RunId run,
@@ -26,7 +27,8 @@
         long arrivedNanos,
         long queuedNanos,
         int uncachedTokens,
-        long workMillis) {
+        long workMillis,
+        long safeMillis) {
     private static final Comparator<RequestId> BY_REQUEST =
             Comparator.comparing(RequestId::host)
                     .thenComparingLong(RequestId::incarnation)
