Join the accepting side with the homes; keep a directory of keys; test the host's core

Resends join the running request on the same host and take its answer over from another; fates are looked up in the directory, at the accepting host and in the claims.

--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -5,7 +5,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.orioleshed.claim.ClaimCore;
 import org.orioleshed.fleet.BackendServer;
@@ -22,6 +24,7 @@
 import org.orioleshed.request.HeldContent;
 import org.orioleshed.request.Placement;
 import org.orioleshed.routing.Candidate;
+import org.orioleshed.routing.HomeCore;
 import org.orioleshed.routing.RoutingMessage;
 import org.orioleshed.routing.ServerChooser;
 
@@ -31,8 +34,11 @@
  * are handled at once, before {@link #on} returns. Not safe for use by several threads.
  */
 public final class HostCore implements Machine<HostEvent, HostAction> {
+    /** How long a host that shuts down waits for outcomes to be recorded. */
+    private static final long MAX_RECORDING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private final HostId self;
-    private final Machine<HostEvent, HostAction> homes;
+    private final HomeCore homes;
     private final ServerChooser chooser;
     private final ClaimCore claims;
     private final AcceptingSide accepting;
@@ -40,7 +46,7 @@
     private List<HostAction> actions = new ArrayList<>();
     private World world = World.EMPTY;
     private boolean draining;
-    private boolean homesDrained;
+    private OptionalLong idleSinceNanos = OptionalLong.empty();
     private boolean drained;
 
     /**
@@ -61,7 +67,7 @@
             HostLimits limits,
             RandomGenerator random) {
         this.self = self;
-        this.homes = new GrantingHome();
+        this.homes = new HomeCore(self, limits.routing());
         this.chooser = new ServerChooser(self, limits.routing());
         this.claims = new ClaimCore(self, limits.claim(), this::act);
         this.accepting =
@@ -90,8 +96,7 @@
         while (!events.isEmpty()) {
             handle(nowNanos, events.poll());
         }
-        boolean done = draining && homesDrained && accepting.isIdle() && claims.isIdle();
-        if (done && !drained) {
+        if (draining && !drained && isDone(nowNanos)) {
             drained = true;
             actions.add(new HostAction.Drained());
         }
@@ -119,6 +124,18 @@
         return accepting.size();
     }
 
+    /** Returns whether nothing is left to finish; outcomes are waited for a bounded time only. */
+    private boolean isDone(long nowNanos) {
+        if (!homes.isIdle() || !accepting.isIdle()) {
+            idleSinceNanos = OptionalLong.empty();
+            return false;
+        }
+        if (idleSinceNanos.isEmpty()) {
+            idleSinceNanos = OptionalLong.of(nowNanos);
+        }
+        return claims.isIdle() || nowNanos - idleSinceNanos.getAsLong() >= MAX_RECORDING_NANOS;
+    }
+
     private void handle(long nowNanos, HostEvent event) {
         switch (event) {
             case HostEvent.WorldChanged changed -> world = changed.world();
@@ -131,7 +148,7 @@
             }
             default -> {}
         }
-        homes.on(nowNanos, event).forEach(this::actOfHomes);
+        homes.on(nowNanos, event).forEach(this::act);
         claims.on(nowNanos, event);
         accepting.on(nowNanos, event);
         claims.deliver();
@@ -154,14 +171,6 @@
         return true;
     }
 
-    private void actOfHomes(HostAction action) {
-        if (action instanceof HostAction.Drained) {
-            homesDrained = true;
-            return;
-        }
-        act(action);
-    }
-
     /** Hands an action out; messages to this host itself become events. */
     private void act(HostAction action) {
         switch (action) {
--- a/src/main/java/org/orioleshed/request/AcceptingSide.java
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -19,6 +19,7 @@
 import org.orioleshed.model.Outcome.FailReason;
 import org.orioleshed.model.Outcome.NotRunReason;
 import org.orioleshed.model.Request;
+import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.RunId;
 import org.orioleshed.model.Tier;
@@ -41,6 +42,9 @@
     private final Results results;
     private final ModelRequests models;
     private final ServiceRequests services;
+    private final HostId self;
+    private final KeyDirectory directory;
+    private final FateInquiries inquiries;
     private final Map<RequestKey, KeyedRequest> byKey = new HashMap<>();
     private final Map<WorkspaceId, Integer> perWorkspace = new HashMap<>();
     private World world = World.EMPTY;
@@ -67,8 +71,11 @@
             Placement placement,
             Claims claims,
             Consumer<HostAction> out) {
+        this.self = self;
         this.limits = limits;
         this.out = out;
+        this.directory = new KeyDirectory(limits.resultMillis());
+        this.inquiries = new FateInquiries(claims, out);
         this.poison =
                 new PoisonWatch(
                         self, new Poison(limits.poisonMillis(), limits.poisonEntries()), out);
@@ -88,10 +95,7 @@
                 services.onCallerGone(nowNanos, gone.request());
             }
             case HostEvent.CallerTook took -> models.onCallerTook(took.request(), took.tokens());
-            case HostEvent.FateAsked asked -> {
-                Fate fate = fate(nowNanos, asked.key());
-                out.accept(new HostAction.TellFate(asked.ticket(), fate));
-            }
+            case HostEvent.FateAsked asked -> fateAsked(nowNanos, asked.ticket(), asked.key());
             case HostEvent.RoutingReceived received ->
                     routed(nowNanos, received.from(), received.message());
             case HostEvent.RequestReceived received ->
@@ -142,7 +146,9 @@
     }
 
     @Override
-    public void onLookedUp(long nowNanos, long ticket, RequestKey key, Claims.Result result) {}
+    public void onLookedUp(long nowNanos, long ticket, RequestKey key, Claims.Result result) {
+        inquiries.onLookedUp(ticket, result);
+    }
 
     private void arrived(long nowNanos, Request request) {
         if (draining) {
@@ -176,13 +182,65 @@
 
     private void start(long nowNanos, Request request) {
         switch (request.work()) {
-            case Work.Generate generate -> models.start(nowNanos, request, this::opened);
-            case Work.Call call -> services.start(nowNanos, request, this::opened);
+            case Work.Generate generate ->
+                    models.start(nowNanos, request, e -> opened(nowNanos, e));
+            case Work.Call call ->
+                    services.start(nowNanos, request, c -> byKey.put(request.key(), c));
+        }
+    }
+
+    /** Enters a key in the directory; another host that runs it already will be heard of. */
+    private void opened(long nowNanos, Execution execution) {
+        RequestKey key = execution.request.key();
+        byKey.put(key, execution);
+        execution.directory = directoryOf(key);
+        if (execution.directory.filter(host -> !host.equals(self)).isPresent()) {
+            execution.checking = true;
+            announce(execution);
+            return;
         }
+        directory
+                .open(nowNanos, key, execution.request.id())
+                .filter(holder -> !holder.host().equals(self))
+                .ifPresent(holder -> models.relay(nowNanos, execution, holder));
+    }
+
+    private void announce(Execution execution) {
+        RequestMessage opened =
+                new RequestMessage.KeyOpened(execution.request.key(), execution.request.id());
+        execution.directory.ifPresent(host -> send(host, opened));
     }
 
-    private void opened(KeyedRequest request) {
-        byKey.put(request.request.key(), request);
+    private Optional<HostId> directoryOf(RequestKey key) {
+        return Rendezvous.choose(world, "keys/" + key);
+    }
+
+    /** Enters keys anew whose part of the directory went to another host. */
+    private void moveKeys(long nowNanos) {
+        for (Execution execution : models.all()) {
+            RequestKey key = execution.request.key();
+            Optional<HostId> host = directoryOf(key);
+            if (host.equals(execution.directory)) {
+                continue;
+            }
+            execution.directory = host;
+            if (host.filter(self::equals).isPresent()) {
+                directory.open(nowNanos, key, execution.request.id());
+            } else {
+                announce(execution);
+            }
+        }
+    }
+
+    private void leaveDirectory(long nowNanos, Execution execution, Outcome outcome) {
+        RequestKey key = execution.request.key();
+        RequestId request = execution.request.id();
+        boolean again = RequestMessage.mayRunAgain(outcome);
+        if (execution.directory.filter(host -> !host.equals(self)).isEmpty()) {
+            directory.close(nowNanos, key, request, again);
+            return;
+        }
+        send(execution.directory.get(), new RequestMessage.KeyClosed(key, request, again));
     }
 
     private void join(KeyedRequest running, Request request) {
@@ -273,8 +331,24 @@
         out.accept(new HostAction.Answer(request.id(), outcome));
     }
 
+    private void fateAsked(long nowNanos, long ticket, RequestKey key) {
+        Fate here = fate(nowNanos, key);
+        if (!(here instanceof Fate.Unknown)) {
+            out.accept(new HostAction.TellFate(ticket, here));
+            return;
+        }
+        Optional<HostId> host = directoryOf(key).filter(h -> !h.equals(self));
+        Optional<RequestId> holder =
+                host.isPresent() ? Optional.empty() : directory.holder(nowNanos, key);
+        inquiries.start(nowNanos, ticket, key, host, holder);
+    }
+
     private Fate fate(long nowNanos, RequestKey key) {
-        if (byKey.containsKey(key)) {
+        KeyedRequest running = byKey.get(key);
+        boolean relays =
+                running instanceof Execution execution
+                        && execution.state instanceof Execution.Relaying;
+        if (running != null && !relays) {
             return new Fate.Pending();
         }
         return results.get(nowNanos, key)
@@ -297,21 +371,49 @@
             case RequestMessage.PoisonSeen seen -> poison.onSeen(nowNanos, seen);
             case RequestMessage.PoisonCleared cleared -> poison.onCleared(cleared);
             case RequestMessage.FateAsked asked -> tellFate(nowNanos, from, asked);
-            case RequestMessage.FateTold told -> {
-                if (byKey.get(told.key()) instanceof ServiceCall call) {
-                    services.onFate(nowNanos, call, from, told);
-                }
+            case RequestMessage.FateTold told -> fateTold(nowNanos, from, told);
+            case RequestMessage.KeyOpened opened -> {
+                Optional<RequestId> holder =
+                        directory.open(nowNanos, opened.key(), opened.request());
+                Optional<RequestId> asker = Optional.of(opened.request());
+                send(from, new RequestMessage.KeyHolder(opened.key(), asker, holder));
+            }
+            case RequestMessage.KeyHolder holder -> holderTold(nowNanos, holder);
+            case RequestMessage.KeyClosed closed ->
+                    directory.close(nowNanos, closed.key(), closed.request(), closed.mayRunAgain());
+            case RequestMessage.KeyAsked asked -> {
+                Optional<RequestId> holder = directory.holder(nowNanos, asked.key());
+                send(from, new RequestMessage.KeyHolder(asked.key(), Optional.empty(), holder));
             }
-            case RequestMessage.KeyOpened opened -> {}
-            case RequestMessage.KeyHolder holder -> {}
-            case RequestMessage.KeyClosed closed -> {}
-            case RequestMessage.KeyAsked asked -> {}
             case RequestMessage.ClaimAsked asked -> {}
             case RequestMessage.ClaimTold told -> {}
             case RequestMessage.OutcomeAsked asked -> {}
         }
     }
 
+    private void fateTold(long nowNanos, HostId from, RequestMessage.FateTold told) {
+        inquiries.onFate(told);
+        KeyedRequest running = byKey.get(told.key());
+        if (running instanceof ServiceCall call) {
+            services.onFate(nowNanos, call, from, told);
+        } else if (running instanceof Execution execution && told.claim().isEmpty()) {
+            models.onFate(nowNanos, execution, from, told);
+        }
+    }
+
+    private void holderTold(long nowNanos, RequestMessage.KeyHolder told) {
+        if (told.asker().isEmpty()) {
+            inquiries.onHolder(told.key(), told.holder());
+            return;
+        }
+        boolean awaited =
+                byKey.get(told.key()) instanceof Execution execution
+                        && execution.request.id().equals(told.asker().get());
+        if (awaited) {
+            models.onHolder(nowNanos, (Execution) byKey.get(told.key()), told.holder());
+        }
+    }
+
     private void tellFate(long nowNanos, HostId from, RequestMessage.FateAsked asked) {
         if (asked.claim().isPresent()) {
             Fate fate = services.fateOf(asked.claim().get());
@@ -327,8 +429,11 @@
     private void worldChanged(long nowNanos, World changed) {
         world = changed;
         poison.onWorld(changed);
+        directory.onWorld(changed);
+        inquiries.onWorld(changed);
         models.onWorld(nowNanos, changed);
         services.onWorld(nowNanos, changed);
+        moveKeys(nowNanos);
     }
 
     private void drain(long nowNanos) {
@@ -340,10 +445,12 @@
     private void tick(long nowNanos) {
         models.tick(nowNanos);
         services.tick(nowNanos);
+        inquiries.tick(nowNanos);
         results.trim(nowNanos);
     }
 
     private void modelClosed(long nowNanos, Execution execution, Outcome outcome) {
+        leaveDirectory(nowNanos, execution, outcome);
         List<Piece> pieces =
                 outcome instanceof Outcome.Answered
                         ? new ArrayList<>(execution.transcript.pieces())
--- a/src/main/java/org/orioleshed/request/Execution.java
+++ b/src/main/java/org/orioleshed/request/Execution.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Request;
+import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RunId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.VersionId;
@@ -24,6 +25,12 @@
     /** The number of the latest attempt; zero before the first. */
     int attempt;
 
+    /** Whether the key's directory was asked and has not answered. */
+    boolean checking;
+
+    /** The host that keeps the key's entry in the directory; empty when none is known. */
+    Optional<HostId> directory = Optional.empty();
+
     /** Whether a run may have reached an engine. */
     boolean mayHaveRun;
 
@@ -144,4 +151,12 @@
             return Long.MAX_VALUE;
         }
     }
+
+    /** The key runs on another host, whose outcome is taken over when it is known. */
+    record Relaying(RequestId holder, long askAgainNanos) implements State {
+        @Override
+        public long wakeNanos() {
+            return askAgainNanos;
+        }
+    }
 }
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -23,12 +23,14 @@
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.Request;
 import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.RunId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.VersionId;
 import org.orioleshed.model.Work;
 import org.orioleshed.request.Execution.Ending;
 import org.orioleshed.request.Execution.Offering;
+import org.orioleshed.request.Execution.Relaying;
 import org.orioleshed.request.Execution.Running;
 import org.orioleshed.request.Execution.Waiting;
 import org.orioleshed.request.Placement.Choice;
@@ -48,6 +50,9 @@
     /** How long a suspect waits while the same content runs. */
     private static final long SUSPECT_WAIT_MILLIS = 200;
 
+    /** How often the host that runs a key is asked for its outcome. */
+    private static final long RELAY_MILLIS = 100;
+
     /** The bounds of the advice when to send again, in milliseconds. */
     private static final long MIN_RETRY_AFTER_MILLIS = 100;
 
@@ -91,14 +96,22 @@
         this.offers = new OfferRounds(limits, placement, out);
     }
 
-    /** Starts a request whose key runs nowhere else. */
-    void start(long nowNanos, Request request, Consumer<KeyedRequest> onOpened) {
+    /**
+     * Starts a request whose key does not run on this host.
+     *
+     * @param onOpened enters the key; marks the execution as checking if a directory is asked
+     */
+    void start(long nowNanos, Request request, Consumer<Execution> onOpened) {
         Execution execution = new Execution(request, new Waiting(nowNanos));
         execution.version = world.version(request.route(), random.nextDouble());
         byRequest.put(request.id(), execution);
         addCaller(execution, request);
         onOpened.accept(execution);
-        offer(nowNanos, execution);
+        if (execution.checking) {
+            waitUntil(execution, nowNanos + nanos(limits.directoryMillis()));
+        } else if (execution.state instanceof Waiting) {
+            offer(nowNanos, execution);
+        }
         wakes.schedule(execution);
     }
 
@@ -111,6 +124,71 @@
         wakes.schedule(execution);
     }
 
+    /** Hears from the key's directory who else runs it. */
+    void onHolder(long nowNanos, Execution execution, Optional<RequestId> holder) {
+        if (!execution.checking) {
+            return;
+        }
+        execution.checking = false;
+        if (holder.isPresent()) {
+            relay(nowNanos, execution, holder.get());
+        } else {
+            offer(nowNanos, execution);
+        }
+        wakes.schedule(execution);
+    }
+
+    /** Waits for the outcome of the same key on another host. */
+    void relay(long nowNanos, Execution execution, RequestId holder) {
+        EntryHost host = world.hosts().get(holder.host());
+        if (host == null || host.state() == EntryHost.State.DEAD) {
+            runAfterAll(nowNanos, execution);
+            return;
+        }
+        execution.mayHaveRun = true;
+        execution.state = new Relaying(holder, nowNanos + nanos(RELAY_MILLIS));
+        RequestKey key = execution.request.key();
+        out.accept(
+                new HostAction.SendRequest(
+                        holder.host(), new RequestMessage.FateAsked(key, Optional.empty())));
+    }
+
+    /** Hears the fate of a key that runs on another host. */
+    void onFate(long nowNanos, Execution execution, HostId from, RequestMessage.FateTold told) {
+        if (!(execution.state instanceof Relaying relaying)
+                || !relaying.holder().host().equals(from)) {
+            return;
+        }
+        switch (told.fate()) {
+            case Fate.Pending pending -> {}
+            case Fate.Unknown unknown -> runAfterAll(nowNanos, execution);
+            case Fate.Final end when end.outcome() instanceof Outcome.Answered answered ->
+                    relayAnswer(nowNanos, execution, answered, told.pieces());
+            case Fate.Final end -> runAfterAll(nowNanos, execution);
+        }
+        wakes.schedule(execution);
+    }
+
+    private void relayAnswer(
+            long nowNanos, Execution execution, Outcome.Answered answered, List<Piece> pieces) {
+        for (Piece piece : pieces) {
+            for (Piece fresh : execution.transcript.add(piece, Integer.MAX_VALUE / 2)) {
+                execution.callers.forEach(caller -> write(caller.request.id(), fresh));
+            }
+        }
+        if (execution.transcript.tokens() == answered.tokens()) {
+            end(nowNanos, execution, answered);
+            return;
+        }
+        runAfterAll(nowNanos, execution);
+    }
+
+    /** Runs a key here, as it no longer runs elsewhere. */
+    private void runAfterAll(long nowNanos, Execution execution) {
+        execution.mayHaveRun = execution.attempt > 0;
+        waitUntil(execution, nowNanos);
+    }
+
     /** Returns the number of executions under way. */
     int size() {
         return byRequest.size();
@@ -137,6 +215,7 @@
                 case Offering offering ->
                         offers.dropLostHomes(nowNanos, world, execution, offering);
                 case Running running -> checkHome(nowNanos, execution, running);
+                case Relaying relaying -> relay(nowNanos, execution, relaying.holder());
                 case Waiting waiting -> {}
                 case Ending ending -> {}
             }
@@ -305,6 +384,7 @@
             case Ending ending -> ending.run().equals(run);
             case Offering offering -> false;
             case Waiting waiting -> false;
+            case Relaying relaying -> false;
         };
     }
 
@@ -475,11 +555,17 @@
         switch (execution.state) {
             case Waiting waiting -> {
                 if (nowNanos >= waiting.untilNanos()) {
+                    execution.checking = false;
                     offer(nowNanos, execution);
                 }
             }
             case Offering offering -> offers.wake(nowNanos, execution, offering);
             case Running running -> wakeRunning(nowNanos, execution, running);
+            case Relaying relaying -> {
+                if (nowNanos >= relaying.askAgainNanos()) {
+                    relay(nowNanos, execution, relaying.holder());
+                }
+            }
             case Ending ending -> {}
         }
     }
@@ -543,6 +629,7 @@
                 }
             }
             case Waiting waiting -> {}
+            case Relaying relaying -> {}
             case Ending ending -> {}
         }
         execution.closed = true;
--- a/src/main/java/org/orioleshed/request/RequestCodec.java
+++ b/src/main/java/org/orioleshed/request/RequestCodec.java
@@ -43,7 +43,8 @@
             case KeyClosed closed ->
                     form.getKeyClosedBuilder()
                             .setKey(WireForms.of(closed.key()))
-                            .setRequest(WireForms.of(closed.request()));
+                            .setRequest(WireForms.of(closed.request()))
+                            .setMayRunAgain(closed.mayRunAgain());
             case KeyAsked asked -> form.setKeyAsked(WireForms.of(asked.key()));
             case FateAsked asked -> form.setFateAsked(fateAsked(asked));
             case FateTold told -> form.setFateTold(fateTold(told));
@@ -80,7 +81,8 @@
             case KEY_CLOSED ->
                     new KeyClosed(
                             WireForms.key(form.getKeyClosed().getKey()),
-                            WireForms.request(form.getKeyClosed().getRequest()));
+                            WireForms.request(form.getKeyClosed().getRequest()),
+                            form.getKeyClosed().getMayRunAgain());
             case KEY_ASKED -> new KeyAsked(WireForms.key(form.getKeyAsked()));
             case FATE_ASKED -> fateAsked(form.getFateAsked());
             case FATE_TOLD -> fateTold(form.getFateTold());
--- a/src/main/java/org/orioleshed/request/RequestMessage.java
+++ b/src/main/java/org/orioleshed/request/RequestMessage.java
@@ -50,12 +50,14 @@
             implements RequestMessage {}
 
     /**
-     * Accepting host to directory host: the request ended and may be run again.
+     * Accepting host to directory host: the request ended.
      *
      * @param key the key
      * @param request the request that ended
+     * @param mayRunAgain whether a resend of the key starts a new run
      */
-    record KeyClosed(RequestKey key, RequestId request) implements RequestMessage {}
+    record KeyClosed(RequestKey key, RequestId request, boolean mayRunAgain)
+            implements RequestMessage {}
 
     /**
      * To the key's directory host: who runs the key? Answered by {@link KeyHolder}.
--- /dev/null
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -0,0 +1,167 @@
+package org.orioleshed.host;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Set;
+import org.orioleshed.host.FakeFleet.Node;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RequestKey;
+import org.orioleshed.model.Tier;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link HostCore}: one promise, one fault at a time. */
+public class HostCoreTest {
+    private FakeFleet fleet;
+    private Node host;
+
+    @BeforeMethod
+    void makeFleet() {
+        fleet = new FakeFleet(1);
+        host = fleet.nodes.getFirst();
+        fleet.tick(20);
+        fleet.settle();
+    }
+
+    private static RequestKey key(String key) {
+        return new RequestKey(FakeFleet.WORKSPACE, key);
+    }
+
+    @DataProvider
+    Object[][] works() {
+        return new Object[][] {{0}, {1}, {2}};
+    }
+
+    @Test(dataProvider = "works")
+    public void answersWhenNothingFails(int work) {
+        RequestId id =
+                switch (work) {
+                    case 0 -> fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 10_000));
+                    case 1 -> fleet.send(host, fleet.call(host, "k", true, 10_000));
+                    default -> fleet.send(host, fleet.call(host, "k", false, 10_000));
+                };
+        fleet.finish();
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+    }
+
+    @Test
+    public void resendOfUnrepeatableCallGetsTheRecordedAnswerAtAnotherHost() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.finish();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        fleet.finish();
+        assertEquals(fleet.outcome(resend), new Outcome.Answered(0, Payload.of("k")));
+        assertEquals(fleet.promises.unrepeatableRuns(key("k")), 1);
+    }
+
+    @Test
+    public void resendAfterTheFirstHostDiedIsInDoubtWhenNoOutcomeWasRecorded() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        assertFalse(fleet.calls.isEmpty());
+        fleet.crash(host);
+        fleet.tellWorld(Set.of(host.id));
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        fleet.finish();
+        assertTrue(fleet.outcome(resend) instanceof Outcome.InDoubt, "" + fleet.outcome(resend));
+    }
+
+    @Test
+    public void unrepeatableCallIsNotRunPromptlyWhileTheStoreIsAway() {
+        RequestId call = fleet.send(host, fleet.call(host, "k", false, 10_000));
+        RequestId model = fleet.send(host, fleet.generate(host, "m", "x", Tier.URGENT, 10_000));
+        for (int i = 0; i < 60 && fleet.outcome(call) == null; i++) {
+            while (!fleet.underWay.isEmpty()) {
+                fleet.deliver(0);
+            }
+            while (!fleet.storeCalls.isEmpty()) {
+                fleet.answerStore(0, 2);
+            }
+            fleet.tick(20);
+        }
+        assertEquals(
+                fleet.outcome(call), new Outcome.NotRun(Outcome.NotRunReason.STORE_AWAY, 1_000));
+        fleet.finish();
+        assertTrue(fleet.outcome(model) instanceof Outcome.Answered);
+        RequestId again = fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.finish();
+        assertTrue(fleet.outcome(again) instanceof Outcome.Answered, "" + fleet.outcome(again));
+    }
+
+    @Test
+    public void modelRequestResumesElsewhereWhenItsHomeIsGone() {
+        RequestId id = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        fleet.stepEngine(0);
+        fleet.settle();
+        Node home = home();
+        if (home == host) {
+            return;
+        }
+        fleet.crash(home);
+        fleet.tellWorld(Set.of(home.id));
+        fleet.finish();
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+    }
+
+    private Node home() {
+        FakeEngines.Run run = fleet.engines.live.values().iterator().next();
+        return fleet.nodes.stream().filter(n -> n.id.equals(run.reader)).findFirst().orElseThrow();
+    }
+
+    @Test
+    public void callerWhoLeavesIsCancelledAtOnce() {
+        RequestId id = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 1);
+        fleet.promises.left(id);
+        fleet.feed(host, new HostEvent.CallerGone(id));
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 0);
+    }
+
+    @Test
+    public void drainAnswersWhatWaitsAndFinishesWhatRuns() {
+        RequestId runs = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        fleet.feed(host, new HostEvent.DrainAsked());
+        RequestId late = fleet.send(host, fleet.generate(host, "l", "y", Tier.URGENT, 20_000));
+        assertEquals(fleet.outcome(late), new Outcome.NotRun(Outcome.NotRunReason.DRAINING, 0));
+        assertTrue(fleet.drained.isEmpty());
+        fleet.finish();
+        assertTrue(fleet.outcome(runs) instanceof Outcome.Answered, "" + fleet.outcome(runs));
+        assertEquals(fleet.drained.size(), 1);
+    }
+
+    @Test
+    public void resendJoinsTheRunningRequestOnItsHost() {
+        RequestId first = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        fleet.stepEngine(0);
+        fleet.settle();
+        RequestId second = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
+        fleet.finish();
+        assertTrue(fleet.outcome(first) instanceof Outcome.Answered);
+        assertTrue(fleet.outcome(second) instanceof Outcome.Answered);
+        assertEquals(fleet.engines.started.size(), 1);
+    }
+
+    @Test
+    public void resendAtAnotherHostWaitsForTheRunningRequestAndGetsItsAnswer() {
+        RequestId first = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        Node other = fleet.nodes.get(1);
+        RequestId second = fleet.send(other, fleet.generate(other, "k", "x", Tier.URGENT, 20_000));
+        fleet.finish();
+        assertTrue(fleet.outcome(first) instanceof Outcome.Answered);
+        assertTrue(fleet.outcome(second) instanceof Outcome.Answered, "" + fleet.outcome(second));
+        assertEquals(fleet.engines.started.size(), 1);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/host/Promises.java
@@ -0,0 +1,148 @@
+package org.orioleshed.host;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.Request;
+import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RequestKey;
+import org.orioleshed.model.RunId;
+import org.orioleshed.model.Work;
+
+/** What must hold at every moment, seen from outside the cores. */
+final class Promises {
+    private final FakeEngines engines;
+    private final Map<RequestId, Caller> callers = new HashMap<>();
+    private final Map<RequestKey, Integer> unrepeatableRuns = new HashMap<>();
+    private final Set<RunId> serviceRuns = new HashSet<>();
+
+    Promises(FakeEngines engines) {
+        this.engines = engines;
+    }
+
+    /** What one caller got so far. */
+    private static final class Caller {
+        final Request request;
+        int tokens;
+        Outcome outcome;
+        boolean gone;
+
+        Caller(Request request) {
+            this.request = request;
+        }
+    }
+
+    void arrived(FakeFleet.Node node, Request request) {
+        callers.put(request.id(), new Caller(request));
+        if (!node.up || node.paused) {
+            callers.get(request.id()).gone = true;
+        }
+    }
+
+    void left(RequestId request) {
+        callers.get(request).gone = true;
+    }
+
+    void crashed(FakeFleet.Node node) {
+        for (Caller caller : callers.values()) {
+            if (caller.request.id().host().equals(node.id)) {
+                caller.gone = true;
+            }
+        }
+    }
+
+    /** A call reached its service. */
+    void ran(HostAction.CallService call) {
+        serviceRuns.add(call.run());
+        Caller caller = callers.get(call.run().request());
+        Work.Call work = (Work.Call) caller.request.work();
+        if (work.repeatable()) {
+            return;
+        }
+        int runs = unrepeatableRuns.merge(caller.request.key(), 1, Integer::sum);
+        require(runs == 1, "ran twice: " + caller.request.key());
+    }
+
+    void acted(FakeFleet.Node node, HostAction action) {
+        switch (action) {
+            case HostAction.WriteTokens write -> wrote(write);
+            case HostAction.Answer answer -> answered(answer);
+            default -> {}
+        }
+    }
+
+    private void wrote(HostAction.WriteTokens write) {
+        Caller caller = callers.get(write.request());
+        require(caller.outcome == null, "tokens after the outcome: " + write);
+        require(write.firstToken() == caller.tokens, "tokens out of order: " + write);
+        StringBuilder text = new StringBuilder();
+        for (int i = 0; i < write.count(); i++) {
+            text.append(FakeEngines.token(caller.request.body(), write.firstToken() + i).text());
+        }
+        Payload expected = Payload.of(text.toString());
+        require(write.text().equals(expected), "not the caller's own answer: " + write);
+        caller.tokens += write.count();
+    }
+
+    private void answered(HostAction.Answer answer) {
+        Caller caller = callers.get(answer.request());
+        require(caller.outcome == null, "two outcomes: " + answer);
+        caller.outcome = answer.outcome();
+        if (!(answer.outcome() instanceof Outcome.Answered whole)) {
+            return;
+        }
+        if (caller.request.work() instanceof Work.Generate) {
+            int length = FakeEngines.length(caller.request.body());
+            require(caller.tokens == length, "not the whole answer: " + answer);
+            require(whole.tokens() == length, "wrong length: " + answer);
+        } else {
+            require(whole.body().equals(caller.request.body()), "not its own answer: " + answer);
+        }
+    }
+
+    /** Checks what depends on more than one action. */
+    void check() {
+        for (Caller caller : callers.values()) {
+            RequestId id = caller.request.id();
+            if (caller.request.work() instanceof Work.Generate) {
+                require(engines.liveRuns(id) <= 1, "two live runs: " + id);
+            }
+            if (caller.outcome instanceof Outcome.NotRun) {
+                boolean ran =
+                        engines.started.stream().anyMatch(run -> run.request().equals(id))
+                                || serviceRuns.stream().anyMatch(run -> run.request().equals(id));
+                require(!ran, "not run, but ran: " + id);
+            }
+        }
+    }
+
+    /** Checks that every caller who waits has exactly one outcome. */
+    void checkAllAnswered() {
+        for (Caller caller : callers.values()) {
+            require(
+                    caller.gone || caller.outcome != null,
+                    "no outcome: " + caller.request.id() + " " + caller.request.work());
+        }
+    }
+
+    Outcome outcome(RequestId request) {
+        return callers.get(request).outcome;
+    }
+
+    int tokens(RequestId request) {
+        return callers.get(request).tokens;
+    }
+
+    int unrepeatableRuns(RequestKey key) {
+        return unrepeatableRuns.getOrDefault(key, 0);
+    }
+
+    private static void require(boolean holds, String what) {
+        if (!holds) {
+            throw new AssertionError(what);
+        }
+    }
+}
