--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -5,7 +5,9 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
 import org.orioleshed.claim.ClaimCore;
 import org.orioleshed.fleet.BackendServer;
@@ -22,6 +24,7 @@
 import org.orioleshed.request.HeldContent;
 import org.orioleshed.request.Placement;
 import org.orioleshed.routing.Candidate;
+import org.orioleshed.routing.HomeCore;
 import org.orioleshed.routing.RoutingMessage;
 import org.orioleshed.routing.ServerChooser;
 
@@ -31,16 +34,21 @@
  * are handled at once, before {@link #on} returns. Not safe for use by several threads.
  */
 public final class HostCore implements Machine<HostEvent, HostAction> {
+    /** How long a host that shuts down waits for outcomes to be recorded. */
+    private static final long MAX_RECORDING_NANOS = TimeUnit.SECONDS.toNanos(3);
+
     private final HostId self;
-    private final Machine<HostEvent, HostAction> homes;
+    private final HomeCore homes;
     private final ServerChooser chooser;
     private final ClaimCore claims;
     private final AcceptingSide accepting;
+    private final RunEvidence evidence;
     private final Deque<HostEvent> events = new ArrayDeque<>();
     private List<HostAction> actions = new ArrayList<>();
     private World world = World.EMPTY;
+    private long eventNanos;
     private boolean draining;
-    private boolean homesDrained;
+    private OptionalLong idleSinceNanos = OptionalLong.empty();
     private boolean drained;
 
     /**
@@ -61,9 +69,9 @@
             HostLimits limits,
             RandomGenerator random) {
         this.self = self;
-        this.homes = new GrantingHome();
+        this.homes = new HomeCore(self, limits.routing());
         this.chooser = new ServerChooser(self, limits.routing());
-        this.claims = new ClaimCore(self, incarnation, limits.claim(), this::act);
+        this.claims = new ClaimCore(self, limits.claim(), this::act);
         this.accepting =
                 new AcceptingSide(
                         self,
@@ -75,6 +83,7 @@
                         claims,
                         this::act);
         claims.listener(accepting);
+        this.evidence = new RunEvidence(action -> actions.add(action));
     }
 
     /**
@@ -90,8 +99,7 @@
         while (!events.isEmpty()) {
             handle(nowNanos, events.poll());
         }
-        boolean done = draining && homesDrained && accepting.isIdle() && claims.isIdle();
-        if (done && !drained) {
+        if (draining && !drained && isDone(nowNanos)) {
             drained = true;
             actions.add(new HostAction.Drained());
         }
@@ -119,7 +127,21 @@
         return accepting.size();
     }
 
+    /** Returns whether nothing is left to finish; outcomes are waited for a bounded time only. */
+    private boolean isDone(long nowNanos) {
+        if (!homes.isIdle() || !accepting.isIdle()) {
+            idleSinceNanos = OptionalLong.empty();
+            return false;
+        }
+        if (idleSinceNanos.isEmpty()) {
+            idleSinceNanos = OptionalLong.of(nowNanos);
+        }
+        return claims.isIdle() || nowNanos - idleSinceNanos.getAsLong() >= MAX_RECORDING_NANOS;
+    }
+
     private void handle(long nowNanos, HostEvent event) {
+        eventNanos = nowNanos;
+        evidence.before(nowNanos, event);
         switch (event) {
             case HostEvent.WorldChanged changed -> world = changed.world();
             case HostEvent.DrainAsked asked -> draining = true;
@@ -131,9 +153,10 @@
             }
             default -> {}
         }
-        homes.on(nowNanos, event).forEach(this::actOfHomes);
+        homes.on(nowNanos, event).forEach(this::act);
         claims.on(nowNanos, event);
         accepting.on(nowNanos, event);
+        claims.deliver();
     }
 
     /** Refuses an offer of content that is held, whoever accepted it. */
@@ -153,16 +176,9 @@
         return true;
     }
 
-    private void actOfHomes(HostAction action) {
-        if (action instanceof HostAction.Drained) {
-            homesDrained = true;
-            return;
-        }
-        act(action);
-    }
-
     /** Hands an action out; messages to this host itself become events. */
     private void act(HostAction action) {
+        evidence.after(eventNanos, action);
         switch (action) {
             case HostAction.SendRouting send when send.to().equals(self) ->
                     events.add(new HostEvent.RoutingReceived(self, send.message()));
