--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -4,11 +4,14 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.backend.BackendLimits;
 import org.orioleshed.backend.Backends;
+import org.orioleshed.backend.ReportPoller;
+import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.HostAction;
 import org.orioleshed.host.HostCore;
@@ -20,6 +23,7 @@
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerLimits;
 import org.orioleshed.peer.PeerNetwork;
+import org.orioleshed.routing.Homes;
 import org.orioleshed.settings.EntrySettings;
 import org.orioleshed.store.Store;
 
@@ -43,7 +47,10 @@
     private final CallerDoor door;
     private final CallerServer callers;
     private final TreePoller poller;
+    private final ReportPoller reports;
     private volatile World world = World.EMPTY;
+    private volatile List<BackendServer> ownServers = List.of();
+    private Homes homes = Homes.NONE;
 
     EntryProcess(EntrySettings settings, Store store) throws IOException {
         this.settings = settings;
@@ -72,6 +79,9 @@
                         metrics,
                         this::ready);
         this.poller = new TreePoller(settings, incarnation, store, this::changed);
+        this.reports =
+                new ReportPoller(
+                        BackendLimits.DEFAULT.connectTimeoutMillis(), () -> ownServers, duty::add);
         gauges();
     }
 
@@ -93,6 +103,7 @@
         Thread.ofPlatform().name("decision-log").daemon().start(log);
         Thread.ofPlatform().name("decisions").daemon().start(duty);
         poller.start();
+        reports.start();
         callers.start();
         Runtime.getRuntime().addShutdownHook(new Thread(this::stopAndWait, "stop"));
         logger.atInfo().log(
@@ -133,9 +144,15 @@
         actions.world(newWorld);
         door.world(newWorld);
         newWorld.hosts().values().forEach(host -> peers.know(host.id(), host.peerAddress()));
+        homes = homes.in(newWorld);
+        ownServers = newWorld.servers().values().stream().filter(this::isHomeOf).toList();
         duty.add(new HostEvent.WorldChanged(newWorld));
     }
 
+    private boolean isHomeOf(BackendServer server) {
+        return homes.home(server.id()).filter(settings.host()::equals).isPresent();
+    }
+
     private void received(HostId from, MessageKind kind, byte[] body) {
         mail.open(from, kind, body).ifPresent(duty::add);
     }
@@ -156,6 +173,7 @@
     @Override
     public void close() {
         poller.close();
+        reports.close();
         callers.close();
         duty.close();
         backends.close();
--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -153,7 +153,7 @@
             }
             default -> {}
         }
-        homes.on(nowNanos, event).forEach(this::act);
+        homes.on(nowNanos, event).forEach(this::actOfHomes);
         claims.on(nowNanos, event);
         accepting.on(nowNanos, event);
         claims.deliver();
@@ -176,6 +176,13 @@
         return true;
     }
 
+    /** The homes being drained is not the host being drained. */
+    private void actOfHomes(HostAction action) {
+        if (!(action instanceof HostAction.Drained)) {
+            act(action);
+        }
+    }
+
     /** Hands an action out; messages to this host itself become events. */
     private void act(HostAction action) {
         evidence.after(eventNanos, action);
--- /dev/null
+++ b/src/test/java/org/orioleshed/backend/ReportPollerTest.java
@@ -0,0 +1,51 @@
+package org.orioleshed.backend;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.util.List;
+import java.util.Optional;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.ServerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of how {@link ReportPoller} reads reports. */
+public class ReportPollerTest {
+    private static final ServerId SERVER = new ServerId("s");
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    @Test
+    public void readsALoadReport() throws JsonProcessingException {
+        String report = "{\"running\":3,\"waiting\":2,\"ageMillis\":900}";
+        assertEquals(
+                ReportPoller.loadReport(SERVER, JSON.readTree(report)),
+                Optional.of(new HostEvent.LoadReported(SERVER, 3, 2, 900)));
+    }
+
+    @DataProvider
+    Object[][] badReports() {
+        return new Object[][] {
+            {"{}"},
+            {"[]"},
+            {"7"},
+            {"{\"running\":-1,\"waiting\":2,\"ageMillis\":900}"},
+            {"{\"running\":\"x\",\"waiting\":2,\"ageMillis\":900}"},
+        };
+    }
+
+    @Test(dataProvider = "badReports")
+    public void dropsABadLoadReport(String report) throws JsonProcessingException {
+        assertTrue(ReportPoller.loadReport(SERVER, JSON.readTree(report)).isEmpty());
+    }
+
+    @Test
+    public void whatIsNoHashCountsAsAGap() throws JsonProcessingException {
+        String events = "{\"gap\":false,\"stored\":[1,\"x\"],\"evicted\":[2]}";
+        assertEquals(
+                ReportPoller.cacheReport(SERVER, JSON.readTree(events)),
+                new HostEvent.CacheReported(SERVER, List.of(1L), List.of(2L), true));
+    }
+}
--- a/src/test/java/org/orioleshed/host/FakeFleet.java
+++ b/src/test/java/org/orioleshed/host/FakeFleet.java
@@ -258,6 +258,7 @@
                 case HostAction.TellFate tell -> fates.put(tell.ticket(), tell.fate());
                 case HostAction.Answer answer -> {}
                 case HostAction.Log log -> {}
+                case HostAction.Observe observe -> {}
                 case HostAction.Drained done -> drained.add(done);
             }
         }
