--- a/src/main/java/org/orioleshed/entry/DecisionLog.java
+++ b/src/main/java/org/orioleshed/entry/DecisionLog.java
@@ -4,7 +4,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.jctools.queues.MpscArrayQueue;
+import org.jctools.queues.atomic.MpscAtomicArrayQueue;
 import org.orioleshed.host.Decision;
 import org.orioleshed.model.ServerId;
 
@@ -16,12 +16,12 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
-    private final MpscArrayQueue<Decision> ring;
+    private final MpscAtomicArrayQueue<Decision> ring;
     private final Counter dropped;
     private volatile boolean closed;
 
     DecisionLog(int lines, Counter dropped) {
-        this.ring = new MpscArrayQueue<>(lines);
+        this.ring = new MpscAtomicArrayQueue<>(lines);
         this.dropped = dropped;
     }
 
--- a/src/main/java/org/orioleshed/entry/HostDuty.java
+++ b/src/main/java/org/orioleshed/entry/HostDuty.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
-import org.jctools.queues.MpscArrayQueue;
+import org.jctools.queues.atomic.MpscAtomicArrayQueue;
 import org.orioleshed.host.HostAction;
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.model.Machine;
@@ -21,7 +21,7 @@
 
     private final Machine<HostEvent, HostAction> core;
     private final HostActions actions;
-    private final MpscArrayQueue<HostEvent> ring;
+    private final MpscAtomicArrayQueue<HostEvent> ring;
     private final long tickNanos;
     private volatile Thread owner;
     private volatile boolean idle;
@@ -30,7 +30,7 @@
     HostDuty(Machine<HostEvent, HostAction> core, HostActions actions, EntryLimits limits) {
         this.core = core;
         this.actions = actions;
-        this.ring = new MpscArrayQueue<>(limits.ringEvents());
+        this.ring = new MpscAtomicArrayQueue<>(limits.ringEvents());
         this.tickNanos = TimeUnit.MILLISECONDS.toNanos(limits.tickMillis());
     }
 
