--- /dev/null
+++ b/src/main/java/org/orioleshed/membership/MembershipCodec.java
@@ -0,0 +1,164 @@
+package org.orioleshed.membership;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.peer.BadMessageException;
+import org.orioleshed.peer.MessageCodec;
+import org.orioleshed.wire.MembershipWire;
+
+/** Writes membership messages as protobuf. */
+public final class MembershipCodec implements MessageCodec<MembershipMessage> {
+    private static final int MAX_PORT = 65_535;
+
+    @Override
+    public byte[] encode(MembershipMessage message) {
+        MembershipWire.Membership.Builder wire = MembershipWire.Membership.newBuilder();
+        switch (message) {
+            case MembershipMessage.Ping ping -> {
+                wire.setKind(MembershipWire.Membership.Kind.PING)
+                        .setSequence(ping.sequence())
+                        .setViewDigest(ping.viewDigest());
+                addRumors(wire, ping.rumors());
+            }
+            case MembershipMessage.Ack ack -> {
+                wire.setKind(MembershipWire.Membership.Kind.ACK)
+                        .setSequence(ack.sequence())
+                        .setViewDigest(ack.viewDigest());
+                addRumors(wire, ack.rumors());
+            }
+            case MembershipMessage.PingWanted wanted ->
+                    wire.setKind(MembershipWire.Membership.Kind.PING_WANTED)
+                            .setSequence(wanted.sequence())
+                            .setTarget(wanted.target().value());
+            case MembershipMessage.News news -> {
+                wire.setKind(MembershipWire.Membership.Kind.NEWS);
+                addRumors(wire, news.rumors());
+            }
+            case MembershipMessage.View view -> {
+                wire.setKind(MembershipWire.Membership.Kind.VIEW).setWantReply(view.wantReply());
+                addRumors(wire, view.rumors());
+            }
+        }
+        return wire.build().toByteArray();
+    }
+
+    private static void addRumors(MembershipWire.Membership.Builder wire, List<Rumor> rumors) {
+        List<String> domains = new ArrayList<>();
+        for (Rumor rumor : rumors) {
+            switch (rumor) {
+                case Rumor.OfHost host -> wire.addHosts(write(host.member(), domains));
+                case Rumor.OfMark of ->
+                        wire.addMarks(
+                                MembershipWire.Membership.Mark.newBuilder()
+                                        .setHost(of.mark().kind() == PlatformMark.Kind.HOST)
+                                        .setId(of.mark().id())
+                                        .setLeaving(of.mark().leaving())
+                                        .setRevision(of.mark().revision()));
+            }
+        }
+        wire.addAllDomains(domains);
+    }
+
+    private static MembershipWire.Membership.Host write(Member member, List<String> domains) {
+        String domain = member.domain().value();
+        int place = domains.indexOf(domain);
+        if (place < 0) {
+            place = domains.size();
+            domains.add(domain);
+        }
+        return MembershipWire.Membership.Host.newBuilder()
+                .setId(member.id().value())
+                .setDomain(place)
+                .setAddress(ByteString.copyFrom(member.address().getAddress().getAddress()))
+                .setPort(member.address().getPort())
+                .setIncarnation(member.incarnation())
+                .setVersion(member.version())
+                .setLeaving(member.leaving())
+                .setHealth(write(member.health()))
+                .build();
+    }
+
+    @Override
+    public MembershipMessage decode(byte[] bytes) throws BadMessageException {
+        try {
+            return read(MembershipWire.Membership.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException
+                | IllegalArgumentException
+                | UnknownHostException e) {
+            throw new BadMessageException("not a membership message", e);
+        }
+    }
+
+    private static MembershipMessage read(MembershipWire.Membership wire)
+            throws BadMessageException, UnknownHostException {
+        List<Rumor> rumors = new ArrayList<>();
+        for (MembershipWire.Membership.Host host : wire.getHostsList()) {
+            rumors.add(new Rumor.OfHost(read(host, wire)));
+        }
+        for (MembershipWire.Membership.Mark mark : wire.getMarksList()) {
+            rumors.add(new Rumor.OfMark(read(mark)));
+        }
+        return switch (wire.getKind()) {
+            case PING ->
+                    new MembershipMessage.Ping(wire.getSequence(), wire.getViewDigest(), rumors);
+            case ACK -> new MembershipMessage.Ack(wire.getSequence(), wire.getViewDigest(), rumors);
+            case PING_WANTED ->
+                    new MembershipMessage.PingWanted(
+                            wire.getSequence(), new HostId(wire.getTarget()));
+            case NEWS -> new MembershipMessage.News(rumors);
+            case VIEW -> new MembershipMessage.View(rumors, wire.getWantReply());
+            case UNKNOWN, UNRECOGNIZED ->
+                    throw new BadMessageException("unknown kind " + wire.getKindValue());
+        };
+    }
+
+    private static Member read(MembershipWire.Membership.Host host, MembershipWire.Membership wire)
+            throws BadMessageException, UnknownHostException {
+        boolean inRange =
+                Integer.compareUnsigned(host.getDomain(), wire.getDomainsCount()) < 0
+                        && Integer.compareUnsigned(host.getPort(), MAX_PORT) <= 0
+                        && host.getVersion() >= 0;
+        if (!inRange) {
+            throw new BadMessageException("a host's entry is out of range");
+        }
+        InetAddress address = InetAddress.getByAddress(host.getAddress().toByteArray());
+        return new Member(
+                new HostId(host.getId()),
+                new FailureDomain(wire.getDomains(host.getDomain())),
+                new InetSocketAddress(address, host.getPort()),
+                host.getIncarnation(),
+                host.getVersion(),
+                host.getLeaving(),
+                read(host.getHealth()));
+    }
+
+    private static PlatformMark read(MembershipWire.Membership.Mark mark) {
+        PlatformMark.Kind kind = mark.getHost() ? PlatformMark.Kind.HOST : PlatformMark.Kind.SERVER;
+        return new PlatformMark(kind, mark.getId(), mark.getLeaving(), mark.getRevision());
+    }
+
+    private static MembershipWire.Membership.Health write(Member.Health health) {
+        return switch (health) {
+            case ALIVE -> MembershipWire.Membership.Health.ALIVE;
+            case SUSPECT -> MembershipWire.Membership.Health.SUSPECT;
+            case DEAD -> MembershipWire.Membership.Health.DEAD;
+        };
+    }
+
+    private static Member.Health read(MembershipWire.Membership.Health health)
+            throws BadMessageException {
+        return switch (health) {
+            case ALIVE -> Member.Health.ALIVE;
+            case SUSPECT -> Member.Health.SUSPECT;
+            case DEAD -> Member.Health.DEAD;
+            case UNRECOGNIZED -> throw new BadMessageException("unknown health");
+        };
+    }
+}
