--- a/src/main/java/org/orioleshed/settings/EntrySettings.java
+++ b/src/main/java/org/orioleshed/settings/EntrySettings.java
@@ -146,6 +146,6 @@
     }
 
     private static InetSocketAddress address(JsonNode node) {
-        return SchemaCheck.parseHostPort(node.textValue()).orElseThrow();
+        return HostPorts.parse(node.textValue()).orElseThrow();
     }
 }
--- a/src/main/java/org/orioleshed/settings/SchemaCheck.java
+++ b/src/main/java/org/orioleshed/settings/SchemaCheck.java
@@ -1,7 +1,6 @@
 package org.orioleshed.settings;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.URISyntaxException;
 import java.time.DateTimeException;
@@ -15,9 +14,7 @@
 /** Checks JSON against the schema and collects every problem. */
 final class SchemaCheck {
     private static final Pattern KEY_HASH = Pattern.compile("[0-9a-f]{64}");
-    private static final Pattern IP_NUMBER = Pattern.compile("[0-9.]+|\\[[0-9a-fA-F:.]+]");
     private static final int MAX_TEXT_LENGTH = 200;
-    private static final int MAX_PORT = 65_535;
 
     /** Whether an object may leave out what is required, since it inherits the rest. */
     enum Extent {
@@ -72,7 +69,7 @@
                     value.isTextual() && choice.words().contains(value.textValue());
             case FieldType.HttpAddress address -> isText(value) && isHttp(value.textValue());
             case FieldType.HostPort port ->
-                    isText(value) && parseHostPort(value.textValue()).isPresent();
+                    isText(value) && HostPorts.parse(value.textValue()).isPresent();
             case FieldType.KeyHash hash ->
                     value.isTextual() && KEY_HASH.matcher(value.textValue()).matches();
             case FieldType.TimeOfDay time -> value.isTextual() && isTime(value.textValue());
@@ -118,24 +115,6 @@
         }
     }
 
-    /** Returns the address in {@code text}, or empty when it is no IP number with a port. */
-    static Optional<InetSocketAddress> parseHostPort(String text) {
-        int colon = text.lastIndexOf(':');
-        if (colon < 1 || !IP_NUMBER.matcher(text.substring(0, colon)).matches()) {
-            return Optional.empty();
-        }
-        try {
-            int port = Integer.parseInt(text.substring(colon + 1));
-            if (port < 0 || port > MAX_PORT) {
-                return Optional.empty();
-            }
-            InetSocketAddress address = new InetSocketAddress(text.substring(0, colon), port);
-            return address.isUnresolved() ? Optional.empty() : Optional.of(address);
-        } catch (NumberFormatException e) {
-            return Optional.empty();
-        }
-    }
-
     private void checkList(FieldType.ListOf list, JsonNode value, String path) {
         if (!value.isArray()) {
             problems.add(Problem.of(path, value, list.allowed()));
