--- a/src/main/java/org/orioleshed/routing/RoutingMessage.java
+++ b/src/main/java/org/orioleshed/routing/RoutingMessage.java
@@ -142,7 +142,8 @@
      * @param ageMillis the time since the request first arrived, in milliseconds; keeps its order
      *     over resends
      * @param promptTokens the estimated length of the prompt, in tokens
-     * @param outputTokens the estimated length of the answer still to come, in tokens
+     * @param outputTokens the most tokens that the answer may still have; the home estimates the
+     *     length from the route's history
      * @param prefixHashes as in {@link org.orioleshed.model.Work.Generate}
      * @param preemptions how often the request was preempted before
      * @param fingerprint the digest of the content
@@ -187,13 +188,15 @@
      * @param waitMillisByRank the expected wait of a request of each tier rank, in milliseconds,
      *     rank zero first
      * @param prefillTokensPerSecond the observed prefill speed
+     * @param tokenGapMillis the observed time between tokens at the present load, in milliseconds
      */
     record ServerLoad(
             ServerId server,
             int running,
             int limit,
             List<Long> waitMillisByRank,
-            int prefillTokensPerSecond) {
+            int prefillTokensPerSecond,
+            int tokenGapMillis) {
         /** Copies the list. */
         public ServerLoad {
             waitMillisByRank = List.copyOf(waitMillisByRank);
@@ -207,11 +210,18 @@
      * @param servers the number of servers that take work
      * @param freePlaces places free now over all of them
      * @param waitMillisByRank the shortest expected wait by tier rank, in milliseconds
+     * @param best the servers with the shortest wait, the best first; a few at most
      */
-    record ModelLoad(ModelId model, int servers, int freePlaces, List<Long> waitMillisByRank) {
-        /** Copies the list. */
+    record ModelLoad(
+            ModelId model,
+            int servers,
+            int freePlaces,
+            List<Long> waitMillisByRank,
+            List<ServerId> best) {
+        /** Copies the lists. */
         public ModelLoad {
             waitMillisByRank = List.copyOf(waitMillisByRank);
+            best = List.copyOf(best);
         }
     }
 }
