Test moves while links, the store and hosts fail

Runs are judged by their tokens after the first where that time is known, so that cold caches of a new version count no longer as slowness; runs cut from outside by their whole time.

--- a/src/main/java/org/orioleshed/move/LocalEvidence.java
+++ b/src/main/java/org/orioleshed/move/LocalEvidence.java
@@ -103,7 +103,7 @@
 
     /** A run that was ended from outside says nothing, unless it had taken too long already. */
     private void timeCut(MoveMessage.Key key, String generation, RunResult result) {
-        SlowScale.Answer answer = scale.judge(key.route(), key.band(), generation, result);
+        SlowScale.Answer answer = scale.judgeCut(key.route(), key.band(), generation, result);
         if (answer == SlowScale.Answer.SLOW) {
             count(key, CUT_SLOW);
         }
--- a/src/main/java/org/orioleshed/move/SlowScale.java
+++ b/src/main/java/org/orioleshed/move/SlowScale.java
@@ -13,6 +13,10 @@
 final class SlowScale {
     private static final double SLOW_QUANTILE = 0.9;
     private static final double BUCKET_BASE_LOG = Math.log(4);
+    private static final int ANY_WORK = -1;
+
+    /** Added to the bucket of runs that are judged by their tokens after the first. */
+    private static final int PACED = 100;
 
     private final Map<Kind, Window> windows = new HashMap<>();
 
@@ -26,28 +30,40 @@
         UNKNOWN
     }
 
-    /** Judges a run. */
+    /** Judges a whole run. */
     Answer judge(RouteId route, LoadBand band, String generation, RunResult result) {
-        Window window = windows.get(kind(route, band, generation, result));
+        return judge(kind(route, band, generation, result), result.pace());
+    }
+
+    /**
+     * Judges a run that was ended from outside, by its time alone: it was slow when nine in ten
+     * whole runs of the route take less time, whatever their work.
+     */
+    Answer judgeCut(RouteId route, LoadBand band, String generation, RunResult result) {
+        return judge(new Kind(route, band, generation, ANY_WORK), (double) result.millis());
+    }
+
+    private Answer judge(Kind kind, double value) {
+        Window window = windows.get(kind);
         if (window == null || !window.isReady()) {
             return Answer.UNKNOWN;
         }
-        return value(result) > window.threshold() ? Answer.SLOW : Answer.NORMAL;
+        return value > window.threshold() ? Answer.SLOW : Answer.NORMAL;
     }
 
     /** Takes a whole run of the old version into the scale. */
     void learn(RouteId route, LoadBand band, String generation, RunResult result) {
-        windows.computeIfAbsent(kind(route, band, generation, result), kind -> new Window())
-                .add(value(result));
+        window(kind(route, band, generation, result)).add(result.pace());
+        window(new Kind(route, band, generation, ANY_WORK)).add((double) result.millis());
     }
 
-    private static Kind kind(RouteId route, LoadBand band, String generation, RunResult result) {
-        int bucket = (int) (Math.log(result.work()) / BUCKET_BASE_LOG);
-        return new Kind(route, band, generation, bucket);
+    private Window window(Kind kind) {
+        return windows.computeIfAbsent(kind, key -> new Window());
     }
 
-    private static double value(RunResult result) {
-        return result.millis() / result.work();
+    private static Kind kind(RouteId route, LoadBand band, String generation, RunResult result) {
+        int bucket = (int) (Math.log(result.work()) / BUCKET_BASE_LOG);
+        return new Kind(route, band, generation, result.hasPace() ? PACED + bucket : bucket);
     }
 
     private record Kind(RouteId route, LoadBand band, String generation, int workBucket) {}
--- a/src/test/java/org/orioleshed/move/FakeFleet.java
+++ b/src/test/java/org/orioleshed/move/FakeFleet.java
@@ -113,6 +113,35 @@
                         id, domain, address, LETTERS, version, "g1", 8, 60_000, true, true, false));
     }
 
+    /** Returns {@code world} with backend servers that all check fencing numbers, or none does. */
+    static World withFencing(World world, boolean checks) {
+        Map<ServerId, BackendServer> servers = new HashMap<>();
+        for (BackendServer s : world.servers().values()) {
+            servers.put(
+                    s.id(),
+                    new BackendServer(
+                            s.id(),
+                            s.domain(),
+                            s.address(),
+                            s.target(),
+                            s.version(),
+                            s.generation(),
+                            s.places(),
+                            s.cacheTokens(),
+                            s.canResume(),
+                            checks,
+                            s.leaving()));
+        }
+        return new World(
+                world.settingsRevision(),
+                world.hosts(),
+                servers,
+                world.routes(),
+                world.workspaces(),
+                world.splits(),
+                world.currentVersions());
+    }
+
     static List<RouteId> routes(int count) {
         List<RouteId> routes = new ArrayList<>();
         for (int i = 0; i < count; i++) {
--- /dev/null
+++ b/src/test/java/org/orioleshed/move/MoveFailuresTest.java
@@ -0,0 +1,355 @@
+package org.orioleshed.move;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.SplittableRandom;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.Fingerprint;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.MoveId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of moves while links, the store and hosts fail. */
+public class MoveFailuresTest {
+    private static final long LENGTH_MILLIS = 120_000;
+    private static final List<RouteId> ROUTES = FakeFleet.routes(2);
+    private static final String KEY = MoveRecord.key(FakeFleet.MOVE);
+
+    private static FakeFleet fleet(int domains, int hostsPerDomain) {
+        FakeFleet fleet =
+                new FakeFleet(new SplittableRandom(7), MoveLimits.DEFAULT, domains, hostsPerDomain);
+        fleet.plan(FakeFleet.MOVE, ROUTES, LENGTH_MILLIS);
+        return fleet;
+    }
+
+    /**
+     * Lets time pass with healthy traffic; the new version gets runs only where a share says so.
+     */
+    private static void healthy(FakeFleet fleet, long millis) {
+        traffic(fleet, millis, RunResult.Verdict.OK);
+    }
+
+    private static void traffic(FakeFleet fleet, long millis, RunResult.Verdict onNew) {
+        for (long passed = 0; passed < millis; passed += 500) {
+            fleet.traffic(ROUTES, FakeFleet.OLD, RunResult.Verdict.OK, 8);
+            for (FakeFleet.Host host : fleet.hosts.values()) {
+                for (RouteId route : ROUTES) {
+                    if (host.share(route) > 0) {
+                        RunResult result = fleet.result(onNew, 0.2);
+                        fleet.observe(host, route, FakeFleet.NEW, result);
+                    }
+                }
+            }
+            fleet.step(500);
+        }
+    }
+
+    private static MoveState state(FakeFleet fleet) {
+        return fleet.store.record(FakeFleet.MOVE).state();
+    }
+
+    private static HostId mover(FakeFleet fleet) {
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            if (host.core.status(fleet.nowNanos).get(0).moverFence() > 0) {
+                return host.id;
+            }
+        }
+        throw new AssertionError("no mover");
+    }
+
+    private static void assertOneOutcome(FakeFleet fleet, MoveState expected) {
+        assertEquals(state(fleet), expected);
+        assertEquals(fleet.store.outcomes.get(KEY), Integer.valueOf(1));
+        MoveAction.Notice.Kind told =
+                expected == MoveState.COMPLETED
+                        ? MoveAction.Notice.Kind.COMPLETED
+                        : MoveAction.Notice.Kind.TAKEN_BACK;
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            assertEquals(host.count(told), 1, host.id + " told " + host.notices);
+            assertEquals(
+                    host.split.currentVersions().get(ROUTES.get(0)),
+                    expected == MoveState.COMPLETED ? FakeFleet.NEW : FakeFleet.OLD);
+        }
+    }
+
+    @Test
+    public void healthyVersionCompletesBeforeItsTime() {
+        FakeFleet fleet = fleet(2, 2);
+        healthy(fleet, LENGTH_MILLIS - MoveLimits.DEFAULT.spreadMillis());
+        assertOneOutcome(fleet, MoveState.COMPLETED);
+    }
+
+    @Test
+    public void noTrafficAtAllIsNoProof() {
+        FakeFleet fleet = fleet(2, 1);
+        fleet.run(LENGTH_MILLIS, 500);
+        assertOneOutcome(fleet, MoveState.TAKEN_BACK);
+    }
+
+    @DataProvider
+    Object[][] losses() {
+        return new Object[][] {{0.0}, {0.3}, {0.6}};
+    }
+
+    @Test(dataProvider = "losses")
+    public void fuseSpreadsOverLossyLinks(double loss) {
+        FakeFleet fleet = fleet(2, 3);
+        healthy(fleet, 20_000);
+        fleet.linkLoss = loss;
+        fleet.store.away = true;
+        FakeFleet.Host first = fleet.hosts.values().iterator().next();
+        for (int i = 0; i < 10; i++) {
+            RunResult failed = fleet.result(RunResult.Verdict.FAILED, 0.2);
+            fleet.observe(first, ROUTES.get(0), FakeFleet.NEW, failed);
+        }
+        assertEquals(first.share(ROUTES.get(0)), 0.0, "own fuse works at once");
+        fleet.run(1_000, 100);
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            assertEquals(host.share(ROUTES.get(1)), 0.0, host.id + " within a second");
+        }
+        fleet.linkLoss = 0;
+        fleet.store.away = false;
+        healthy(fleet, 30_000);
+        assertOneOutcome(fleet, MoveState.TAKEN_BACK);
+    }
+
+    @Test
+    public void fuseNeverClosesAgain() {
+        FakeFleet fleet = fleet(1, 2);
+        healthy(fleet, 20_000);
+        fleet.store.away = true;
+        traffic(fleet, 20_000, RunResult.Verdict.FAILED);
+        healthy(fleet, 40_000);
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            assertEquals(host.count(MoveAction.Notice.Kind.FUSE), 1);
+            assertEquals(host.share(ROUTES.get(0)), 0.0);
+        }
+    }
+
+    @Test
+    public void storeOutageOverTheDeadlineMeansBack() {
+        FakeFleet fleet = fleet(2, 2);
+        healthy(fleet, 30_000);
+        fleet.store.away = true;
+        healthy(fleet, LENGTH_MILLIS);
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            assertEquals(host.share(ROUTES.get(0)), 0.0);
+            assertTrue(host.wasTold(MoveAction.Notice.Kind.CONCLUDED_BACK));
+        }
+        fleet.store.away = false;
+        healthy(fleet, 30_000);
+        assertOneOutcome(fleet, MoveState.TAKEN_BACK);
+    }
+
+    @Test
+    public void pausedMoverStopsFirst() {
+        FakeFleet fleet = fleet(2, 2);
+        healthy(fleet, 10_000);
+        HostId mover = mover(fleet);
+        MoveCore core = fleet.hosts.get(mover).core;
+        long fence = core.status(fleet.nowNanos).get(0).moverFence();
+        fleet.paused.add(mover);
+        healthy(fleet, 30_000);
+        assertEquals(core.status(fleet.nowNanos).get(0).moverFence(), 0);
+        fleet.paused.clear();
+        List<MoveAction> actions = core.on(fleet.nowNanos, new MoveEvent.Tick(fleet.epochMillis()));
+        assertFalse(actions.stream().anyMatch(MoveAction.SwapRecord.class::isInstance));
+        assertTrue(fleet.store.record(FakeFleet.MOVE).fence() > fence, "another mover took over");
+        healthy(fleet, LENGTH_MILLIS - 45_000);
+        assertOneOutcome(fleet, MoveState.COMPLETED);
+    }
+
+    @DataProvider
+    Object[][] lostAnswers() {
+        return new Object[][] {{true, 1}, {false, 1}, {true, 50}, {false, 10}};
+    }
+
+    @Test(dataProvider = "lostAnswers")
+    public void lostAnswersAreSettledByReadingBack(boolean takeEffect, int count) {
+        FakeFleet fleet = fleet(2, 2);
+        fleet.store.lostTakeEffect = takeEffect;
+        fleet.store.loseAnswers = count;
+        healthy(fleet, LENGTH_MILLIS);
+        assertOneOutcome(fleet, MoveState.COMPLETED);
+    }
+
+    @Test
+    public void earlierOfTwoRacingMovesGoesOn() {
+        FakeFleet fleet = fleet(2, 2);
+        MoveId second = new MoveId("m2");
+        fleet.plan(second, ROUTES.subList(0, 1), LENGTH_MILLIS);
+        healthy(fleet, LENGTH_MILLIS);
+        assertOneOutcome(fleet, MoveState.COMPLETED);
+        assertEquals(fleet.store.record(second).state(), MoveState.TAKEN_BACK);
+        assertEquals(fleet.store.outcomes.get(MoveRecord.key(second)), Integer.valueOf(1));
+    }
+
+    @Test
+    public void noPromotionWhileADomainIsCutOff() {
+        FakeFleet fleet = fleet(2, 2);
+        healthy(fleet, 2_000);
+        HostId cut = cutOff(fleet, "d1");
+        healthy(fleet, MoveLimits.DEFAULT.freshMillis() + 500);
+        int step = fleet.store.record(FakeFleet.MOVE).step();
+        assertTrue(step < MoveLimits.DEFAULT.lastStep(), "steps are left: " + step);
+        healthy(fleet, LENGTH_MILLIS / 2);
+        assertEquals(fleet.store.record(FakeFleet.MOVE).step(), step);
+        healthy(fleet, LENGTH_MILLIS);
+        assertEquals(state(fleet), MoveState.TAKEN_BACK);
+        FakeFleet.Host alone = fleet.hosts.get(cut);
+        assertEquals(alone.share(ROUTES.get(0)), 0.0);
+        assertTrue(alone.wasTold(MoveAction.Notice.Kind.CONCLUDED_BACK));
+        heal(fleet);
+        healthy(fleet, 10_000);
+        assertOneOutcome(fleet, MoveState.TAKEN_BACK);
+    }
+
+    @Test
+    public void faultInADomainThatIsCutOffStopsTheVersionThere() {
+        FakeFleet fleet = fleet(2, 2);
+        healthy(fleet, 20_000);
+        HostId cut = cutOff(fleet, "d1");
+        FakeFleet.Host alone = fleet.hosts.get(cut);
+        for (int i = 0; i < 10; i++) {
+            RunResult failed = fleet.result(RunResult.Verdict.FAILED, 0.2);
+            fleet.observe(alone, ROUTES.get(0), FakeFleet.NEW, failed);
+        }
+        assertEquals(alone.share(ROUTES.get(0)), 0.0);
+        fleet.run(1_000, 100);
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            boolean inside = host.domain.equals(alone.domain);
+            assertEquals(host.share(ROUTES.get(0)) == 0, inside, host.id + " knows of the fault");
+        }
+        heal(fleet);
+        healthy(fleet, 10_000);
+        assertOneOutcome(fleet, MoveState.TAKEN_BACK);
+    }
+
+    private static HostId cutOff(FakeFleet fleet, String domain) {
+        HostId last = null;
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            if (host.domain.value().equals(domain)) {
+                fleet.island(host.id, 1);
+                fleet.store.cutOff.add(host.id);
+                last = host.id;
+            }
+        }
+        return last;
+    }
+
+    private static void heal(FakeFleet fleet) {
+        fleet.hosts.keySet().forEach(id -> fleet.island(id, 0));
+        fleet.store.cutOff.clear();
+    }
+
+    @Test
+    public void contentThatCrashesServersDoesNotCondemnAVersion() {
+        FakeFleet fleet = fleet(1, 1);
+        healthy(fleet, 30_000);
+        FakeFleet.Host host = fleet.hosts.values().iterator().next();
+        Fingerprint poison = new Fingerprint(1, 1);
+        for (int crash = 0; crash < 20; crash++) {
+            crashOnNew(host, fleet, poison);
+            for (int innocent = 0; innocent < 6; innocent++) {
+                crashOnNew(host, fleet, new Fingerprint(crash, 100 + innocent));
+            }
+            healthy(fleet, 3_000);
+        }
+        assertEquals(host.count(MoveAction.Notice.Kind.FUSE), 0);
+    }
+
+    private static void crashOnNew(FakeFleet.Host host, FakeFleet fleet, Fingerprint content) {
+        RunResult crash = new RunResult(RunResult.Verdict.CRASHED, 10, 0, 0, 0, 0.2, content);
+        fleet.observe(host, ROUTES.get(0), FakeFleet.NEW, crash);
+    }
+
+    @Test
+    public void versionThatCrashesOnAnyContentIsTakenBack() {
+        FakeFleet fleet = fleet(1, 1);
+        healthy(fleet, 30_000);
+        FakeFleet.Host host = fleet.hosts.values().iterator().next();
+        for (int crash = 0; crash < 8; crash++) {
+            crashOnNew(host, fleet, new Fingerprint(crash, 1));
+            fleet.step(2_500);
+        }
+        fleet.step(500);
+        assertOneOutcome(fleet, MoveState.TAKEN_BACK);
+    }
+
+    @Test
+    public void runsCutFromOutsideAreNotBlamed() {
+        FakeFleet fleet = fleet(1, 1);
+        healthy(fleet, 20_000);
+        traffic(fleet, 40_000, RunResult.Verdict.CUT);
+        FakeFleet.Host host = fleet.hosts.values().iterator().next();
+        assertEquals(host.count(MoveAction.Notice.Kind.FUSE), 0);
+    }
+
+    @Test
+    public void versionThatHangsUntilRunsAreCutBlowsTheFuse() {
+        FakeFleet fleet = fleet(1, 1);
+        healthy(fleet, 20_000);
+        FakeFleet.Host host = fleet.hosts.values().iterator().next();
+        for (int i = 0; i < 20; i++) {
+            Fingerprint content = new Fingerprint(i, 5);
+            RunResult hung = new RunResult(RunResult.Verdict.CUT, 9_000, 0, 0, 0, 0.2, content);
+            fleet.observe(host, ROUTES.get(0), FakeFleet.NEW, hung);
+        }
+        assertTrue(host.wasTold(MoveAction.Notice.Kind.FUSE));
+    }
+
+    @Test
+    public void faultAfterCompletionGoesBackAndKeepsTheOutcome() {
+        FakeFleet fleet = fleet(1, 2);
+        healthy(fleet, LENGTH_MILLIS);
+        FakeFleet.Host host = fleet.hosts.values().iterator().next();
+        for (int i = 0; i < 10; i++) {
+            RunResult failed = fleet.result(RunResult.Verdict.FAILED, 0.2);
+            fleet.observe(host, ROUTES.get(0), FakeFleet.NEW, failed);
+        }
+        fleet.run(1_000, 100);
+        for (FakeFleet.Host each : fleet.hosts.values()) {
+            assertTrue(each.wasTold(MoveAction.Notice.Kind.FAULT_AFTER_COMPLETION));
+            assertEquals(each.split.currentVersions().get(ROUTES.get(0)), FakeFleet.OLD);
+        }
+        assertEquals(state(fleet), MoveState.COMPLETED);
+        assertEquals(fleet.store.outcomes.get(KEY), Integer.valueOf(1));
+    }
+
+    @Test
+    public void serverIsGivenToTheNewMoverOnlyAfterTheOldLease() {
+        MoveRecord record =
+                MoveRecord.plan(
+                        FakeFleet.MOVE,
+                        FakeFleet.LETTERS,
+                        FakeFleet.OLD,
+                        FakeFleet.NEW,
+                        ROUTES,
+                        1,
+                        2,
+                        List.of(new ServerId("d0-new"), new ServerId("d1-new")),
+                        "operator",
+                        "test");
+        FakeFleet fleet = new FakeFleet(new SplittableRandom(1), MoveLimits.DEFAULT, 2, 1);
+        OrderPlan plan = new OrderPlan(record, MoveLimits.DEFAULT);
+        assertEquals(plan.tick(0, 5, 0, ignoringFences(fleet)), List.of());
+        long oldLeaseMillis =
+                MoveLimits.DEFAULT.leaseMillis() + MoveLimits.DEFAULT.leaseMarginMillis();
+        List<MoveAction> late =
+                plan.tick(oldLeaseMillis * MoveCore.NANOS_PER_MILLI, 5, 0, ignoringFences(fleet));
+        assertEquals(late.size(), 1, "one load at a time: " + late);
+        plan.onState(new ServerId("d0-new"), FakeFleet.NEW);
+        plan.onState(new ServerId("d1-new"), FakeFleet.NEW);
+        assertTrue(plan.isDone());
+    }
+
+    private static World ignoringFences(FakeFleet fleet) {
+        return FakeFleet.withFencing(fleet.world, false);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/move/MoveProperties.java
@@ -0,0 +1,119 @@
+package org.orioleshed.move;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.MoveId;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.peer.BadMessageException;
+
+/** Properties of evidence, tests and messages of moves. */
+class MoveProperties {
+    private static final FailureDomain DOMAIN = new FailureDomain("d");
+
+    @Property(seed = "11", tries = 300)
+    void evidenceMergesTheSameInAnyOrderAndRepetition(@ForAll Random random) {
+        List<MoveMessage.Evidence> messages = history(random);
+        PooledEvidence inOrder = pooled();
+        messages.forEach(message -> merge(inOrder, message));
+        List<MoveMessage.Evidence> mixed = new ArrayList<>(messages);
+        mixed.addAll(messages.subList(0, messages.size() / 2));
+        Collections.shuffle(mixed, random);
+        PooledEvidence anyOrder = pooled();
+        mixed.forEach(message -> merge(anyOrder, message));
+        assertEquals(anyOrder.newRuns(), inOrder.newRuns());
+    }
+
+    private static List<MoveMessage.Evidence> history(Random random) {
+        MoveMessage.Key key = new MoveMessage.Key(new RouteId("r0"), FakeFleet.NEW, LoadBand.LOW);
+        List<MoveMessage.Evidence> messages = new ArrayList<>();
+        Tally tally = Tally.NONE;
+        for (int i = 0; i < 20; i++) {
+            tally = tally.plus(new Tally(1 + random.nextInt(5), random.nextInt(2), 0, 1, 0));
+            messages.add(evidence(Map.of(key, tally)));
+        }
+        return messages;
+    }
+
+    private static MoveMessage.Evidence evidence(Map<MoveMessage.Key, Tally> tallies) {
+        return new MoveMessage.Evidence(FakeFleet.MOVE, DOMAIN, 1, false, 0, tallies);
+    }
+
+    private static PooledEvidence pooled() {
+        MoveRecord record =
+                MoveRecord.plan(
+                        FakeFleet.MOVE,
+                        FakeFleet.LETTERS,
+                        FakeFleet.OLD,
+                        FakeFleet.NEW,
+                        FakeFleet.routes(1),
+                        1,
+                        2,
+                        List.of(),
+                        "operator",
+                        "test");
+        return new PooledEvidence(record, MoveLimits.DEFAULT);
+    }
+
+    private static void merge(PooledEvidence pooled, MoveMessage.Evidence message) {
+        pooled.merge(0, new HostId("h"), DOMAIN, message.incarnation(), message.tallies());
+    }
+
+    @Property(seed = "12", tries = 200)
+    void evidenceSurvivesTheCodec(
+            @ForAll @IntRange(min = 0, max = 1_000_000) int runs,
+            @ForAll boolean fuse,
+            @ForAll LoadBand band)
+            throws BadMessageException {
+        Map<MoveMessage.Key, Tally> tallies = new HashMap<>();
+        Tally tally = new Tally(runs, runs / 2, runs / 3, runs, runs / 5);
+        tallies.put(new MoveMessage.Key(new RouteId("r"), FakeFleet.NEW, band), tally);
+        MoveMessage message =
+                new MoveMessage.Evidence(new MoveId("m"), DOMAIN, runs, fuse, runs, tallies);
+        MoveCodec codec = new MoveCodec();
+        assertEquals(codec.decode(codec.encode(message)), message);
+    }
+
+    @Property(seed = "13", tries = 2_000)
+    void anyBytesGiveAMessageOrATypedError(@ForAll byte[] bytes) {
+        try {
+            new MoveCodec().decode(bytes);
+        } catch (BadMessageException e) {
+            assertEquals(e.getMessage().isBlank(), false);
+        }
+    }
+
+    @Property(seed = "14", tries = 2_000)
+    void anyTextGivesARecordOrATypedError(@ForAll String text) {
+        try {
+            MoveRecord.parse(Payload.of(text));
+        } catch (BadRecordException e) {
+            assertEquals(e.getMessage().isBlank(), false);
+        }
+    }
+
+    @Property(seed = "15", tries = 200)
+    void alarmNeverFallsBelowZeroAndGoodRunsLowerIt(
+            @ForAll @DoubleRange(min = 0.01, max = 0.5) double goodRate,
+            @ForAll @IntRange(min = 0, max = 50) int bad) {
+        DriftTest test = new DriftTest();
+        test.add(bad, bad, goodRate, 0.1);
+        double before = test.alarm();
+        test.add(10, 0, goodRate, 0.1);
+        assertEquals(test.alarm() >= 0 && test.alarm() <= before, true);
+        test.add(1_000_000, 0, goodRate, 0.1);
+        assertEquals(test.alarm(), 0.0);
+    }
+}
