Drive moves from the control duty

MoveDriver carries out the move core's actions on the control thread: store calls, leases, orders, peers, notices. Operators plan a move or take one back by a compare-and-swap that is settled by reading when its answer is lost.

--- a/src/main/java/org/orioleshed/control/ControlCore.java
+++ b/src/main/java/org/orioleshed/control/ControlCore.java
@@ -23,6 +23,8 @@
 import org.orioleshed.membership.PlatformMark;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.move.MoveCore;
+import org.orioleshed.move.MoveLimits;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerPort;
@@ -53,6 +55,7 @@
     private final PlatformLists lists = new PlatformLists();
     private final Map<FollowedKey, FollowedStore> followed = new LinkedHashMap<>();
     private final Proposals proposals;
+    private final MoveDriver moves;
     private final MembershipCodec membershipCodec = new MembershipCodec();
     private final SettingsCodec settingsCodec = new SettingsCodec();
     private final Map<Long, StatusRound> rounds = new HashMap<>();
@@ -72,6 +75,7 @@
             Consumer<World> worlds,
             InstantSource wallClock,
             Consumer<ControlEvent> ring,
+            ServerOrders orders,
             RandomGenerator random) {
         this.own = own;
         this.peers = peers;
@@ -89,6 +93,8 @@
         this.membership = new Membership(self, MembershipOptions.DEFAULT, random);
         this.spread = new SettingsSpread(random);
         this.proposals = new Proposals(store, ring, this::accepted);
+        MoveCore moveCore = new MoveCore(own.host(), own.domain(), incarnation, MoveLimits.DEFAULT);
+        this.moves = new MoveDriver(moveCore, store, peers, orders, ring);
         for (FollowedKey key : FollowedKey.values()) {
             followed.put(key, new FollowedStore(key, store, ring, random));
         }
@@ -109,6 +115,7 @@
             each.on(now, new StoreFollower.Event.Tick());
         }
         proposals.tick(now);
+        moves.tick(now, wallClock.millis());
         finishRounds();
     }
 
@@ -133,19 +140,37 @@
                             wallClock.millis(),
                             proposed.answer());
             case ControlEvent.StatusWanted wanted -> startRound(wanted.answer());
+            case ControlEvent.DocumentWanted wanted -> wanted.answer().complete(spread.document());
+            case ControlEvent.MoveHappened happened -> moves.on(now, happened.event());
+            case ControlEvent.MoveWanted wanted -> moves.start(now, wanted.wish(), wanted.answer());
+            case ControlEvent.MoveWriteAnswered answered ->
+                    moves.onWrite(
+                            now, answered.write(), new MoveWrite.Event.Answered(answered.result()));
+            case ControlEvent.MovesWanted wanted -> wanted.answer().complete(moves.status(now));
+            case ControlEvent.NoticesWanted wanted ->
+                    moves.await(
+                            wanted.after(),
+                            now + wanted.waitMillis() * NANOS_PER_MILLI,
+                            wanted.answer());
             case ControlEvent.DrainAsked asked -> onMembership(new MembershipEvent.LeaveAsked());
         }
     }
 
     /** Hands the world on if anything in it changed. */
     void publish() {
+        worldChanged |= moves.takeSplitChanged();
         if (!worldChanged) {
             return;
         }
         worldChanged = false;
+        World world = world();
+        worlds.accept(world);
+        moves.worldChanged(nowNanos, world);
+    }
+
+    private World world() {
         if (tree == null) {
-            worlds.accept(new World(0, hosts, Map.of(), Map.of(), Map.of(), Map.of(), Map.of()));
-            return;
+            return new World(0, hosts, Map.of(), Map.of(), Map.of(), Map.of(), Map.of());
         }
         Map<ServerId, Boolean> leaving = new HashMap<>();
         for (PlatformMark mark : membership.marks()) {
@@ -153,12 +178,15 @@
                 leaving.put(new ServerId(mark.id()), mark.leaving());
             }
         }
-        worlds.accept(tree.world(revision, hosts, leaving, Map.of(), Map.of()));
+        moves.split().heldBack().forEach(server -> leaving.put(server, true));
+        return tree.world(
+                revision, hosts, leaving, moves.split().splits(), moves.split().currentVersions());
     }
 
     void close() {
         followed.values().forEach(FollowedStore::close);
         proposals.close();
+        moves.close();
         rounds.values().forEach(round -> round.finish(Long.MAX_VALUE, spread.status(nowNanos)));
     }
 
@@ -174,7 +202,8 @@
                         onSettings(
                                 new SettingsEvent.Received(
                                         message.from(), settingsCodec.decode(body)));
-                case MOVE, ROUTING, REQUEST -> {}
+                case MOVE -> moves.receive(nowNanos, message.from(), body);
+                case ROUTING, REQUEST -> {}
             }
         } catch (BadMessageException e) {
             logger.atWarning().log(
--- a/src/main/java/org/orioleshed/control/ControlDuty.java
+++ b/src/main/java/org/orioleshed/control/ControlDuty.java
@@ -2,6 +2,8 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.time.InstantSource;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -13,18 +15,27 @@
 import org.jctools.queues.MpscArrayQueue;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.HostId;
+import org.orioleshed.model.MoveId;
 import org.orioleshed.model.Payload;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.move.MoveEvent;
+import org.orioleshed.move.MoveRecord;
+import org.orioleshed.move.MoveStatus;
+import org.orioleshed.move.RunResult;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerPort;
 import org.orioleshed.settings.EntrySettings;
 import org.orioleshed.settings.ProposalResult;
 import org.orioleshed.settings.ProposedChange;
+import org.orioleshed.settings.SettingsDocument;
 import org.orioleshed.store.Store;
 
 /**
- * The control duty of one entry host: one thread that keeps membership, settings and the platform's
- * lists, and hands on a new {@link World} whenever one of them changes. Serves with the store away.
- * All methods may be called from any thread and none blocks, but for {@link #close}.
+ * The control duty of one entry host: one thread that keeps membership, settings, the platform's
+ * lists and moves, and hands on a new {@link World} whenever one of them changes. Serves with the
+ * store away. All methods may be called from any thread and none blocks, but for {@link #close}.
  */
 public final class ControlDuty implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -39,6 +50,7 @@
     private final LongAdder dropped = new LongAdder();
     private final AtomicInteger waiting = new AtomicInteger();
     private final LongSupplier nanoClock;
+    private final InstantSource wallClock;
     private final ControlCore core;
     private final Thread thread;
     private volatile boolean stopping;
@@ -50,6 +62,7 @@
      * @param incarnation grows with each start of this host
      * @param store the platform's key-value service; not closed by the duty
      * @param peers sends to other entry hosts; told of their addresses
+     * @param orders gives orders to backend servers
      * @param worlds called on the duty's thread with each new world; must not block
      * @param nanoClock the monotonic clock, in nanoseconds
      * @param wallClock the wall clock, for the time of changes
@@ -60,11 +73,13 @@
             long incarnation,
             Store store,
             PeerPort peers,
+            ServerOrders orders,
             Consumer<World> worlds,
             LongSupplier nanoClock,
             InstantSource wallClock,
             RandomGenerator random) {
         this.nanoClock = nanoClock;
+        this.wallClock = wallClock;
         this.core =
                 new ControlCore(
                         settings,
@@ -74,6 +89,7 @@
                         worlds,
                         wallClock,
                         this::offerStore,
+                        orders,
                         random);
         this.thread = Thread.ofPlatform().name("control").daemon().unstarted(this::run);
     }
@@ -116,7 +132,58 @@
      */
     public CompletableFuture<ControlStatus> status() {
         CompletableFuture<ControlStatus> answer = new CompletableFuture<>();
-        if (!offer(new ControlEvent.StatusWanted(answer))) {
+        return ask(new ControlEvent.StatusWanted(answer), answer);
+    }
+
+    /** Returns the settings' document in force; empty when there is none yet. */
+    public CompletableFuture<Optional<SettingsDocument>> document() {
+        CompletableFuture<Optional<SettingsDocument>> answer = new CompletableFuture<>();
+        return ask(new ControlEvent.DocumentWanted(answer), answer);
+    }
+
+    /**
+     * Tells of a run that this host accepted and that ended on a backend server, as evidence for
+     * moves. Dropped, and counted, when the duty is far behind.
+     */
+    public void observed(RouteId route, VersionId version, ServerId server, RunResult result) {
+        offer(
+                new ControlEvent.MoveHappened(
+                        new MoveEvent.Observed(route, version, server, result)));
+    }
+
+    /** Records a new move. */
+    public CompletableFuture<MoveWriteResult> planMove(MoveRecord planned) {
+        CompletableFuture<MoveWriteResult> answer = new CompletableFuture<>();
+        return ask(new ControlEvent.MoveWanted(new MoveWrite.Wish.Plan(planned), answer), answer);
+    }
+
+    /** Takes a move back that has no outcome yet. */
+    public CompletableFuture<MoveWriteResult> takeMoveBack(
+            MoveId move, String author, String reason) {
+        CompletableFuture<MoveWriteResult> answer = new CompletableFuture<>();
+        MoveWrite.Wish wish = new MoveWrite.Wish.TakeBack(move, author, reason, wallClock.millis());
+        return ask(new ControlEvent.MoveWanted(wish, answer), answer);
+    }
+
+    /** Returns how this host sees each move. */
+    public CompletableFuture<List<MoveStatus>> moves() {
+        CompletableFuture<List<MoveStatus>> answer = new CompletableFuture<>();
+        return ask(new ControlEvent.MovesWanted(answer), answer);
+    }
+
+    /**
+     * Returns the notices of moves after a sequence number, once there are any or the time is over.
+     *
+     * @param after the sequence number of the last notice seen; zero for none
+     * @param waitMillis how long to wait, in milliseconds
+     */
+    public CompletableFuture<List<MoveNotice>> notices(long after, long waitMillis) {
+        CompletableFuture<List<MoveNotice>> answer = new CompletableFuture<>();
+        return ask(new ControlEvent.NoticesWanted(after, waitMillis, answer), answer);
+    }
+
+    private <T> CompletableFuture<T> ask(ControlEvent event, CompletableFuture<T> answer) {
+        if (!offer(event)) {
             answer.completeExceptionally(new IllegalStateException("this host is overloaded"));
         }
         return answer;
--- a/src/main/java/org/orioleshed/control/ControlEvent.java
+++ b/src/main/java/org/orioleshed/control/ControlEvent.java
@@ -1,12 +1,16 @@
 package org.orioleshed.control;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Payload;
+import org.orioleshed.move.MoveEvent;
+import org.orioleshed.move.MoveStatus;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.settings.ProposalResult;
 import org.orioleshed.settings.ProposedChange;
+import org.orioleshed.settings.SettingsDocument;
 import org.orioleshed.store.Store;
 
 /** What reaches the control thread through its ring. */
@@ -35,6 +39,27 @@
     /** Someone wants to know how the fleet stands. */
     record StatusWanted(CompletableFuture<ControlStatus> answer) implements ControlEvent {}
 
+    /** Something happened to moves. */
+    record MoveHappened(MoveEvent event) implements ControlEvent {}
+
+    /** An operator wants something of a move. */
+    record MoveWanted(MoveWrite.Wish wish, CompletableFuture<MoveWriteResult> answer)
+            implements ControlEvent {}
+
+    /** The store answered an operator's wish about a move. */
+    record MoveWriteAnswered(long write, Store.Result result) implements ControlEvent {}
+
+    /** Someone wants to know how moves stand. */
+    record MovesWanted(CompletableFuture<List<MoveStatus>> answer) implements ControlEvent {}
+
+    /** Someone waits for notices of moves. */
+    record NoticesWanted(long after, long waitMillis, CompletableFuture<List<MoveNotice>> answer)
+            implements ControlEvent {}
+
+    /** Someone wants the settings' document in force. */
+    record DocumentWanted(CompletableFuture<Optional<SettingsDocument>> answer)
+            implements ControlEvent {}
+
     /** This host is about to stop. */
     record DrainAsked() implements ControlEvent {}
 
--- a/src/test/java/org/orioleshed/control/ControlFleet.java
+++ b/src/test/java/org/orioleshed/control/ControlFleet.java
@@ -15,10 +15,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiPredicate;
 import java.util.function.BooleanSupplier;
+import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Payload;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.move.ServerOrder;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerPort;
 import org.orioleshed.settings.EntrySettings;
@@ -38,6 +41,20 @@
 
     private record Letter(HostId from, HostId to, MessageKind kind, Payload body) {}
 
+    /** Takes no orders. */
+    private static final class NoOrders implements ServerOrders {
+        @Override
+        public CompletableFuture<Boolean> order(
+                BackendServer server, ServerOrder order, long fence) {
+            return CompletableFuture.completedFuture(false);
+        }
+
+        @Override
+        public CompletableFuture<Optional<VersionId>> version(BackendServer server) {
+            return CompletableFuture.completedFuture(Optional.empty());
+        }
+    }
+
     /** One host of the fleet. */
     static final class Host implements PeerPort {
         final HostId id;
@@ -60,6 +77,7 @@
                             worlds::add,
                             InstantSource.fixed(Instant.EPOCH),
                             ring::add,
+                            new NoOrders(),
                             new Random(fleet.random.nextLong()));
         }
 
