--- /dev/null
+++ b/src/main/java/org/orioleshed/admin/AdminMain.java
@@ -0,0 +1,90 @@
+package org.orioleshed.admin;
+
+import com.github.rvesse.airline.annotations.Cli;
+import com.github.rvesse.airline.annotations.Group;
+import com.github.rvesse.airline.annotations.help.ExitCodes;
+import com.github.rvesse.airline.help.Help;
+import com.github.rvesse.airline.help.suggester.SuggestCommand;
+import com.github.rvesse.airline.parser.errors.ParseException;
+import java.io.PrintStream;
+import java.util.Map;
+
+/** The program {@code orioleshed-admin}: what operators call the admin API with. */
+@Cli(
+        name = "orioleshed-admin",
+        description = "Steers and shows entry hosts over their admin API",
+        defaultCommand = Help.class,
+        commands = {
+            ViewCommands.Hosts.class,
+            ViewCommands.Servers.class,
+            ViewCommands.Requests.class,
+            CompletionCommand.class,
+            SuggestCommand.class,
+            Help.class
+        },
+        groups = {
+            @Group(
+                    name = "settings",
+                    description = "Show and change the tree of settings",
+                    commands = {
+                        SettingsCommands.Get.class,
+                        SettingsCommands.Set.class,
+                        SettingsCommands.Unset.class,
+                        SettingsCommands.Diff.class,
+                        SettingsCommands.History.class,
+                        SettingsCommands.Status.class,
+                        SettingsCommands.Check.class
+                    }),
+            @Group(
+                    name = "moves",
+                    description = "Plan, follow and take back moves between versions",
+                    commands = {
+                        MoveCommands.Plan.class,
+                        MoveCommands.ListAll.class,
+                        MoveCommands.Show.class,
+                        MoveCommands.TakeBack.class,
+                        MoveCommands.Watch.class
+                    }),
+            @Group(
+                    name = "poison",
+                    description = "Content held because it crashed backend servers",
+                    commands = {ViewCommands.PoisonList.class, ViewCommands.PoisonClear.class})
+        })
+@ExitCodes(
+        codes = {0, 1, 2, 3, 4, 5, 6, 7, 8},
+        descriptions = {
+            "Done",
+            "The entry host failed or could not be reached",
+            "Wrong arguments",
+            "The input is not valid; nothing has changed",
+            "Another change was faster; nothing has changed",
+            "There is no such thing",
+            "The key is unknown, or its role does not allow it",
+            "The store is away; nothing has changed",
+            "The answer was lost: a change may take effect"
+        })
+public final class AdminMain {
+    private AdminMain() {}
+
+    /** Runs the program and ends with its exit code. */
+    public static void main(String[] args) {
+        System.exit(run(args, System.getenv(), System.out, System.err));
+    }
+
+    /** Runs the program and returns its exit code. */
+    static int run(
+            String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
+        try {
+            Object command = new com.github.rvesse.airline.Cli<Object>(AdminMain.class).parse(args);
+            if (command instanceof AdminCommand admin) {
+                return admin.run(environment, out, err).code();
+            }
+            ((Runnable) command).run();
+            return ExitCode.OK.code();
+        } catch (ParseException | UsageException e) {
+            err.println("error: " + e.getMessage());
+            err.println("Try: orioleshed-admin help");
+            return ExitCode.USAGE.code();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/admin/ViewCommands.java
@@ -0,0 +1,78 @@
+package org.orioleshed.admin;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.github.rvesse.airline.annotations.Arguments;
+import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
+import com.github.rvesse.airline.annotations.restrictions.MaxOccurrences;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Commands about hosts, backend servers, requests and held content. */
+final class ViewCommands {
+    private ViewCommands() {}
+
+    /** Lists entry hosts. */
+    @Command(name = "hosts", description = "List the entry hosts")
+    public static final class Hosts extends AdminCommand {
+        @Override
+        AdminClient.Call toCall() {
+            return AdminClient.Call.get("hosts", Map.of());
+        }
+    }
+
+    /** Lists backend servers. */
+    @Command(name = "servers", description = "List the backend servers with homes and load")
+    public static final class Servers extends AdminCommand {
+        @Override
+        AdminClient.Call toCall() {
+            return AdminClient.Call.get("servers", Map.of());
+        }
+    }
+
+    /** Lists requests. */
+    @Command(name = "requests", description = "List requests that wait or run on the entry host")
+    public static final class Requests extends AdminCommand {
+        @Option(name = "--workspace", title = "name", description = "Only this workspace's")
+        String workspace;
+
+        @Option(name = "--limit", title = "number", description = "How many requests")
+        int limit = 50;
+
+        @Override
+        AdminClient.Call toCall() {
+            Map<String, String> query = new HashMap<>();
+            query.put("limit", Integer.toString(limit));
+            if (workspace != null) {
+                query.put("workspace", workspace);
+            }
+            return AdminClient.Call.get("requests", query);
+        }
+    }
+
+    /** Lists held content. */
+    @Command(name = "list", description = "List content held because it crashed servers")
+    public static final class PoisonList extends AdminCommand {
+        @Override
+        AdminClient.Call toCall() {
+            return AdminClient.Call.get("poison", Map.of());
+        }
+    }
+
+    /** Lets held content run again. */
+    @Command(name = "clear", description = "Let held content run again")
+    public static final class PoisonClear extends AdminCommand {
+        @Arguments(title = "fingerprint", description = "The content; all of it if left out")
+        @MaxOccurrences(occurrences = 1)
+        List<String> fingerprint = new ArrayList<>();
+
+        @Override
+        AdminClient.Call toCall() {
+            ObjectNode body = AdminJson.MAPPER.createObjectNode();
+            fingerprint.forEach(value -> body.put("fingerprint", value));
+            return AdminClient.Call.send("POST", "poison/clear", body);
+        }
+    }
+}
