--- a/src/main/java/org/orioleshed/routing/Places.java
+++ b/src/main/java/org/orioleshed/routing/Places.java
@@ -67,10 +67,12 @@
         return (int) ranks().filter(held -> held >= rank).count();
     }
 
-    /** Returns how many runs are being preempted. */
-    int beingPreempted() {
+    /** Returns how many runs were asked to stop after {@code sinceNanos} and will free a place. */
+    int stoppedSince(long sinceNanos) {
         return (int)
-                running.values().stream().filter(r -> r.stop() == Running.Stop.PREEMPTED).count();
+                running.values().stream()
+                        .filter(r -> r.stopping() && r.stopNanos() - sinceNanos >= 0)
+                        .count();
     }
 
     /** Returns whether work of a lower tier than {@code rank} holds a place. */
--- a/src/main/java/org/orioleshed/routing/Preemption.java
+++ b/src/main/java/org/orioleshed/routing/Preemption.java
@@ -13,6 +13,9 @@
     private static final double SAFETY = 1.25;
     private static final long REQUEUE_MILLIS = 500;
 
+    /** An engine that did not confirm a cancel for so long is not counted on. */
+    private static final long CANCEL_NANOS = 500_000_000L;
+
     /** The longest that an urgent request waits for a place to become free by itself. */
     private static final long LONGEST_DELAY_MILLIS = 200;
 
@@ -45,7 +48,7 @@
             return List.of();
         }
         List<Running> victims = new ArrayList<>();
-        int onTheWay = free + places.beingPreempted();
+        int onTheWay = free + places.stoppedSince(moment.nowNanos() - CANCEL_NANOS);
         for (int rank : queue.ranks()) {
             List<Waiting> pressed = queue.tier(rank).matching(w -> presses(w, moment));
             int needed = pressed.size() - onTheWay;
--- a/src/main/java/org/orioleshed/routing/ServerChooser.java
+++ b/src/main/java/org/orioleshed/routing/ServerChooser.java
@@ -30,6 +30,7 @@
  */
 public final class ServerChooser {
     private static final int PREFIX_MEMORY_BLOCKS = 1 << 15;
+    private static final int DEFAULT_TOKENS = 150;
 
     /** The most servers of one failure domain that are scored for one choice. */
     private static final int SAMPLE_SERVERS = 32;
@@ -107,7 +108,7 @@
             return 0;
         }
         LengthEstimate estimate = lengths.get(request.route());
-        int expected = estimate == null ? generate.maxOutputTokens() : estimate.mean();
+        int expected = estimate == null ? DEFAULT_TOKENS : estimate.mean();
         return Math.min(expected, generate.maxOutputTokens());
     }
 
--- a/src/main/java/org/orioleshed/routing/ServerSpeed.java
+++ b/src/main/java/org/orioleshed/routing/ServerSpeed.java
@@ -12,6 +12,7 @@
     private static final double PREFILL_SHARE = 0.1;
     private static final int FEWEST_PREFILL_TOKENS = 64;
     private static final int FEWEST_SAMPLES = 20;
+    private static final long DEFAULT_TOKENS = 150;
 
     private final SpeedBook book;
     private BackendServer server;
@@ -92,10 +93,10 @@
     /** Returns the expected length of the answer, in tokens: the mean of its like. */
     int expectedTokens(Offer offer) {
         Quantiles lengths = book.of(server, offer.route()).outputTokens();
-        if (lengths.count() < FEWEST_SAMPLES) {
-            return offer.outputTokens();
-        }
-        return (int) Math.min(offer.outputTokens(), lengths.mean());
+        long seen = lengths.count();
+        long guess = seen >= FEWEST_SAMPLES ? 0 : FEWEST_SAMPLES - seen;
+        long mean = (seen * lengths.mean() + guess * DEFAULT_TOKENS) / (seen + guess);
+        return (int) Math.min(offer.outputTokens(), mean);
     }
 
     /** Returns the expected time until {@code run} ends, in milliseconds. */
--- /dev/null
+++ b/src/test/java/org/orioleshed/routing/FairQueueProperties.java
@@ -0,0 +1,105 @@
+package org.orioleshed.routing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Tier;
+import org.orioleshed.model.WorkspaceId;
+
+/** Properties of {@link FairQueue}. */
+class FairQueueProperties {
+    private static final int WORKSPACES = 4;
+    private static final int MOST_WORK_MILLIS = 1_000;
+
+    @Property(seed = "21", tries = 200)
+    boolean backloggedWorkspacesGetWorkByTheirWeights(
+            @ForAll @Size(40) List<@IntRange(min = 1, max = MOST_WORK_MILLIS) Integer> works,
+            @ForAll @IntRange(min = 1, max = 39) int takes) {
+        FairQueue queue = new FairQueue(Waiting.BY_DEADLINE);
+        long sequence = 0;
+        for (int weight = 1; weight <= WORKSPACES; weight++) {
+            for (int work : works) {
+                queue.add(waiting(++sequence, weight, 0, work), weight);
+            }
+        }
+        Map<WorkspaceId, Double> share = new HashMap<>();
+        for (int i = 0; i < takes; i++) {
+            Waiting next = queue.next(OfferQueue::anyWorkspace).orElseThrow();
+            queue.take(next);
+            double weight = weightOf(next);
+            share.merge(next.offer().workspace(), next.workMillis() / weight, Double::sum);
+        }
+        double most = share.values().stream().mapToDouble(d -> d).max().orElse(0);
+        double least = share.size() < WORKSPACES ? 0 : least(share);
+        // Start-time fair queueing: two backlogged flows differ by one job of each at most.
+        return most - least <= 2.0 * MOST_WORK_MILLIS;
+    }
+
+    @Property(seed = "22", tries = 200)
+    boolean noOfferStarvesWhileLaterOnesComeIn(
+            @ForAll @Size(300) List<@IntRange(min = 0, max = 15) Integer> arrivals) {
+        FairQueue queue = new FairQueue(Waiting.BY_DEADLINE);
+        Waiting first = waiting(1, 1, 0, MOST_WORK_MILLIS);
+        queue.add(first, 1);
+        long sequence = 1;
+        int takes = 0;
+        for (int arrival : arrivals) {
+            int weight = 1 + arrival % WORKSPACES;
+            sequence++;
+            queue.add(waiting(sequence, weight, sequence, MOST_WORK_MILLIS), weight);
+            Waiting next = queue.next(OfferQueue::anyWorkspace).orElseThrow();
+            queue.take(next);
+            takes++;
+            if (next.equals(first)) {
+                break;
+            }
+        }
+        // Equal jobs: before a flow of weight one, the others get their weights' sum at most.
+        return takes <= 1 + 2 + 3 + 4 + WORKSPACES;
+    }
+
+    @Property(seed = "23", tries = 200)
+    boolean aWorkspaceOrderIsByDeadline(
+            @ForAll @Size(30) List<@IntRange(min = 0, max = 50) Integer> deadlines) {
+        FairQueue queue = new FairQueue(Waiting.BY_DEADLINE);
+        long sequence = 0;
+        for (int deadline : deadlines) {
+            queue.add(waiting(++sequence, 1, deadline, 10), 1);
+        }
+        List<Long> taken = new ArrayList<>();
+        while (queue.size() > 0) {
+            Waiting next = queue.next(OfferQueue::anyWorkspace).orElseThrow();
+            queue.take(next);
+            taken.add(next.deadlineNanos());
+        }
+        return taken.equals(taken.stream().sorted().toList()) && queue.workMillis() == 0;
+    }
+
+    private static double least(Map<WorkspaceId, Double> share) {
+        return share.values().stream().mapToDouble(d -> d).min().orElse(0);
+    }
+
+    private static double weightOf(Waiting waiting) {
+        String name = waiting.offer().workspace().value();
+        return Integer.parseInt(name.substring(name.indexOf('-') + 1));
+    }
+
+    private static Waiting waiting(long sequence, int weight, long deadlineNanos, long workMillis) {
+        return new Waiting(
+                Worlds.run(sequence),
+                new HostId("h"),
+                Worlds.offer(Tier.STANDARD, 1_000, weight, 0),
+                deadlineNanos,
+                0,
+                0,
+                0,
+                workMillis,
+                workMillis);
+    }
+}
--- a/src/test/java/org/orioleshed/routing/OneServer.java
+++ b/src/test/java/org/orioleshed/routing/OneServer.java
@@ -32,6 +32,8 @@
     final Set<RunId> cancelling = new LinkedHashSet<>();
     final List<HostAction> actions = new ArrayList<>();
     final Map<RunId, Tier> tiers = new HashMap<>();
+    final Map<RunId, Waiting> waiting = new LinkedHashMap<>();
+    final List<String> violations = new ArrayList<>();
     boolean places = true;
     long nowNanos = 1_000 * MILLI;
 
@@ -45,7 +47,10 @@
     }
 
     void offer(RunId run, Offer offer) {
-        tiers.put(run, offer.tier());
+        if (!tiers.containsKey(run)) {
+            tiers.put(run, offer.tier());
+            waiting.put(run, new Waiting(offer, nowNanos + offer.remainingMillis() * MILLI));
+        }
         receive(new RoutingMessage.Offered(run, SERVER, offer));
     }
 
@@ -101,14 +106,59 @@
     private void heard(RoutingMessage message) {
         switch (message) {
             case RoutingMessage.Granted m -> {
+                checkOrder(m.run());
+                waiting.remove(m.run());
                 granted.add(m.run());
                 if (places) {
                     receive(new RoutingMessage.Placed(m.run(), SERVER, Payload.EMPTY, 0, 1_000));
                 }
             }
-            case Refused m -> refused.put(m.run(), m);
-            case RoutingMessage.Ended m -> ended.put(m.run(), m.end());
+            case Refused m -> {
+                checkShed(m);
+                waiting.remove(m.run());
+                refused.put(m.run(), m);
+            }
+            case RoutingMessage.Ended m -> {
+                waiting.remove(m.run());
+                ended.put(m.run(), m.end());
+            }
             default -> {}
         }
     }
+
+    private void checkOrder(RunId run) {
+        Waiting chosen = waiting.get(run);
+        if (chosen == null) {
+            return;
+        }
+        for (Map.Entry<RunId, Waiting> entry : waiting.entrySet()) {
+            Waiting other = entry.getValue();
+            boolean urgentWaits = other.offer().tier().rank() == 0;
+            if (urgentWaits && chosen.offer().tier().rank() > 0) {
+                violations.add(run + " got a place before the urgent " + entry.getKey());
+            }
+            boolean alike =
+                    other.offer().tier().equals(chosen.offer().tier())
+                            && other.offer().workspace().equals(chosen.offer().workspace());
+            if (alike && other.deadlineNanos() < chosen.deadlineNanos()) {
+                violations.add(run + " got a place before the earlier " + entry.getKey());
+            }
+        }
+    }
+
+    private void checkShed(Refused message) {
+        Waiting shed = waiting.get(message.run());
+        boolean forOverload = message.reason() == RoutingMessage.RefusalReason.OVERLOAD;
+        if (shed == null || !forOverload || shed.deadlineNanos() <= nowNanos) {
+            return;
+        }
+        int rank = shed.offer().tier().rank();
+        List<RunId> lower = running(tier -> tier.rank() > rank);
+        if (rank == 0 && !lower.isEmpty()) {
+            violations.add(message.run() + " was shed while " + lower + " ran");
+        }
+    }
+
+    /** An offer that was neither granted nor refused yet. */
+    record Waiting(Offer offer, long deadlineNanos) {}
 }
