--- a/src/test/java/org/orioleshed/routing/FairQueueProperties.java
+++ b/src/test/java/org/orioleshed/routing/FairQueueProperties.java
@@ -20,14 +20,17 @@
     @Property(seed = "21", tries = 200)
     boolean backloggedWorkspacesGetWorkByTheirWeights(
             @ForAll @Size(40) List<@IntRange(min = 1, max = MOST_WORK_MILLIS) Integer> works,
+            @ForAll @IntRange(min = 0, max = 30) int takesBeforeTheLast,
             @ForAll @IntRange(min = 1, max = 39) int takes) {
         FairQueue queue = new FairQueue(Waiting.BY_DEADLINE);
-        long sequence = 0;
-        for (int weight = 1; weight <= WORKSPACES; weight++) {
-            for (int work : works) {
-                queue.add(waiting(++sequence, weight, 0, work), weight);
-            }
+        for (int weight = 1; weight < WORKSPACES; weight++) {
+            fill(queue, works, weight);
+            fill(queue, works, weight);
+        }
+        for (int i = 0; i < takesBeforeTheLast; i++) {
+            queue.take(queue.next(OfferQueue::anyWorkspace).orElseThrow());
         }
+        fill(queue, works, WORKSPACES);
         Map<WorkspaceId, Double> share = new HashMap<>();
         for (int i = 0; i < takes; i++) {
             Waiting next = queue.next(OfferQueue::anyWorkspace).orElseThrow();
@@ -41,6 +44,12 @@
         return most - least <= 2.0 * MOST_WORK_MILLIS;
     }
 
+    private static void fill(FairQueue queue, List<Integer> works, int weight) {
+        for (int work : works) {
+            queue.add(waiting(queue.size() + 1_000L * weight, weight, 0, work), weight);
+        }
+    }
+
     @Property(seed = "22", tries = 200)
     boolean noOfferStarvesWhileLaterOnesComeIn(
             @ForAll @Size(300) List<@IntRange(min = 0, max = 15) Integer> arrivals) {
--- a/src/test/java/org/orioleshed/routing/HomeCoreProperties.java
+++ b/src/test/java/org/orioleshed/routing/HomeCoreProperties.java
@@ -19,7 +19,7 @@
 /** Properties of {@link HomeCore} over random orders of events. */
 class HomeCoreProperties {
     private static final int PLACES = 4;
-    private static final int QUEUE_LENGTH = 12;
+    private static final int QUEUE_LENGTH = 5;
     private static final List<Tier> TIERS = List.of(Tier.URGENT, Tier.STANDARD, Tier.PATIENT);
     private static final List<Long> DEADLINES_MILLIS = List.of(300L, 8_000L, 60_000L, 3_600_000L);
 
@@ -116,7 +116,7 @@
         switch (happening.kind()) {
             case OFFER -> offer(home, happening.a(), happening.b());
             case BURST -> {
-                for (int i = 0; i < 6; i++) {
+                for (int i = 0; i < 8; i++) {
                     offer(home, happening.a(), happening.b());
                 }
             }
@@ -151,7 +151,7 @@
         RunId run = Worlds.run(home.tiers.size() + 1L);
         Tier tier = TIERS.get(a % TIERS.size());
         long remainingMillis = DEADLINES_MILLIS.get(b % DEADLINES_MILLIS.size()) + a;
-        home.offer(run, Worlds.offer(tier, remainingMillis, 1 + a % 4, b % 4));
+        home.offer(run, Worlds.offer(tier, remainingMillis, 1 + a % 4, b / 7 % 4));
     }
 
     private static void repeat(OneServer home, RunId run) {
