Test three hosts' cores by property; never tell a late caller 'not run' for a shared key

Found by the property: a caller whose deadline passed was told 'not run' while another with the same key waited on and the request ran.

--- a/src/main/java/org/orioleshed/request/KeyedRequest.java
+++ b/src/main/java/org/orioleshed/request/KeyedRequest.java
@@ -7,6 +7,9 @@
 
 /** A request under way on its accepting host, with all callers that sent its key. */
 abstract sealed class KeyedRequest permits Execution, ServiceCall {
+    /** Why a caller whose deadline passed can't be told "not run" when others wait on. */
+    static final String SHARED_KEY = "the same key still waits for another caller";
+
     final Request request;
     final List<Caller> callers = new ArrayList<>();
 
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -591,16 +591,23 @@
 
     private void endLateCallers(long nowNanos, Execution execution) {
         for (Caller caller : execution.lateCallers(nowNanos)) {
-            Outcome outcome =
-                    execution.provedNotRun()
-                            ? notRun(NotRunReason.DEADLINE, 0)
-                            : new Outcome.Failed(FailReason.DEADLINE, "the deadline passed");
+            Outcome outcome = lateOutcome(execution);
             out.accept(new HostAction.Answer(caller.request.id(), outcome));
             byCaller.remove(caller.request.id());
             dismiss(nowNanos, execution, caller.request.id(), outcome);
         }
     }
 
+    private static Outcome lateOutcome(Execution execution) {
+        if (!execution.provedNotRun()) {
+            return new Outcome.Failed(FailReason.DEADLINE, "the deadline passed");
+        }
+        if (execution.callers.size() > 1) {
+            return new Outcome.InDoubt(KeyedRequest.SHARED_KEY);
+        }
+        return notRun(NotRunReason.DEADLINE, 0);
+    }
+
     /** Forgets a caller who needs nothing more; the last one takes the execution along. */
     private void dismiss(long nowNanos, Execution execution, RequestId caller, Outcome outcome) {
         execution.removeCaller(caller);
--- a/src/main/java/org/orioleshed/request/ServiceRequests.java
+++ b/src/main/java/org/orioleshed/request/ServiceRequests.java
@@ -466,6 +466,9 @@
         if (call.state instanceof Asking) {
             return new Outcome.InDoubt("another host still runs the call");
         }
+        if (call.provedNotRun() && call.callers.size() > 1) {
+            return new Outcome.InDoubt(KeyedRequest.SHARED_KEY);
+        }
         if (call.provedNotRun()) {
             return notRun(NotRunReason.DEADLINE, 0);
         }
--- a/src/test/java/org/orioleshed/host/FakeFleet.java
+++ b/src/test/java/org/orioleshed/host/FakeFleet.java
@@ -37,6 +37,8 @@
 import org.orioleshed.model.VersionId;
 import org.orioleshed.model.Work;
 import org.orioleshed.model.WorkspaceId;
+import org.orioleshed.request.Fate;
+import org.orioleshed.routing.RunEnd;
 
 /**
  * Three entry hosts' cores over fakes, and one list of messages under way. The test decides which
@@ -55,10 +57,11 @@
     final List<StoreCall> storeCalls = new ArrayList<>();
     final FakeEngines engines = new FakeEngines();
     final FakeStore store = new FakeStore();
-    final Promises promises = new Promises(engines);
+    final Trace trace = new Trace();
+    final Promises promises = new Promises(engines, trace);
     final Map<ServerId, BackendServer> servers = new LinkedHashMap<>();
     final Map<RouteId, VersionSplit> splits = new HashMap<>();
-    final Map<Long, org.orioleshed.request.Fate> fates = new HashMap<>();
+    final Map<Long, Fate> fates = new HashMap<>();
     final List<HostAction> drained = new ArrayList<>();
     final HostLimits limits;
     final long seed;
@@ -225,11 +228,13 @@
         if (!node.up || node.paused) {
             return;
         }
+        trace.add(nowNanos, node.id, event);
         act(node, node.core.on(nowNanos, event));
     }
 
     void act(Node node, List<HostAction> actions) {
         for (HostAction action : actions) {
+            trace.add(nowNanos, node.id, action);
             promises.acted(node, action);
             switch (action) {
                 case HostAction.SendRouting send ->
@@ -320,7 +325,7 @@
                     case HostAction.SwapStore swap -> swap.ticket();
                     default -> throw new IllegalStateException();
                 };
-        deliver(
+        underWay.add(
                 new Delivery(
                         call.from, call.incarnation, new HostEvent.StoreAnswered(ticket, answer)));
     }
@@ -338,7 +343,7 @@
                     case 1 -> new CallEnd.NeverSent("refused");
                     default -> new CallEnd.Broken("silent");
                 };
-        deliver(
+        underWay.add(
                 new Delivery(
                         call.from,
                         call.incarnation,
@@ -354,7 +359,18 @@
             engines.live.remove(run);
             return;
         }
-        engines.step(run).forEach(event -> feed(reader, event));
+        engines.step(run).forEach(event -> reply(reader, event));
+    }
+
+    /** Breaks a run off; with {@code ends} the engine is known to be done with it. */
+    void breakRun(RunId run, boolean crashed, boolean ends) {
+        FakeEngines.Run at = engines.live.get(run);
+        Node reader = nodes.stream().filter(n -> n.id.equals(at.reader)).findFirst().orElseThrow();
+        if (ends) {
+            engines.live.remove(run);
+        }
+        RunEnd end = new RunEnd.Broken(crashed, ends);
+        deliver(new Delivery(reader, at.incarnation, new HostEvent.RunEnded(run, at.server, end)));
     }
 
     void crash(Node node) {
@@ -383,7 +399,8 @@
 
     /** Lets everything run well until nothing is under way. */
     void finish() {
-        for (int i = 0; i < 400; i++) {
+        int idle = 0;
+        for (int i = 0; i < 2_000 && idle < 3; i++) {
             settle();
             while (!calls.isEmpty()) {
                 endCall(0, 0);
@@ -395,6 +412,11 @@
             }
             settle();
             tick(50);
+            boolean done =
+                    underWay.isEmpty()
+                            && engines.live.isEmpty()
+                            && nodes.stream().allMatch(node -> node.core.requests() == 0);
+            idle = done ? idle + 1 : 0;
         }
     }
 
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -4,12 +4,15 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.Map;
 import java.util.Set;
+import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.host.FakeFleet.Node;
 import org.orioleshed.model.Outcome;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RequestKey;
+import org.orioleshed.model.ServerId;
 import org.orioleshed.model.Tier;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -164,4 +167,19 @@
         assertTrue(fleet.outcome(second) instanceof Outcome.Answered, "" + fleet.outcome(second));
         assertEquals(fleet.engines.started.size(), 1);
     }
+
+    @Test
+    public void lateCallerIsNotToldNotRunWhileAnotherWaitsWithTheSameKey() {
+        Map<ServerId, BackendServer> servers = Map.copyOf(fleet.servers);
+        fleet.servers.clear();
+        fleet.tellWorld(Set.of());
+        RequestId late = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 100));
+        RequestId other = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 9_000));
+        fleet.tick(200);
+        assertTrue(fleet.outcome(late) instanceof Outcome.InDoubt, "" + fleet.outcome(late));
+        fleet.servers.putAll(servers);
+        fleet.tellWorld(Set.of());
+        fleet.finish();
+        assertTrue(fleet.outcome(other) instanceof Outcome.Answered, "" + fleet.outcome(other));
+    }
 }
--- a/src/test/java/org/orioleshed/host/Promises.java
+++ b/src/test/java/org/orioleshed/host/Promises.java
@@ -1,7 +1,9 @@
 package org.orioleshed.host;
 
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.orioleshed.model.Outcome;
@@ -15,12 +17,14 @@
 /** What must hold at every moment, seen from outside the cores. */
 final class Promises {
     private final FakeEngines engines;
+    private final Trace trace;
     private final Map<RequestId, Caller> callers = new HashMap<>();
     private final Map<RequestKey, Integer> unrepeatableRuns = new HashMap<>();
     private final Set<RunId> serviceRuns = new HashSet<>();
 
-    Promises(FakeEngines engines) {
+    Promises(FakeEngines engines, Trace trace) {
         this.engines = engines;
+        this.trace = trace;
     }
 
     /** What one caller got so far. */
@@ -63,7 +67,7 @@
             return;
         }
         int runs = unrepeatableRuns.merge(caller.request.key(), 1, Integer::sum);
-        require(runs == 1, "ran twice: " + caller.request.key());
+        require(runs == 1, "ran twice: " + caller.request.key(), caller.request);
     }
 
     void acted(FakeFleet.Node node, HostAction action) {
@@ -76,30 +80,39 @@
 
     private void wrote(HostAction.WriteTokens write) {
         Caller caller = callers.get(write.request());
-        require(caller.outcome == null, "tokens after the outcome: " + write);
-        require(write.firstToken() == caller.tokens, "tokens out of order: " + write);
+        require(caller.outcome == null, "tokens after the outcome: " + write, caller.request);
+        require(
+                write.firstToken() == caller.tokens,
+                "tokens out of order: " + write,
+                caller.request);
         StringBuilder text = new StringBuilder();
         for (int i = 0; i < write.count(); i++) {
             text.append(FakeEngines.token(caller.request.body(), write.firstToken() + i).text());
         }
         Payload expected = Payload.of(text.toString());
-        require(write.text().equals(expected), "not the caller's own answer: " + write);
+        require(
+                write.text().equals(expected),
+                "not the caller's own answer: " + write,
+                caller.request);
         caller.tokens += write.count();
     }
 
     private void answered(HostAction.Answer answer) {
         Caller caller = callers.get(answer.request());
-        require(caller.outcome == null, "two outcomes: " + answer);
+        require(caller.outcome == null, "two outcomes: " + answer, caller.request);
         caller.outcome = answer.outcome();
         if (!(answer.outcome() instanceof Outcome.Answered whole)) {
             return;
         }
         if (caller.request.work() instanceof Work.Generate) {
             int length = FakeEngines.length(caller.request.body());
-            require(caller.tokens == length, "not the whole answer: " + answer);
-            require(whole.tokens() == length, "wrong length: " + answer);
+            require(caller.tokens == length, "not the whole answer: " + answer, caller.request);
+            require(whole.tokens() == length, "wrong length: " + answer, caller.request);
         } else {
-            require(whole.body().equals(caller.request.body()), "not its own answer: " + answer);
+            require(
+                    whole.body().equals(caller.request.body()),
+                    "not its own answer: " + answer,
+                    caller.request);
         }
     }
 
@@ -108,13 +121,13 @@
         for (Caller caller : callers.values()) {
             RequestId id = caller.request.id();
             if (caller.request.work() instanceof Work.Generate) {
-                require(engines.liveRuns(id) <= 1, "two live runs: " + id);
+                require(engines.liveRuns(id) <= 1, "two live runs: " + id, caller.request);
             }
             if (caller.outcome instanceof Outcome.NotRun) {
                 boolean ran =
                         engines.started.stream().anyMatch(run -> run.request().equals(id))
                                 || serviceRuns.stream().anyMatch(run -> run.request().equals(id));
-                require(!ran, "not run, but ran: " + id);
+                require(!ran, "not run, but ran: " + id, caller.request);
             }
         }
     }
@@ -124,10 +137,24 @@
         for (Caller caller : callers.values()) {
             require(
                     caller.gone || caller.outcome != null,
-                    "no outcome: " + caller.request.id() + " " + caller.request.work());
+                    "no outcome: " + caller.request.id() + " " + caller.request.work(),
+                    caller.request);
         }
     }
 
+    /** Returns the callers who still wait, in a fixed order. */
+    List<RequestId> waiting() {
+        return callers.values().stream()
+                .filter(caller -> !caller.gone && caller.outcome == null)
+                .map(caller -> caller.request.id())
+                .sorted(Comparator.comparing(RequestId::toString))
+                .toList();
+    }
+
+    Request request(RequestId id) {
+        return callers.get(id).request;
+    }
+
     Outcome outcome(RequestId request) {
         return callers.get(request).outcome;
     }
@@ -140,9 +167,9 @@
         return unrepeatableRuns.getOrDefault(key, 0);
     }
 
-    private static void require(boolean holds, String what) {
+    private void require(boolean holds, String what, Request about) {
         if (!holds) {
-            throw new AssertionError(what);
+            throw new AssertionError(what + trace.about(about));
         }
     }
 }
