--- a/src/main/java/org/orioleshed/host/HostCore.java
+++ b/src/main/java/org/orioleshed/host/HostCore.java
@@ -42,9 +42,11 @@
     private final ServerChooser chooser;
     private final ClaimCore claims;
     private final AcceptingSide accepting;
+    private final RunEvidence evidence;
     private final Deque<HostEvent> events = new ArrayDeque<>();
     private List<HostAction> actions = new ArrayList<>();
     private World world = World.EMPTY;
+    private long eventNanos;
     private boolean draining;
     private OptionalLong idleSinceNanos = OptionalLong.empty();
     private boolean drained;
@@ -81,6 +83,7 @@
                         claims,
                         this::act);
         claims.listener(accepting);
+        this.evidence = new RunEvidence(action -> actions.add(action));
     }
 
     /**
@@ -137,6 +140,8 @@
     }
 
     private void handle(long nowNanos, HostEvent event) {
+        eventNanos = nowNanos;
+        evidence.before(nowNanos, event);
         switch (event) {
             case HostEvent.WorldChanged changed -> world = changed.world();
             case HostEvent.DrainAsked asked -> draining = true;
@@ -148,7 +153,7 @@
             }
             default -> {}
         }
-        homes.on(nowNanos, event).forEach(this::act);
+        homes.on(nowNanos, event).forEach(this::actOfHomes);
         claims.on(nowNanos, event);
         accepting.on(nowNanos, event);
         claims.deliver();
@@ -171,8 +176,16 @@
         return true;
     }
 
+    /** The homes being drained is not the host being drained. */
+    private void actOfHomes(HostAction action) {
+        if (!(action instanceof HostAction.Drained)) {
+            act(action);
+        }
+    }
+
     /** Hands an action out; messages to this host itself become events. */
     private void act(HostAction action) {
+        evidence.after(eventNanos, action);
         switch (action) {
             case HostAction.SendRouting send when send.to().equals(self) ->
                     events.add(new HostEvent.RoutingReceived(self, send.message()));
