Join the control duty, the moves and the admin API to the entry process

Cause: hosts polled the store one by one and knew their peers from a file only. Now membership, settings and moves come from the control duty, and operators reach it.

--- /dev/null
+++ b/src/main/java/org/orioleshed/entry/AdminReplies.java
@@ -0,0 +1,147 @@
+package org.orioleshed.entry;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import org.orioleshed.admin.AdminReply;
+import org.orioleshed.control.MoveWriteResult;
+import org.orioleshed.move.MoveRecord;
+import org.orioleshed.move.MoveStatus;
+import org.orioleshed.settings.Problem;
+import org.orioleshed.settings.ProposalResult;
+import org.orioleshed.settings.SettingsChange;
+import org.orioleshed.settings.SettingsDocument;
+import org.orioleshed.settings.SettingsEdit;
+
+/** Words the control duty's answers for operators. */
+final class AdminReplies {
+    private AdminReplies() {}
+
+    static AdminReply of(String changeId, ProposalResult result) {
+        return switch (result) {
+            case ProposalResult.Accepted accepted ->
+                    new AdminReply.Accepted(changeId, accepted.number(), "accepted");
+            case ProposalResult.Rejected rejected -> rejected(rejected.problems());
+            case ProposalResult.Conflict conflict ->
+                    new AdminReply.Conflict(conflict.presentNumber(), conflict.since().toString());
+            case ProposalResult.Refused refused ->
+                    new AdminReply.Rejected(
+                            List.of(
+                                    new AdminReply.Problem(
+                                            "", refused.detail(), Optional.empty())));
+            case ProposalResult.StoreAway away -> new AdminReply.StoreAway(away.detail());
+            case ProposalResult.InDoubt doubt -> new AdminReply.Unknown(changeId, doubt.detail());
+        };
+    }
+
+    static AdminReply rejected(List<Problem> problems) {
+        return new AdminReply.Rejected(problems.stream().map(AdminReplies::of).toList());
+    }
+
+    private static AdminReply.Problem of(Problem problem) {
+        String found = problem.value().isEmpty() ? "" : "found " + problem.value() + "; ";
+        return new AdminReply.Problem(
+                problem.path(), found + "allowed: " + problem.allowed(), problem.nearest());
+    }
+
+    static AdminReply of(MoveWriteResult result) {
+        return switch (result) {
+            case MoveWriteResult.Written written -> accepted(written.record());
+            case MoveWriteResult.Exists exists ->
+                    new AdminReply.Conflict(0, "the move exists: " + exists.record());
+            case MoveWriteResult.Decided decided ->
+                    new AdminReply.Conflict(
+                            0, "the move has its outcome: " + name(decided.record()));
+            case MoveWriteResult.NotFound missing ->
+                    new AdminReply.NotFound("move " + missing.move());
+            case MoveWriteResult.Unreadable bad -> new AdminReply.StoreAway(bad.detail());
+            case MoveWriteResult.StoreAway away -> new AdminReply.StoreAway(away.detail());
+            case MoveWriteResult.InDoubt doubt -> new AdminReply.Unknown("", doubt.detail());
+        };
+    }
+
+    private static AdminReply accepted(MoveRecord record) {
+        return new AdminReply.Accepted(record.id().value(), 0, name(record));
+    }
+
+    private static String name(MoveRecord record) {
+        return record.state().name().toLowerCase(Locale.ROOT);
+    }
+
+    static AdminReply table(List<MoveStatus> moves) {
+        List<List<String>> rows = moves.stream().map(AdminReplies::row).toList();
+        return new AdminReply.Table(
+                List.of(
+                        "move",
+                        "from",
+                        "to",
+                        "state",
+                        "step",
+                        "share",
+                        "newRuns",
+                        "alarm",
+                        "proof",
+                        "fuse",
+                        "completeByMillis",
+                        "decidedMillis",
+                        "reason"),
+                rows);
+    }
+
+    private static List<String> row(MoveStatus move) {
+        MoveRecord record = move.record();
+        return List.of(
+                record.id().value(),
+                record.from().value(),
+                record.to().value(),
+                name(record),
+                Integer.toString(record.step()),
+                String.format(Locale.ROOT, "%.3f", move.share()),
+                Long.toString(move.newRuns()),
+                String.format(Locale.ROOT, "%.1f", move.alarm()),
+                String.format(Locale.ROOT, "%.1f", move.proof()),
+                move.fuse().orElse(""),
+                Long.toString(record.completeByMillis()),
+                Long.toString(record.decidedMillis()),
+                record.reason());
+    }
+
+    static AdminReply diff(
+            Optional<SettingsDocument> document, long fromRevision, long toRevision) {
+        Optional<List<SettingsChange>> since =
+                document.flatMap(known -> known.changesAfter(fromRevision));
+        if (since.isEmpty()) {
+            return new AdminReply.NotFound("changes since revision " + fromRevision);
+        }
+        List<List<String>> rows = new ArrayList<>();
+        for (SettingsChange change : since.get()) {
+            if (toRevision == 0 || change.number() <= toRevision) {
+                change.edits().forEach(edit -> rows.add(row(change, edit)));
+            }
+        }
+        return new AdminReply.Table(List.of("revision", "path", "value"), rows);
+    }
+
+    private static List<String> row(SettingsChange change, SettingsEdit edit) {
+        return List.of(
+                Long.toString(change.number()), edit.path(), edit.json().orElse("(taken away)"));
+    }
+
+    static AdminReply history(Optional<List<SettingsChange>> changes, int limit) {
+        List<List<String>> rows =
+                changes.orElse(List.of()).reversed().stream()
+                        .limit(limit)
+                        .map(
+                                change ->
+                                        List.of(
+                                                Long.toString(change.number()),
+                                                Long.toString(change.atMillis()),
+                                                change.author(),
+                                                change.reason(),
+                                                change.id()))
+                        .toList();
+        return new AdminReply.Table(
+                List.of("revision", "atMillis", "author", "reason", "changeId"), rows);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/entry/EntryAdmin.java
@@ -0,0 +1,352 @@
+package org.orioleshed.entry;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.orioleshed.admin.AdminBackend;
+import org.orioleshed.admin.AdminReply;
+import org.orioleshed.control.ControlDuty;
+import org.orioleshed.control.ControlStatus;
+import org.orioleshed.control.MoveNotice;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.fleet.Route;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.World;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ModelId;
+import org.orioleshed.model.MoveId;
+import org.orioleshed.model.Request;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.move.MoveRecord;
+import org.orioleshed.move.MoveStatus;
+import org.orioleshed.routing.Homes;
+import org.orioleshed.settings.Problem;
+import org.orioleshed.settings.ProposedChange;
+import org.orioleshed.settings.SettingsDocument;
+import org.orioleshed.settings.SettingsEdit;
+
+/** Answers the admin API from the duties of one entry host. */
+final class EntryAdmin implements AdminBackend {
+    private static final String MODEL_PREFIX = "model:";
+    private static final String SERVICE_PREFIX = "service:";
+    private static final long NANOS_PER_MILLI = 1_000_000L;
+
+    private final ControlDuty control;
+    private final HostDuty duty;
+    private final HostActions actions;
+    private final PoisonDesk poison;
+    private final Supplier<World> world;
+
+    EntryAdmin(
+            ControlDuty control,
+            HostDuty duty,
+            HostActions actions,
+            PoisonDesk poison,
+            Supplier<World> world) {
+        this.control = control;
+        this.duty = duty;
+        this.actions = actions;
+        this.poison = poison;
+        this.world = world;
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settings(String path, boolean effective) {
+        return control.document().thenApply(document -> describe(document, path));
+    }
+
+    private static AdminReply describe(Optional<SettingsDocument> document, String path) {
+        if (document.isEmpty()) {
+            return new AdminReply.NotFound("settings");
+        }
+        return document.get()
+                .valueAt(pointer(path))
+                .<AdminReply>map(json -> new AdminReply.Document(json, document.get().number()))
+                .orElseGet(() -> new AdminReply.NotFound(path));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> changeSettings(AdminBackend.SettingsChange change) {
+        String id = UUID.randomUUID().toString();
+        SettingsEdit edit =
+                switch (change.kind()) {
+                    case SET -> SettingsEdit.set(pointer(change.path()), change.valueJson());
+                    case UNSET -> SettingsEdit.unset(pointer(change.path()));
+                };
+        Optional<Long> basedOn =
+                change.expectedRevision() == 0
+                        ? Optional.empty()
+                        : Optional.of(change.expectedRevision());
+        ProposedChange proposed =
+                new ProposedChange(id, change.author(), change.reason(), basedOn, List.of(edit));
+        if (change.trial()) {
+            return control.document().thenApply(document -> trial(document, proposed));
+        }
+        return control.propose(proposed).thenApply(result -> AdminReplies.of(id, result));
+    }
+
+    private static AdminReply trial(Optional<SettingsDocument> document, ProposedChange proposed) {
+        if (document.isEmpty()) {
+            return new AdminReply.NotFound("settings");
+        }
+        List<Problem> problems = document.get().problemsWith(proposed.edits());
+        return problems.isEmpty()
+                ? new AdminReply.Accepted("", document.get().number(), "valid")
+                : AdminReplies.rejected(problems);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settingsDiff(long fromRevision, long toRevision) {
+        return control.document()
+                .thenApply(document -> AdminReplies.diff(document, fromRevision, toRevision));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settingsHistory(int limit) {
+        return control.document()
+                .thenApply(
+                        document ->
+                                AdminReplies.history(
+                                        document.map(SettingsDocument::changes), limit));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settingsStatus() {
+        return control.status().thenApply(EntryAdmin::describe);
+    }
+
+    private static AdminReply describe(ControlStatus status) {
+        List<List<String>> rows =
+                status.hosts().stream()
+                        .sorted(Comparator.comparing(host -> host.host().id()))
+                        .map(host -> row(status, host))
+                        .toList();
+        return new AdminReply.Table(
+                List.of("host", "revision", "inForce", "unconfirmed", "storeAwayMillis"), rows);
+    }
+
+    private static List<String> row(ControlStatus status, ControlStatus.HostStatus host) {
+        boolean missing = status.missing().contains(host.host().id());
+        return List.of(
+                host.host().id().value(),
+                host.settings().map(told -> Long.toString(told.number())).orElse("unknown"),
+                missing ? "no" : "yes",
+                host.settings().map(told -> told.unconfirmed() ? "yes" : "no").orElse("unknown"),
+                host.settings()
+                        .map(told -> Long.toString(told.storeAwayMillis()))
+                        .orElse("unknown"));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> planMove(MovePlan plan) {
+        Optional<Target> target = target(plan.target());
+        List<RouteId> routes =
+                plan.routes().isEmpty()
+                        ? target.map(this::routesOf).orElse(List.of())
+                        : plan.routes().stream().map(RouteId::new).toList();
+        List<AdminReply.Problem> problems = problems(plan, target, routes);
+        if (!problems.isEmpty()) {
+            return CompletableFuture.completedFuture(new AdminReply.Rejected(problems));
+        }
+        MoveRecord record =
+                MoveRecord.plan(
+                        new MoveId(plan.id().orElseGet(() -> "move-" + UUID.randomUUID())),
+                        target.get(),
+                        new VersionId(plan.from()),
+                        new VersionId(plan.to()),
+                        routes,
+                        System.currentTimeMillis(),
+                        plan.completeByMillis(),
+                        plan.loads().stream().map(ServerId::new).toList(),
+                        plan.author(),
+                        plan.reason());
+        return control.planMove(record).thenApply(AdminReplies::of);
+    }
+
+    private List<AdminReply.Problem> problems(
+            MovePlan plan, Optional<Target> target, List<RouteId> routes) {
+        List<AdminReply.Problem> problems = new ArrayList<>();
+        if (target.isEmpty()) {
+            problems.add(problem("target", "must be model:NAME or service:NAME"));
+        }
+        if (plan.from().equals(plan.to())) {
+            problems.add(problem("to", "must differ from the version that traffic leaves"));
+        }
+        if (plan.completeByMillis() <= System.currentTimeMillis()) {
+            problems.add(problem("completeByMillis", "must lie in the future"));
+        }
+        if (target.isPresent() && routes.isEmpty()) {
+            problems.add(problem("target", "no route leads to it"));
+        }
+        for (RouteId route : routes) {
+            Route known = world.get().routes().get(route);
+            if (known == null || !target.map(known.target()::equals).orElse(true)) {
+                problems.add(problem("routes", "no route of the target: " + route));
+            }
+        }
+        return problems;
+    }
+
+    private static AdminReply.Problem problem(String path, String reason) {
+        return new AdminReply.Problem(path, reason, Optional.empty());
+    }
+
+    private List<RouteId> routesOf(Target target) {
+        return world.get().routes().values().stream()
+                .filter(route -> route.target().equals(target))
+                .map(Route::id)
+                .sorted()
+                .toList();
+    }
+
+    private static Optional<Target> target(String text) {
+        if (text.startsWith(MODEL_PREFIX) && text.length() > MODEL_PREFIX.length()) {
+            return Optional.of(
+                    new Target.Model(new ModelId(text.substring(MODEL_PREFIX.length()))));
+        }
+        if (text.startsWith(SERVICE_PREFIX) && text.length() > SERVICE_PREFIX.length()) {
+            return Optional.of(
+                    new Target.Service(new ServiceId(text.substring(SERVICE_PREFIX.length()))));
+        }
+        return Optional.empty();
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> moves() {
+        return control.moves().thenApply(AdminReplies::table);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> move(String id) {
+        return control.moves().thenApply(moves -> one(moves, id));
+    }
+
+    private static AdminReply one(List<MoveStatus> moves, String id) {
+        List<MoveStatus> found =
+                moves.stream().filter(move -> move.record().id().value().equals(id)).toList();
+        return found.isEmpty() ? new AdminReply.NotFound("move " + id) : AdminReplies.table(found);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> takeMoveBack(String id, String author, String reason) {
+        return control.takeMoveBack(new MoveId(id), author, reason).thenApply(AdminReplies::of);
+    }
+
+    @Override
+    public CompletableFuture<Notices> notices(long after, long waitMillis) {
+        return control.notices(after, waitMillis).thenApply(told -> notices(after, told));
+    }
+
+    private static Notices notices(long after, List<MoveNotice> told) {
+        List<Notice> notices =
+                told.stream()
+                        .map(
+                                notice ->
+                                        new Notice(
+                                                notice.sequence(),
+                                                notice.move().value(),
+                                                notice.kind().name().toLowerCase(Locale.ROOT),
+                                                notice.epochMillis(),
+                                                notice.detail()))
+                        .toList();
+        return new Notices(notices, told.isEmpty() ? after : told.getLast().sequence());
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> hosts() {
+        List<List<String>> rows =
+                world.get().hosts().values().stream()
+                        .sorted(Comparator.comparing(host -> host.id()))
+                        .map(
+                                host ->
+                                        List.of(
+                                                host.id().value(),
+                                                host.domain().value(),
+                                                host.state().name().toLowerCase(Locale.ROOT),
+                                                Long.toString(host.incarnation())))
+                        .toList();
+        return CompletableFuture.completedFuture(
+                new AdminReply.Table(List.of("host", "domain", "state", "incarnation"), rows));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> servers() {
+        World now = world.get();
+        Homes homes = Homes.of(now);
+        List<List<String>> rows =
+                now.servers().values().stream()
+                        .sorted(Comparator.comparing(BackendServer::id))
+                        .map(server -> row(server, homes))
+                        .toList();
+        return CompletableFuture.completedFuture(
+                new AdminReply.Table(
+                        List.of("server", "domain", "version", "generation", "home", "state"),
+                        rows));
+    }
+
+    private static List<String> row(BackendServer server, Homes homes) {
+        return List.of(
+                server.id().value(),
+                server.domain().value(),
+                server.version().value(),
+                server.generation(),
+                homes.home(server.id()).map(HostId::value).orElse("none"),
+                server.leaving() ? "leaving" : "serving");
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> requests(Optional<String> workspace, int limit) {
+        long nowNanos = System.nanoTime();
+        List<List<String>> rows =
+                actions.openRequests().stream()
+                        .filter(request -> matches(request, workspace))
+                        .sorted(Comparator.comparingLong(Request::arrivedNanos))
+                        .limit(limit)
+                        .map(request -> row(request, nowNanos))
+                        .toList();
+        return CompletableFuture.completedFuture(
+                new AdminReply.Table(
+                        List.of("request", "workspace", "route", "tier", "ageMillis", "leftMillis"),
+                        rows));
+    }
+
+    private static boolean matches(Request request, Optional<String> workspace) {
+        return workspace.map(request.workspace().value()::equals).orElse(true);
+    }
+
+    private static List<String> row(Request request, long nowNanos) {
+        return List.of(
+                request.id().toString(),
+                request.workspace().value(),
+                request.route().value(),
+                request.tier().name(),
+                Long.toString((nowNanos - request.arrivedNanos()) / NANOS_PER_MILLI),
+                Long.toString((request.deadlineNanos() - nowNanos) / NANOS_PER_MILLI));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> poison() {
+        return duty.ask(() -> poison.list(System.nanoTime()));
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> clearPoison(Optional<String> fingerprint, String author) {
+        return duty.ask(() -> poison.clear(System.nanoTime(), fingerprint));
+    }
+
+    /** Returns the JSON pointer of a path whose names are joined by dots. */
+    private static String pointer(String path) {
+        if (path.isEmpty() || path.startsWith("/")) {
+            return path;
+        }
+        return "/" + path.replace("~", "~0").replace("/", "~1").replace('.', '/');
+    }
+}
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -4,13 +4,22 @@
 import com.codahale.metrics.MetricRegistry;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.net.http.HttpClient;
+import java.time.InstantSource;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.admin.AdminServer;
+import org.orioleshed.admin.Operator;
 import org.orioleshed.backend.BackendLimits;
 import org.orioleshed.backend.Backends;
+import org.orioleshed.backend.HttpClients;
 import org.orioleshed.backend.ReportPoller;
+import org.orioleshed.control.ControlDuty;
+import org.orioleshed.control.HttpServerOrders;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.HostAction;
@@ -44,9 +53,15 @@
     private final Backends backends;
     private final PeerNetwork peers;
     private final PeerMail mail;
+    private final PoisonDesk poison;
     private final CallerDoor door;
     private final CallerServer callers;
-    private final TreePoller poller;
+    private final ControlDuty control;
+    private final HttpClient orderClient =
+            HttpClients.create(
+                    BackendLimits.DEFAULT.connectTimeoutMillis(),
+                    Executors.newVirtualThreadPerTaskExecutor());
+    private AdminServer admin;
     private final ReportPoller reports;
     private volatile World world = World.EMPTY;
     private volatile List<BackendServer> ownServers = List.of();
@@ -57,7 +72,8 @@
         this.log = new DecisionLog(limits.logLines(), metrics.counter("log.dropped"));
         this.mail = new PeerMail(metrics);
         this.actions = new HostActions(log, store, mail);
-        this.duty = new HostDuty(core(), actions, limits);
+        Machine<HostEvent, HostAction> core = core();
+        this.duty = new HostDuty(core, actions, limits);
         this.backends = new Backends(BackendLimits.DEFAULT, duty::add);
         actions.connect(backends, duty::add);
         this.peers =
@@ -78,7 +94,25 @@
                         limits,
                         metrics,
                         this::ready);
-        this.poller = new TreePoller(settings, incarnation, store, this::changed);
+        this.control =
+                new ControlDuty(
+                        settings,
+                        incarnation,
+                        store,
+                        peers,
+                        new HttpServerOrders(orderClient),
+                        this::changed,
+                        System::nanoTime,
+                        InstantSource.system(),
+                        new SplittableRandom(incarnation));
+        actions.observer(
+                seen ->
+                        control.observed(
+                                seen.route(), seen.version(), seen.server(), seen.result()));
+        this.poison =
+                new PoisonDesk(
+                        core instanceof HostCore host ? Optional.of(host) : Optional.empty(),
+                        actions);
         this.reports =
                 new ReportPoller(
                         BackendLimits.DEFAULT.connectTimeoutMillis(), () -> ownServers, duty::add);
@@ -99,12 +133,13 @@
     }
 
     /** Starts all threads. */
-    void start() {
+    void start() throws IOException {
         Thread.ofPlatform().name("decision-log").daemon().start(log);
         Thread.ofPlatform().name("decisions").daemon().start(duty);
-        poller.start();
+        control.start();
         reports.start();
         callers.start();
+        startAdmin();
         Runtime.getRuntime().addShutdownHook(new Thread(this::stopAndWait, "stop"));
         logger.atInfo().log(
                 "event=started host=%s domain=%s incarnation=%d callers=%s",
@@ -118,6 +153,7 @@
     void awaitStop() throws InterruptedException {
         stopAsked.await();
         callers.drain();
+        control.drain();
         duty.add(new HostEvent.DrainAsked());
         boolean finished = actions.drained().await(settings.drainMillis(), TimeUnit.MILLISECONDS);
         logger.atInfo().log(
@@ -125,6 +161,24 @@
                 settings.host(), finished, actions.openCallers());
     }
 
+    private void startAdmin() throws IOException {
+        if (settings.adminAddress().isEmpty()) {
+            return;
+        }
+        List<Operator> operators =
+                settings.operators().stream().map(EntryProcess::operator).toList();
+        admin =
+                AdminServer.start(
+                        settings.adminAddress().get(),
+                        operators,
+                        new EntryAdmin(control, duty, actions, poison, () -> world));
+    }
+
+    private static Operator operator(org.orioleshed.settings.Operator stated) {
+        return new Operator(
+                stated.name(), stated.keyHash(), Operator.Role.valueOf(stated.role().name()));
+    }
+
     private void stopAndWait() {
         stopAsked.countDown();
         try {
@@ -143,7 +197,6 @@
         world = newWorld;
         actions.world(newWorld);
         door.world(newWorld);
-        newWorld.hosts().values().forEach(host -> peers.know(host.id(), host.peerAddress()));
         homes = homes.in(newWorld);
         ownServers = newWorld.servers().values().stream().filter(this::isHomeOf).toList();
         duty.add(new HostEvent.WorldChanged(newWorld));
@@ -154,7 +207,10 @@
     }
 
     private void received(HostId from, MessageKind kind, byte[] body) {
-        mail.open(from, kind, body).ifPresent(duty::add);
+        switch (kind) {
+            case ROUTING, REQUEST -> mail.open(from, kind, body).ifPresent(duty::add);
+            case MEMBERSHIP, SETTINGS, MOVE -> control.peerReceived(from, kind, body);
+        }
     }
 
     private boolean ready() {
@@ -166,15 +222,20 @@
         metrics.register("streams.open", (Gauge<Integer>) backends::openStreams);
         metrics.register("ring.waiting", (Gauge<Integer>) duty::waiting);
         metrics.register("peers.sentBytes", (Gauge<Long>) peers::sentBytes);
+        metrics.register("control.dropped", (Gauge<Long>) control::droppedMessages);
         metrics.register("peers.dropped", (Gauge<Long>) peers::droppedMessages);
         metrics.register("settings.revision", (Gauge<Long>) () -> world.settingsRevision());
     }
 
     @Override
     public void close() {
-        poller.close();
+        if (admin != null) {
+            admin.close();
+        }
+        control.close();
         reports.close();
         callers.close();
+        orderClient.shutdownNow();
         duty.close();
         backends.close();
         peers.close();
--- a/src/main/java/org/orioleshed/entry/HostActions.java
+++ b/src/main/java/org/orioleshed/entry/HostActions.java
@@ -1,5 +1,6 @@
 package org.orioleshed.entry;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,7 @@
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.host.HostEvent.StoreAnswer;
 import org.orioleshed.model.Payload;
+import org.orioleshed.model.Request;
 import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.RunId;
@@ -80,6 +82,11 @@
         callers.remove(request);
     }
 
+    /** Returns the requests whose callers wait on this host. */
+    List<Request> openRequests() {
+        return callers.values().stream().map(CallerExchange::request).toList();
+    }
+
     int openCallers() {
         return callers.size();
     }
--- a/src/main/java/org/orioleshed/entry/HostDuty.java
+++ b/src/main/java/org/orioleshed/entry/HostDuty.java
@@ -2,8 +2,10 @@
 
 import com.google.common.flogger.FluentLogger;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Supplier;
 import org.jctools.queues.atomic.MpscAtomicArrayQueue;
 import org.orioleshed.host.HostAction;
 import org.orioleshed.host.HostEvent;
@@ -18,10 +20,13 @@
     private static final long FULL_WAIT_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
     private static final int BATCH = 256;
+    private static final int MAX_QUESTIONS = 64;
 
     private final Machine<HostEvent, HostAction> core;
     private final HostActions actions;
     private final MpscAtomicArrayQueue<HostEvent> ring;
+    private final MpscAtomicArrayQueue<Runnable> questions =
+            new MpscAtomicArrayQueue<>(MAX_QUESTIONS);
     private final long tickNanos;
     private volatile Thread owner;
     private volatile boolean idle;
@@ -53,6 +58,16 @@
         }
     }
 
+    /** Runs a question on the decisions' thread; fails when too many wait. */
+    <T> CompletableFuture<T> ask(Supplier<T> question) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        boolean taken = questions.offer(() -> answer.complete(question.get()));
+        if (!taken) {
+            answer.completeExceptionally(new IllegalStateException("too many questions wait"));
+        }
+        return answer;
+    }
+
     int waiting() {
         return ring.size();
     }
@@ -63,6 +78,7 @@
         long nextTickNanos = System.nanoTime();
         while (!closed) {
             int handled = drain();
+            answerOne();
             long nowNanos = System.nanoTime();
             if (nowNanos - nextTickNanos >= 0) {
                 handle(new HostEvent.Tick());
@@ -74,6 +90,13 @@
         }
     }
 
+    private void answerOne() {
+        Runnable question = questions.poll();
+        if (question != null) {
+            question.run();
+        }
+    }
+
     private int drain() {
         int handled = 0;
         while (handled < BATCH) {
--- a/src/main/java/org/orioleshed/settings/SettingsDocument.java
+++ b/src/main/java/org/orioleshed/settings/SettingsDocument.java
@@ -168,6 +168,22 @@
         return SettingsTree.of(tree);
     }
 
+    /**
+     * Returns all that would be wrong with the tree after {@code edits}; none when they are valid.
+     */
+    public List<Problem> problemsWith(List<SettingsEdit> edits) {
+        List<Problem> problems = new ArrayList<>();
+        ObjectNode edited = tree.deepCopy();
+        TreeEdits.apply(edited, edits, problems);
+        if (!problems.isEmpty()) {
+            return problems;
+        }
+        return switch (SettingsTree.of(edited)) {
+            case SettingsTree.Result.Loaded loaded -> List.of();
+            case SettingsTree.Result.Problems found -> found.problems();
+        };
+    }
+
     /** Returns this document with one more change, or all that is wrong with it. */
     Result with(SettingsChange change) {
         List<Problem> problems = new ArrayList<>();
