--- a/src/main/java/org/orioleshed/routing/AdaptiveLimit.java
+++ b/src/main/java/org/orioleshed/routing/AdaptiveLimit.java
@@ -6,20 +6,19 @@
  * How many requests one engine runs at once: up by one while the targets are met and more is
  * wanted, down by a factor when the engine's own streams miss them.
  *
- * <p>An engine that misses the target for the time between tokens even with few requests is not
- * helped by fewer still. Its limit then keeps that time within twice what the engine does by
+ * <p>An engine that misses the target for the time between tokens even with one request is not
+ * helped by a low limit. Its limit then keeps that time within twice what the engine does by
  * itself, so that its throughput stays in use for work that bears it.
  */
 final class AdaptiveLimit {
     private static final long WINDOW_NANOS = 500_000_000L;
     private static final long LONGEST_WINDOW_NANOS = 4 * WINDOW_NANOS;
     private static final long BASE_MEMORY_NANOS = 60_000_000_000L;
-    private static final int FEWEST_GAPS = 20;
+    private static final int FEWEST_GAPS = 10;
     private static final int FEWEST_FIRST_TOKENS = 4;
     private static final double DECREASE = 0.75;
     private static final double RAISE_BELOW = 0.85;
     private static final double BASE_FACTOR = 2.0;
-    private static final int FEW_REQUESTS = 2;
     private static final int HIGHEST_MICROS = 60_000_000;
 
     private final long gapTargetMicros;
@@ -101,8 +100,8 @@
     private void adjust(long nowNanos) {
         learnBase(nowNanos);
         double target = gapTargetMicros;
-        if (baseGapMicros != Long.MAX_VALUE) {
-            target = Math.max(target, BASE_FACTOR * baseGapMicros);
+        if (baseGapMicros != Long.MAX_VALUE && baseGapMicros > target) {
+            target = BASE_FACTOR * baseGapMicros;
         }
         long gapMicros = gaps.getValueAtPercentile(95);
         if (gapMicros > target || firstTokensLate()) {
@@ -121,7 +120,7 @@
         if (nowNanos - baseSeenNanos > BASE_MEMORY_NANOS) {
             baseGapMicros = Long.MAX_VALUE;
         }
-        if (mostRunning <= FEW_REQUESTS) {
+        if (mostRunning <= 1) {
             baseGapMicros = gaps.getValueAtPercentile(95);
             baseSeenNanos = nowNanos;
         }
--- a/src/main/java/org/orioleshed/routing/KnownServer.java
+++ b/src/main/java/org/orioleshed/routing/KnownServer.java
@@ -13,6 +13,9 @@
     /** The wait added for each request sent beyond the free places of the latest report. */
     private static final long SENT_WAIT_MILLIS = 200;
 
+    /** What each request sent since the latest report costs the next one there. */
+    private static final long SHARED_STEP_MILLIS = 10;
+
     private final BackendServer server;
     private final HostId home;
     private ServerLoad load;
@@ -72,6 +75,7 @@
         int free = Math.max(0, load.limit() - load.running());
         int beyond = Math.max(0, sentSinceLoad - free);
         return forRank(load.waitMillisByRank(), rank)
+                + sentSinceLoad * SHARED_STEP_MILLIS
                 + beyond * SENT_WAIT_MILLIS / Math.max(1, load.limit());
     }
 
--- /dev/null
+++ b/src/test/java/org/orioleshed/routing/AdaptiveLimitTest.java
@@ -0,0 +1,71 @@
+package org.orioleshed.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link AdaptiveLimit}. */
+public class AdaptiveLimitTest {
+    private static final int PLACES = 16;
+    private static final long STEP_NANOS = 100_000_000L;
+
+    /** Runs an engine whose time between tokens grows with what runs on it, always in demand. */
+    private static AdaptiveLimit after(double baseMillis, double millisPerRun, int seconds) {
+        AdaptiveLimit limit = new AdaptiveLimit(RoutingLimits.DEFAULTS, PLACES);
+        for (long now = 0; now < seconds * 1_000_000_000L; now += STEP_NANOS) {
+            int running = limit.current();
+            limit.load(running, true);
+            for (int i = 0; i < running * 3; i++) {
+                limit.gap((long) (1_000 * (baseMillis + millisPerRun * running)));
+            }
+            limit.tick(now);
+        }
+        return limit;
+    }
+
+    @DataProvider
+    Object[][] engines() {
+        return new Object[][] {{20, 2, 16}, {20, 10, 5}, {40, 20, 1}};
+    }
+
+    @Test(dataProvider = "engines")
+    public void settlesWhereTheTargetIsMet(double base, double perRun, int most) {
+        int limit = after(base, perRun, 120).current();
+        assertTrue(limit <= most + 1, "limit " + limit);
+        assertTrue(limit >= 1 && limit <= PLACES, "limit " + limit);
+        assertTrue(most < PLACES || limit == PLACES, "limit " + limit);
+    }
+
+    @Test
+    public void anEngineThatIsSlowByItselfKeepsSomeWork() {
+        assertTrue(after(120, 5, 120).current() > 1);
+    }
+
+    @Test
+    public void aLongPromptAloneIsNoReasonToRunFewer() {
+        AdaptiveLimit limit = new AdaptiveLimit(RoutingLimits.DEFAULTS, PLACES);
+        limit.tick(0);
+        limit.load(4, true);
+        for (int i = 0; i < 50; i++) {
+            limit.gap(20_000);
+            limit.firstToken(5_000_000, 4_800_000);
+        }
+        limit.tick(600_000_000L);
+        assertEquals(limit.current(), PLACES);
+    }
+
+    @Test
+    public void lateFirstTokensLowerTheLimit() {
+        AdaptiveLimit limit = new AdaptiveLimit(RoutingLimits.DEFAULTS, PLACES);
+        limit.tick(0);
+        limit.load(PLACES, true);
+        for (int i = 0; i < 50; i++) {
+            limit.gap(20_000);
+            limit.firstToken(5_000_000, 100_000);
+        }
+        limit.tick(600_000_000L);
+        assertTrue(limit.current() < PLACES);
+    }
+}
