--- a/src/main/java/org/orioleshed/admin/AdminCommand.java
+++ b/src/main/java/org/orioleshed/admin/AdminCommand.java
@@ -7,7 +7,9 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.net.ConnectException;
 import java.net.URI;
+import java.net.http.HttpConnectTimeoutException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
@@ -56,8 +58,11 @@
         AdminClient.Call call = toCall();
         try (AdminClient client = new AdminClient(host(environment), key(environment))) {
             return exchange(client, call, printer);
-        } catch (IOException | UncheckedIOException e) {
+        } catch (ConnectException | HttpConnectTimeoutException e) {
             err.println("error: cannot reach the entry host: " + e);
+            return ExitCode.FAILED;
+        } catch (IOException | UncheckedIOException e) {
+            err.println("error: no whole answer from the entry host: " + e);
             return isChange(call) ? ExitCode.IN_DOUBT : ExitCode.FAILED;
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
--- a/src/main/java/org/orioleshed/admin/AdminMain.java
+++ b/src/main/java/org/orioleshed/admin/AdminMain.java
@@ -13,7 +13,6 @@
 @Cli(
         name = "orioleshed-admin",
         description = "Steers and shows entry hosts over their admin API",
-        defaultCommand = Help.class,
         commands = {
             ViewCommands.Hosts.class,
             ViewCommands.Servers.class,
--- /dev/null
+++ b/src/test/java/org/orioleshed/admin/FakeBackend.java
@@ -0,0 +1,97 @@
+package org.orioleshed.admin;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+/** An {@link AdminBackend} that notes what it was asked and gives one reply to all. */
+final class FakeBackend implements AdminBackend {
+    final List<Object> asked = new ArrayList<>();
+    AdminReply reply = new AdminReply.Accepted("c1", 7, "fine");
+    Notices notices = new Notices(List.of(), 0);
+    RuntimeException failure;
+
+    private synchronized CompletableFuture<AdminReply> answer(Object question) {
+        asked.add(question);
+        if (failure != null) {
+            return CompletableFuture.failedFuture(failure);
+        }
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settings(String path, boolean effective) {
+        return answer("settings " + path + " " + effective);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> changeSettings(SettingsChange change) {
+        return answer(change);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settingsDiff(long fromRevision, long toRevision) {
+        return answer("diff " + fromRevision + " " + toRevision);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settingsHistory(int limit) {
+        return answer("history " + limit);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> settingsStatus() {
+        return answer("status");
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> planMove(MovePlan plan) {
+        return answer(plan);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> moves() {
+        return answer("moves");
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> move(String id) {
+        return answer("move " + id);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> takeMoveBack(String id, String author, String reason) {
+        return answer("take-back " + id + " " + author + " " + reason);
+    }
+
+    @Override
+    public CompletableFuture<Notices> notices(long after, long waitMillis) {
+        return CompletableFuture.completedFuture(notices);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> hosts() {
+        return answer("hosts");
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> servers() {
+        return answer("servers");
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> requests(Optional<String> workspace, int limit) {
+        return answer("requests " + workspace.orElse("all") + " " + limit);
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> poison() {
+        return answer("poison");
+    }
+
+    @Override
+    public CompletableFuture<AdminReply> clearPoison(Optional<String> fingerprint, String author) {
+        return answer("clear " + fingerprint.orElse("all") + " " + author);
+    }
+}
