--- a/src/main/java/org/orioleshed/routing/HomeServer.java
+++ b/src/main/java/org/orioleshed/routing/HomeServer.java
@@ -281,7 +281,9 @@
     }
 
     private boolean hopeless(Moment moment, Waiting waiting) {
-        if (limits.policy() == Policy.NAIVE || lowerTierIsHere(waiting.rank())) {
+        if (limits.policy() == Policy.NAIVE
+                || lowerTierIsHere(waiting.rank())
+                || waiting.offer().preemptions() > 0) {
             return false;
         }
         long wait = waits.millis(waiting.rank(), moment.nowNanos(), limit(), server.places());
--- a/src/main/java/org/orioleshed/routing/Preemption.java
+++ b/src/main/java/org/orioleshed/routing/Preemption.java
@@ -1,13 +1,12 @@
 package org.orioleshed.routing;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import org.orioleshed.model.ServerId;
 
 /**
- * Chooses the runs that give their places to more urgent requests: those of the lowest tier first,
- * and among them those whose stop wastes least.
+ * Chooses the runs that give their places to urgent requests: those of the lowest tier first, and
+ * among them those whose stop wastes least.
  */
 final class Preemption {
     private static final double SAFETY = 1.25;
@@ -16,8 +15,10 @@
     /** An engine that did not confirm a cancel for so long is not counted on. */
     private static final long CANCEL_NANOS = 500_000_000L;
 
-    /** The longest that an urgent request waits for a place to become free by itself. */
-    private static final long LONGEST_DELAY_MILLIS = 200;
+    /** How long an urgent request waits at least for a place to become free by itself. */
+    private static final long SHORTEST_DELAY_MILLIS = 100;
+
+    private static final long DELAY_SPREAD_MILLIS = 300;
 
     private final RoutingLimits limits;
     private final OfferQueue queue;
@@ -47,20 +48,14 @@
         if (limits.policy() == Policy.NAIVE || places.running().isEmpty()) {
             return List.of();
         }
-        List<Running> victims = new ArrayList<>();
         int onTheWay = free + places.stoppedSince(moment.nowNanos() - CANCEL_NANOS);
-        for (int rank : queue.ranks()) {
-            List<Waiting> pressed = queue.tier(rank).matching(w -> presses(w, moment));
-            int needed = pressed.size() - onTheWay;
-            if (needed > 0) {
-                boolean lastResort = pressed.stream().anyMatch(w -> wouldBeShed(w, moment));
-                List<Running> found =
-                        choose(moment, rank, needed, rank == 0 && lastResort, victims);
-                victims.addAll(found);
-            }
-            onTheWay = Math.max(0, onTheWay - pressed.size());
+        List<Waiting> pressed = queue.tier(0).matching(w -> presses(w, moment));
+        int needed = pressed.size() - onTheWay;
+        if (needed <= 0) {
+            return List.of();
         }
-        return victims;
+        boolean lastResort = pressed.stream().anyMatch(w -> wouldBeShed(w, moment));
+        return choose(moment, needed, lastResort);
     }
 
     /** Returns all runs of lower tiers than {@code rank}, the protected ones included. */
@@ -71,15 +66,14 @@
         return places.running().stream().filter(r -> r.rank() > rank && !r.stopping()).toList();
     }
 
-    private List<Running> choose(
-            Moment moment, int rank, int needed, boolean lastResort, List<Running> chosen) {
+    private List<Running> choose(Moment moment, int needed, boolean lastResort) {
         Comparator<Running> order =
                 Comparator.comparing((Running r) -> isProtected(r, moment))
                         .thenComparing(Running::rank, Comparator.reverseOrder())
                         .thenComparingLong(r -> speed.wasteMillis(r, moment.nowNanos()))
                         .thenComparing(Running::run, Waiting.BY_RUN);
         return places.running().stream()
-                .filter(r -> r.rank() > rank && !r.stopping() && !chosen.contains(r))
+                .filter(r -> r.rank() > 0 && !r.stopping())
                 .filter(r -> lastResort || !isProtected(r, moment))
                 .sorted(order)
                 .limit(needed)
@@ -87,23 +81,14 @@
     }
 
     private boolean presses(Waiting waiting, Moment moment) {
-        if (waiting.rank() > 0) {
-            return waiting.rank() < Admission.PATIENT_RANK && nearlyLate(waiting, moment);
-        }
         // Homes that hold the same offer wait for different times, so that not all of them preempt.
-        long delayMillis =
-                Math.floorMod(Spread.mix(salt ^ waiting.run().hashCode()), LONGEST_DELAY_MILLIS);
+        long spread = Spread.mix(salt ^ waiting.run().hashCode());
+        long delayMillis = SHORTEST_DELAY_MILLIS + Math.floorMod(spread, DELAY_SPREAD_MILLIS);
         return queue.size(0) >= places.inFlight()
                 || -moment.millisUntil(waiting.queuedNanos()) >= delayMillis
                 || wouldBeShed(waiting, moment);
     }
 
-    private boolean nearlyLate(Waiting waiting, Moment moment) {
-        long leftMillis = moment.millisUntil(waiting.deadlineNanos());
-        return leftMillis >= waiting.workMillis()
-                && leftMillis < waiting.safeMillis() * SAFETY + REQUEUE_MILLIS;
-    }
-
     private boolean wouldBeShed(Waiting waiting, Moment moment) {
         long leftMillis = moment.millisUntil(waiting.deadlineNanos());
         return leftMillis < waiting.safeMillis() * SAFETY + REQUEUE_MILLIS;
