--- a/src/main/java/org/orioleshed/claim/ClaimLimits.java
+++ b/src/main/java/org/orioleshed/claim/ClaimLimits.java
@@ -25,7 +25,7 @@
         int bodyBytes) {
     /** The bounds of a host whose settings state none. */
     public static final ClaimLimits DEFAULTS =
-            new ClaimLimits(16, 7_200_000, 500, 300, 20, 200, 64 << 10, 512 << 10, 4 << 10);
+            new ClaimLimits(16, 7_200_000, 500, 300, 50, 200, 64 << 10, 512 << 10, 4 << 10);
 
     /** The largest value that the store takes, in bytes. */
     private static final int STORE_VALUE_BYTES = 1 << 20;
--- a/src/test/java/org/orioleshed/host/FakeStore.java
+++ b/src/test/java/org/orioleshed/host/FakeStore.java
@@ -7,13 +7,21 @@
 import org.orioleshed.model.Payload;
 
 /** A key-value store with compare-and-swap, in memory. */
-final class FakeStore {
+public final class FakeStore {
     private final Map<String, Entry> entries = new HashMap<>();
     private long revision;
-    int reads;
-    int writes;
-    long bytesWritten;
-    int largestValue;
+
+    /** Reads so far. */
+    public int reads;
+
+    /** Writes so far, conflicts included. */
+    public int writes;
+
+    /** Bytes written so far. */
+    public long bytesWritten;
+
+    /** The size of the largest value. */
+    public int largestValue;
 
     private record Entry(Payload value, long revision) {}
 
@@ -39,7 +47,8 @@
         return new StoreAnswer.Swapped(revision);
     }
 
-    StoreAnswer apply(HostAction action) {
+    /** Does a call on the store. */
+    public StoreAnswer apply(HostAction action) {
         return switch (action) {
             case HostAction.ReadStore read -> read(read.key());
             case HostAction.SwapStore swap -> swap(swap);
