Ask a home that stays silent whether it has the run; repeat word of crashes

A lost body of a placed run stalled it until the silence bound; an offer sent again now makes the home grant anew, ignore it, or repeat the run's end. Word of a crash names the run, so that it may be repeated. Queued calls of one blocked route no longer hold up other routes.

--- a/src/main/java/org/orioleshed/request/AcceptingSide.java
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -6,8 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
+import org.orioleshed.fleet.EntryHost;
 import org.orioleshed.fleet.Workspace;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.HostAction;
@@ -427,13 +430,23 @@
     }
 
     private void worldChanged(long nowNanos, World changed) {
+        boolean hostsChanged = !takingWork(changed).equals(takingWork(world));
         world = changed;
-        poison.onWorld(changed);
+        poison.onWorld(nowNanos, changed);
         directory.onWorld(changed);
         inquiries.onWorld(changed);
         models.onWorld(nowNanos, changed);
         services.onWorld(nowNanos, changed);
-        moveKeys(nowNanos);
+        if (hostsChanged) {
+            moveKeys(nowNanos);
+        }
+    }
+
+    private static Set<HostId> takingWork(World world) {
+        return world.hosts().values().stream()
+                .filter(EntryHost::takesWork)
+                .map(EntryHost::id)
+                .collect(Collectors.toSet());
     }
 
     private void drain(long nowNanos) {
@@ -443,6 +456,7 @@
     }
 
     private void tick(long nowNanos) {
+        poison.tick(nowNanos);
         models.tick(nowNanos);
         services.tick(nowNanos);
         inquiries.tick(nowNanos);
--- a/src/main/java/org/orioleshed/request/Execution.java
+++ b/src/main/java/org/orioleshed/request/Execution.java
@@ -126,6 +126,10 @@
         /** Whether an earlier run may have reached an engine. */
         final boolean ranBefore;
 
+        /** When to ask the home whether it has the run, as long as no token came. */
+        long probeNanos = Long.MAX_VALUE;
+
+        long probeDelayNanos;
         long silentAtNanos;
         long gapEndsNanos = Long.MAX_VALUE;
         OptionalInt totalTokens = OptionalInt.empty();
@@ -140,7 +144,7 @@
 
         @Override
         public long wakeNanos() {
-            return Math.min(silentAtNanos, gapEndsNanos);
+            return Math.min(probeNanos, Math.min(silentAtNanos, gapEndsNanos));
         }
     }
 
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -280,18 +280,39 @@
             wakes.schedule(execution);
             return;
         }
-        boolean placed =
-                execution != null
-                        && execution.state instanceof Running running
-                        && running.run.equals(granted.run())
-                        && running.server.equals(granted.server());
-        if (!placed) {
-            out.accept(
-                    new HostAction.SendRouting(
-                            from, new RoutingMessage.Withdrawn(granted.run(), granted.server())));
+        if (execution != null
+                && execution.state instanceof Running running
+                && running.run.equals(granted.run())
+                && running.server.equals(granted.server())) {
+            placeAgain(execution, running);
+            return;
+        }
+        out.accept(
+                new HostAction.SendRouting(
+                        from, new RoutingMessage.Withdrawn(granted.run(), granted.server())));
+    }
+
+    /** Sends the body again to a home that still keeps a place: the first sending was lost. */
+    private void placeAgain(Execution execution, Running running) {
+        boolean probed = running.probeDelayNanos > nanos(limits.offerRepeatMillis());
+        if (probed && running.probeNanos != Long.MAX_VALUE) {
+            sendBody(execution, running);
         }
     }
 
+    private void sendBody(Execution execution, Running running) {
+        int known = execution.transcript.tokens();
+        out.accept(
+                new HostAction.SendRouting(
+                        running.home,
+                        new RoutingMessage.Placed(
+                                running.run,
+                                running.server,
+                                execution.request.body(),
+                                known,
+                                execution.creditLimit - known)));
+    }
+
     private void place(
             long nowNanos, Execution execution, Offering offering, ServerId server, HostId home) {
         offers.withdraw(offering, Optional.of(server));
@@ -314,15 +335,9 @@
         execution.mayHaveRun = true;
         placement.placed(execution.request, server);
         log("place", execution, server, "granted");
-        out.accept(
-                new HostAction.SendRouting(
-                        home,
-                        new RoutingMessage.Placed(
-                                offering.run,
-                                server,
-                                execution.request.body(),
-                                known,
-                                execution.creditLimit - known)));
+        running.probeDelayNanos = nanos(limits.offerRepeatMillis());
+        running.probeNanos = nowNanos + 2 * running.probeDelayNanos;
+        sendBody(execution, running);
     }
 
     void onRefused(long nowNanos, Refused refused) {
@@ -368,6 +383,7 @@
         }
         if (execution.state instanceof Running running) {
             running.silentAtNanos = nowNanos + nanos(limits.silenceMillis());
+            running.probeNanos = Long.MAX_VALUE;
             if (!execution.transcript.hasGap() && running.totalTokens.isEmpty()) {
                 running.gapEndsNanos = Long.MAX_VALUE;
             } else if (running.gapEndsNanos == Long.MAX_VALUE) {
@@ -441,6 +457,7 @@
                 running.totalTokens = OptionalInt.of(finished.totalTokens());
                 running.gapEndsNanos = nowNanos + nanos(limits.gapMillis());
                 running.silentAtNanos = Long.MAX_VALUE;
+                running.probeNanos = Long.MAX_VALUE;
                 finishIfWhole(nowNanos, execution, running);
             }
             case RunEnd.Preempted preempted -> {
@@ -488,7 +505,10 @@
         }
         Optional<VersionId> version =
                 Optional.ofNullable(world.servers().get(server)).map(BackendServer::version);
-        poison.crashed(nowNanos, execution.request.fingerprint(), server, version);
+        poison.crashed(
+                nowNanos,
+                execution.request.fingerprint(),
+                new Poison.Crash(server, execution.run(), version, nowNanos));
     }
 
     /** Tries again after a run that failed and is over, if the budget and the caller allow. */
@@ -574,6 +594,12 @@
         if (nowNanos < running.wakeNanos()) {
             return;
         }
+        if (nowNanos >= running.probeNanos) {
+            running.probeDelayNanos *= 2;
+            running.probeNanos = nowNanos + 2 * running.probeDelayNanos;
+            offers.probe(nowNanos, execution, running);
+            return;
+        }
         if (finishedAwaitingPieces(running)) {
             log("resume", execution, running.server, "pieces-lost");
             backOff(nowNanos, execution, 0);
--- a/src/main/java/org/orioleshed/request/OfferRounds.java
+++ b/src/main/java/org/orioleshed/request/OfferRounds.java
@@ -109,6 +109,15 @@
                 });
     }
 
+    /** Offers a placed run again: a home that has it ignores that, one that lost it grants anew. */
+    void probe(long nowNanos, Execution execution, Execution.Running running) {
+        out.accept(
+                new HostAction.SendRouting(
+                        running.home,
+                        new RoutingMessage.Offered(
+                                running.run, running.server, describe(nowNanos, execution))));
+    }
+
     private void withdraw(Offering offering, ServerId server, HostId home) {
         out.accept(
                 new HostAction.SendRouting(
--- a/src/main/java/org/orioleshed/request/Poison.java
+++ b/src/main/java/org/orioleshed/request/Poison.java
@@ -11,6 +11,7 @@
 import org.orioleshed.fleet.VersionSplit;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.Fingerprint;
+import org.orioleshed.model.RunId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.VersionId;
 
@@ -38,20 +39,25 @@
         this.maxEntries = maxEntries;
     }
 
-    /** One crash with the content on board. */
-    record Crash(ServerId server, Optional<VersionId> version, long atNanos) {}
+    /** One crash of a server, with a run of the content on board. */
+    record Crash(ServerId server, RunId run, Optional<VersionId> version, long atNanos) {
+        /** Returns whether both tell of one event. */
+        boolean isSame(Crash other) {
+            boolean atOnce =
+                    server.equals(other.server)
+                            && Math.abs(atNanos - other.atNanos) < SAME_CRASH_NANOS;
+            return atOnce || run.equals(other.run);
+        }
+    }
 
     /** Counts a crash; returns whether it was news. */
-    boolean crashed(
-            long nowNanos, Fingerprint fingerprint, ServerId server, Optional<VersionId> version) {
+    boolean crashed(long nowNanos, Fingerprint fingerprint, Crash crash) {
         expire(nowNanos, fingerprint);
         Entry entry = entries.computeIfAbsent(fingerprint, f -> new Entry());
-        for (Crash crash : entry.crashes) {
-            if (crash.server.equals(server) && nowNanos - crash.atNanos < SAME_CRASH_NANOS) {
-                return false;
-            }
+        if (entry.crashes.stream().anyMatch(crash::isSame)) {
+            return false;
         }
-        entry.crashes.add(new Crash(server, version, nowNanos));
+        entry.crashes.add(crash);
         if (entry.crashes.size() > 2 * CRASHES) {
             entry.crashes.removeFirst();
         }
@@ -100,10 +106,13 @@
         return entries.remove(fingerprint) != null;
     }
 
-    /** Returns the crashes counted for content. */
-    List<Crash> crashes(Fingerprint fingerprint) {
-        Entry entry = entries.get(fingerprint);
-        return entry == null ? List.of() : List.copyOf(entry.crashes);
+    /** Returns the crashes counted for the contents touched last, at most {@code count}. */
+    Map<Fingerprint, List<Crash>> latest(int count) {
+        Map<Fingerprint, List<Crash>> latest = new LinkedHashMap<>();
+        entries.reversed().entrySet().stream()
+                .limit(count)
+                .forEach(e -> latest.put(e.getKey(), List.copyOf(e.getValue().crashes)));
+        return latest;
     }
 
     /** Returns all content under suspicion. */
--- a/src/main/java/org/orioleshed/request/PoisonWatch.java
+++ b/src/main/java/org/orioleshed/request/PoisonWatch.java
@@ -1,21 +1,24 @@
 package org.orioleshed.request;
 
 import java.util.List;
-import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.HostAction;
 import org.orioleshed.model.Fingerprint;
 import org.orioleshed.model.HostId;
-import org.orioleshed.model.ServerId;
-import org.orioleshed.model.VersionId;
 
 /** The host's record of content that crashes servers, kept in step with its peers. */
 final class PoisonWatch {
+    private static final long REPEAT_NANOS = TimeUnit.SECONDS.toNanos(10);
+    private static final int MAX_REPEATED = 50;
+
     private final HostId self;
     private final Poison poison;
     private final Consumer<HostAction> out;
     private World world = World.EMPTY;
+    private long repeatNanos = Long.MAX_VALUE;
 
     PoisonWatch(HostId self, Poison poison, Consumer<HostAction> out) {
         this.self = self;
@@ -23,8 +26,44 @@
         this.out = out;
     }
 
-    void onWorld(World changed) {
+    /** Learns of the fleet, and tells hosts that are new what they may have missed. */
+    void onWorld(long nowNanos, World changed) {
+        Set<HostId> known = world.hosts().keySet();
         world = changed;
+        for (HostId host : changed.hosts().keySet()) {
+            if (!known.contains(host) && !host.equals(self)) {
+                tellLatest(host);
+            }
+        }
+        repeatNanos = Math.min(repeatNanos, nowNanos + REPEAT_NANOS);
+    }
+
+    /** Repeats what is under suspicion, as messages may be lost. */
+    void tick(long nowNanos) {
+        if (nowNanos < repeatNanos) {
+            return;
+        }
+        repeatNanos = nowNanos + REPEAT_NANOS;
+        for (HostId host : world.hosts().keySet()) {
+            if (!host.equals(self)) {
+                tellLatest(host);
+            }
+        }
+    }
+
+    private void tellLatest(HostId host) {
+        poison.latest(MAX_REPEATED)
+                .forEach(
+                        (content, crashes) ->
+                                crashes.forEach(
+                                        crash ->
+                                                out.accept(
+                                                        new HostAction.SendRequest(
+                                                                host, seen(content, crash)))));
+    }
+
+    private static RequestMessage seen(Fingerprint content, Poison.Crash crash) {
+        return new RequestMessage.PoisonSeen(content, crash.server(), crash.run(), crash.version());
     }
 
     boolean isHeld(long nowNanos, Fingerprint fingerprint) {
@@ -36,10 +75,9 @@
     }
 
     /** Counts a crash seen by this host and tells the others. */
-    void crashed(
-            long nowNanos, Fingerprint fingerprint, ServerId server, Optional<VersionId> version) {
-        if (poison.crashed(nowNanos, fingerprint, server, version)) {
-            tellAll(new RequestMessage.PoisonSeen(fingerprint, server, version));
+    void crashed(long nowNanos, Fingerprint content, Poison.Crash crash) {
+        if (poison.crashed(nowNanos, content, crash)) {
+            tellAll(seen(content, crash));
         }
     }
 
@@ -57,7 +95,8 @@
     }
 
     void onSeen(long nowNanos, RequestMessage.PoisonSeen seen) {
-        poison.crashed(nowNanos, seen.fingerprint(), seen.server(), seen.version());
+        Poison.Crash crash = new Poison.Crash(seen.server(), seen.run(), seen.version(), nowNanos);
+        poison.crashed(nowNanos, seen.fingerprint(), crash);
     }
 
     void onCleared(RequestMessage.PoisonCleared cleared) {
--- a/src/main/java/org/orioleshed/request/RequestCodec.java
+++ b/src/main/java/org/orioleshed/request/RequestCodec.java
@@ -101,6 +101,7 @@
         return RequestWire.PoisonSeen.newBuilder()
                 .setFingerprint(WireForms.of(seen.fingerprint()))
                 .setServer(seen.server().value())
+                .setRun(WireForms.of(seen.run()))
                 .setVersion(seen.version().map(VersionId::value).orElse(""))
                 .build();
     }
@@ -113,6 +114,7 @@
         return new PoisonSeen(
                 WireForms.fingerprint(form.getFingerprint()),
                 new ServerId(form.getServer()),
+                WireForms.run(form.getRun()),
                 version);
     }
 
--- a/src/main/java/org/orioleshed/request/RequestMessage.java
+++ b/src/main/java/org/orioleshed/request/RequestMessage.java
@@ -18,9 +18,11 @@
      *
      * @param fingerprint the content
      * @param server the server
+     * @param run the run of the content on that server; one crash is told of several times
      * @param version the version that the server ran, if known
      */
-    record PoisonSeen(Fingerprint fingerprint, ServerId server, Optional<VersionId> version)
+    record PoisonSeen(
+            Fingerprint fingerprint, ServerId server, RunId run, Optional<VersionId> version)
             implements RequestMessage {}
 
     /**
--- a/src/main/java/org/orioleshed/request/ServiceRequests.java
+++ b/src/main/java/org/orioleshed/request/ServiceRequests.java
@@ -2,11 +2,12 @@
 
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -24,6 +25,7 @@
 import org.orioleshed.model.Outcome.NotRunReason;
 import org.orioleshed.model.Request;
 import org.orioleshed.model.RequestId;
+import org.orioleshed.model.RouteId;
 import org.orioleshed.model.RunId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.VersionId;
@@ -44,6 +46,9 @@
     /** When a caller should ask again after the store was away. */
     private static final long STORE_RETRY_MILLIS = 1_000;
 
+    /** Routes without a free place after which the queue is not searched further. */
+    private static final int MAX_BLOCKED_ROUTES = 16;
+
     /** How many ends of claimed runs are kept for hosts that ask. */
     private static final int MAX_FATES = 50_000;
 
@@ -357,13 +362,14 @@
     }
 
     private void sendQueued(long nowNanos) {
-        Iterator<ServiceCall> waiting = List.copyOf(queue).iterator();
-        int blocked = 0;
-        while (waiting.hasNext() && blocked < 8) {
-            ServiceCall call = waiting.next();
-            if (!dispatch(nowNanos, call)) {
-                blocked++;
+        Set<RouteId> blocked = new HashSet<>();
+        ServiceCall call = queue.isEmpty() ? null : queue.first();
+        while (call != null && blocked.size() < MAX_BLOCKED_ROUTES) {
+            RouteId route = call.request.route();
+            if (!blocked.contains(route) && !dispatch(nowNanos, call)) {
+                blocked.add(route);
             }
+            call = queue.higher(call);
         }
     }
 
--- a/src/test/java/org/orioleshed/host/FakeEngines.java
+++ b/src/test/java/org/orioleshed/host/FakeEngines.java
@@ -18,6 +18,8 @@
     /** Every run that an engine took, live or not. */
     final Set<RunId> started = new HashSet<>();
 
+    final Set<RequestId> startedRequests = new HashSet<>();
+
     /** Runs that were cancelled before they came. */
     private final Set<RunId> cancelled = new HashSet<>();
 
@@ -57,6 +59,7 @@
                     new HostEvent.RunEnded(
                             run, action.server(), new RunEnd.EngineError(true, "run id twice")));
         }
+        startedRequests.add(run.request());
         live.put(
                 run,
                 new Run(
--- a/src/test/java/org/orioleshed/host/Promises.java
+++ b/src/test/java/org/orioleshed/host/Promises.java
@@ -20,7 +20,7 @@
     private final Trace trace;
     private final Map<RequestId, Caller> callers = new HashMap<>();
     private final Map<RequestKey, Integer> unrepeatableRuns = new HashMap<>();
-    private final Set<RunId> serviceRuns = new HashSet<>();
+    private final Set<RequestId> serviceRequests = new HashSet<>();
 
     Promises(FakeEngines engines, Trace trace) {
         this.engines = engines;
@@ -60,7 +60,7 @@
 
     /** A call reached its service. */
     void ran(HostAction.CallService call) {
-        serviceRuns.add(call.run());
+        serviceRequests.add(call.run().request());
         Caller caller = callers.get(call.run().request());
         Work.Call work = (Work.Call) caller.request.work();
         if (work.repeatable()) {
@@ -120,16 +120,18 @@
     void check() {
         for (Caller caller : callers.values()) {
             RequestId id = caller.request.id();
-            if (caller.request.work() instanceof Work.Generate) {
-                require(engines.liveRuns(id) <= 1, "two live runs: " + id, caller.request);
-            }
             if (caller.outcome instanceof Outcome.NotRun) {
-                boolean ran =
-                        engines.started.stream().anyMatch(run -> run.request().equals(id))
-                                || serviceRuns.stream().anyMatch(run -> run.request().equals(id));
+                boolean ran = engines.startedRequests.contains(id) || serviceRequests.contains(id);
                 require(!ran, "not run, but ran: " + id, caller.request);
             }
         }
+        Set<RequestId> live = new HashSet<>();
+        for (RunId run : engines.live.keySet()) {
+            require(
+                    live.add(run.request()),
+                    "two live runs: " + run,
+                    callers.get(run.request()).request);
+        }
     }
 
     /** Checks that every caller who waits has exactly one outcome. */
--- a/src/test/java/org/orioleshed/request/RequestCodecProperties.java
+++ b/src/test/java/org/orioleshed/request/RequestCodecProperties.java
@@ -37,8 +37,8 @@
         List<RequestMessage> all = new ArrayList<>();
         Optional<VersionId> version = Optional.of(new VersionId("v2"));
         ServerId server = new ServerId("m1");
-        all.add(new RequestMessage.PoisonSeen(CONTENT, server, version));
-        all.add(new RequestMessage.PoisonSeen(CONTENT, server, Optional.empty()));
+        all.add(new RequestMessage.PoisonSeen(CONTENT, server, RUN, version));
+        all.add(new RequestMessage.PoisonSeen(CONTENT, server, RUN, Optional.empty()));
         all.add(new RequestMessage.PoisonCleared(CONTENT));
         all.add(new RequestMessage.KeyOpened(KEY, REQUEST));
         all.add(new RequestMessage.KeyHolder(KEY, Optional.of(REQUEST), Optional.empty()));
