--- a/src/main/java/org/orioleshed/request/Execution.java
+++ b/src/main/java/org/orioleshed/request/Execution.java
@@ -126,10 +126,17 @@
         /** Whether an earlier run may have reached an engine. */
         final boolean ranBefore;
 
-        /** When to ask the home whether it has the run, as long as no token came. */
+        /** When to ask the home whether it has the run, as it stays silent. */
         long probeNanos = Long.MAX_VALUE;
 
         long probeDelayNanos;
+
+        /** Whether the body was sent twice, so that an engine may refuse the second. */
+        boolean placedAgain;
+
+        /** Whether a token of this run came. */
+        boolean heard;
+
         long silentAtNanos;
         long gapEndsNanos = Long.MAX_VALUE;
         OptionalInt totalTokens = OptionalInt.empty();
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -50,6 +50,9 @@
     /** How long a suspect waits while the same content runs. */
     private static final long SUSPECT_WAIT_MILLIS = 200;
 
+    /** How long a stream may pause before its home is asked whether it has the run. */
+    private static final long PROBE_MILLIS = 2_000;
+
     /** How often the host that runs a key is asked for its outcome. */
     private static final long RELAY_MILLIS = 100;
 
@@ -284,20 +287,43 @@
                 && execution.state instanceof Running running
                 && running.run.equals(granted.run())
                 && running.server.equals(granted.server())) {
-            placeAgain(execution, running);
+            placeAgain(nowNanos, execution, running, granted);
+            wakes.schedule(execution);
             return;
         }
+        withdraw(from, granted);
+    }
+
+    private void withdraw(HostId from, RoutingMessage.Granted granted) {
         out.accept(
                 new HostAction.SendRouting(
                         from, new RoutingMessage.Withdrawn(granted.run(), granted.server())));
     }
 
-    /** Sends the body again to a home that still keeps a place: the first sending was lost. */
-    private void placeAgain(Execution execution, Running running) {
-        boolean probed = running.probeDelayNanos > nanos(limits.offerRepeatMillis());
-        if (probed && running.probeNanos != Long.MAX_VALUE) {
+    /**
+     * A home that was asked grants a place once more, so it does not have the run: it never got the
+     * body, or forgot the run in a restart.
+     */
+    private void placeAgain(
+            long nowNanos, Execution execution, Running running, RoutingMessage.Granted granted) {
+        boolean asked = running.probeDelayNanos > nanos(limits.offerRepeatMillis());
+        if (!asked) {
+            return;
+        }
+        if (!running.heard && !running.placedAgain) {
+            running.placedAgain = true;
             sendBody(execution, running);
+            return;
         }
+        withdraw(running.home, granted);
+        cancelAtEngine(nowNanos, execution, running, "home-forgot");
+    }
+
+    private void cancelAtEngine(
+            long nowNanos, Execution execution, Running running, String reason) {
+        log("resume", execution, running.server, reason);
+        execution.state = new Ending(running.run, running.server);
+        canceller.atEngine(nowNanos, world, running.run, running.server, running.home);
     }
 
     private void sendBody(Execution execution, Running running) {
@@ -383,7 +409,9 @@
         }
         if (execution.state instanceof Running running) {
             running.silentAtNanos = nowNanos + nanos(limits.silenceMillis());
-            running.probeNanos = Long.MAX_VALUE;
+            running.heard = true;
+            running.probeDelayNanos = nanos(limits.offerRepeatMillis());
+            running.probeNanos = nowNanos + nanos(PROBE_MILLIS);
             if (!execution.transcript.hasGap() && running.totalTokens.isEmpty()) {
                 running.gapEndsNanos = Long.MAX_VALUE;
             } else if (running.gapEndsNanos == Long.MAX_VALUE) {
@@ -471,6 +499,8 @@
                 backOff(nowNanos, execution, 0);
             }
             case RunEnd.Cancelled cancelled -> backOff(nowNanos, execution, 0);
+            case RunEnd.EngineError error when running.placedAgain ->
+                    cancelAtEngine(nowNanos, execution, running, "refused-second-body");
             case RunEnd.EngineError error -> {
                 String detail = error.detail();
                 boolean retry = error.retryable() || leavesNewVersion(execution, running.server);
@@ -547,9 +577,7 @@
         if (alive || finishedAwaitingPieces(running)) {
             return;
         }
-        log("resume", execution, running.server, "home-lost");
-        execution.state = new Ending(running.run, running.server);
-        canceller.atEngine(nowNanos, world, running.run, running.server, running.home);
+        cancelAtEngine(nowNanos, execution, running, "home-lost");
     }
 
     private static boolean finishedAwaitingPieces(Running running) {
@@ -594,6 +622,10 @@
         if (nowNanos < running.wakeNanos()) {
             return;
         }
+        boolean callerIsSlow = execution.transcript.tokens() >= execution.creditLimit;
+        if (nowNanos >= running.probeNanos && callerIsSlow) {
+            running.probeNanos = nowNanos + nanos(PROBE_MILLIS);
+        }
         if (nowNanos >= running.probeNanos) {
             running.probeDelayNanos *= 2;
             running.probeNanos = nowNanos + 2 * running.probeDelayNanos;
@@ -605,7 +637,6 @@
             backOff(nowNanos, execution, 0);
             return;
         }
-        boolean callerIsSlow = execution.transcript.tokens() >= execution.creditLimit;
         if (callerIsSlow && nowNanos < running.gapEndsNanos) {
             running.silentAtNanos = nowNanos + nanos(limits.silenceMillis());
             return;
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -14,6 +14,7 @@
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.Tier;
+import org.orioleshed.routing.RoutingMessage;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -182,4 +183,46 @@
         fleet.finish();
         assertTrue(fleet.outcome(other) instanceof Outcome.Answered, "" + fleet.outcome(other));
     }
+
+    @DataProvider
+    Object[][] lostMessages() {
+        return new Object[][] {
+            {RoutingMessage.Offered.class},
+            {RoutingMessage.Granted.class},
+            {RoutingMessage.Placed.class},
+            {RoutingMessage.Tokens.class},
+            {RoutingMessage.Ended.class}
+        };
+    }
+
+    @Test(dataProvider = "lostMessages")
+    public void requestIsAnsweredWithinSecondsWhenOneMessageIsLost(Class<?> kind) {
+        Node accepting = fleet.nodes.get(1);
+        fleet.servers.remove(new ServerId("m2"));
+        fleet.tellWorld(Set.of());
+        RequestId id =
+                fleet.send(accepting, fleet.generate(accepting, "k", "x", Tier.URGENT, 30_000));
+        long start = fleet.nowNanos;
+        boolean lost = false;
+        while (fleet.outcome(id) == null) {
+            if (!lost) {
+                lost = fleet.underWay.removeIf(d -> isRouting(d.event(), kind));
+            }
+            if (!fleet.underWay.isEmpty()) {
+                fleet.deliver(0);
+            } else if (!fleet.engines.live.isEmpty()) {
+                fleet.stepEngine(0);
+            } else {
+                fleet.tick(20);
+            }
+        }
+        assertTrue(lost);
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+        assertTrue(fleet.nowNanos - start < 6_000_000_000L, "" + (fleet.nowNanos - start));
+    }
+
+    private static boolean isRouting(HostEvent event, Class<?> kind) {
+        return event instanceof HostEvent.RoutingReceived received
+                && kind.isInstance(received.message());
+    }
 }
