--- a/src/main/java/org/orioleshed/control/StoreWatchers.java
+++ b/src/main/java/org/orioleshed/control/StoreWatchers.java
@@ -3,8 +3,6 @@
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.List;
 import org.orioleshed.fleet.EntryHost;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -17,14 +15,18 @@
 
     /** Returns whether {@code self} is among the hosts of {@code domain} that watch. */
     static boolean includes(HostId self, FailureDomain domain, Collection<EntryHost> hosts) {
-        List<HostId> chosen =
-                hosts.stream()
-                        .filter(host -> host.domain().equals(domain) && host.takesWork())
-                        .map(EntryHost::id)
-                        .sorted(Comparator.comparingLong(StoreWatchers::rank))
-                        .limit(PER_DOMAIN)
-                        .toList();
-        return chosen.contains(self) || chosen.isEmpty();
+        long own = rank(self);
+        int before = 0;
+        for (EntryHost host : hosts) {
+            if (host.id().equals(self) && !host.takesWork()) {
+                before = PER_DOMAIN;
+            }
+            boolean rival = host.domain().equals(domain) && host.takesWork();
+            if (rival && !host.id().equals(self) && rank(host.id()) < own) {
+                before++;
+            }
+        }
+        return before < PER_DOMAIN;
     }
 
     private static long rank(HostId host) {
--- a/src/test/java/org/orioleshed/membership/SteppedFleet.java
+++ b/src/test/java/org/orioleshed/membership/SteppedFleet.java
@@ -21,6 +21,7 @@
     static final long STEP_MILLIS = 10;
     private static final long STEP_NANOS = STEP_MILLIS * 1_000_000;
     private static final int STEPS_PER_TICK = 10;
+    private static final int STEPS_PER_CHECK = 5;
     private static final int FRAME_BYTES = 40;
 
     private record Letter(HostId from, HostId to, Payload body) {}
@@ -103,7 +104,10 @@
     /** Steps until {@code done}, and returns the time that took, in milliseconds. */
     long runUntil(java.util.function.BooleanSupplier done, long limitMillis) {
         long start = nowMillis();
-        while (!done.getAsBoolean() && nowMillis() - start < limitMillis) {
+        while (nowMillis() - start < limitMillis) {
+            if (step % STEPS_PER_CHECK == 0 && done.getAsBoolean()) {
+                break;
+            }
             step();
         }
         return nowMillis() - start;
--- /dev/null
+++ b/src/test/java/org/orioleshed/settings/ProposalProperties.java
@@ -0,0 +1,128 @@
+package org.orioleshed.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.orioleshed.store.MemoryStore;
+import org.orioleshed.store.Store;
+
+/** Operators race, answers get lost, writes land late: no change is lost or made twice. */
+class ProposalProperties {
+    private static final String KEY = "orioleshed/settings/tree";
+    private static final long STEP_NANOS = 50_000_000;
+    private static final long DEADLINE_NANOS = 10_000_000_000L;
+    private static final int PROPOSALS = 6;
+    private static final int MAX_STEPS = 600;
+
+    /** A call on its way to the store. */
+    private record Call(int proposal, ProposalAction action) {}
+
+    private final MemoryStore store = new MemoryStore();
+    private final Map<Integer, ProposalResult> settled = new HashMap<>();
+    private final ArrayDeque<Call> calls = new ArrayDeque<>();
+
+    @Property(seed = "1", tries = 200)
+    void aChangeIsMadeOnceIfAcceptedAndNotAtAllIfTurnedDown(@ForAll long seed) {
+        Random random = new Random(seed);
+        store.put(KEY, "{}");
+        settled.clear();
+        calls.clear();
+        List<Proposal> proposals = new ArrayList<>();
+        for (int i = 0; i < PROPOSALS; i++) {
+            proposals.add(proposal(i, random));
+        }
+        for (int step = 0; step < MAX_STEPS && settled.size() < PROPOSALS; step++) {
+            run(proposals, random, step * STEP_NANOS);
+        }
+        assertEquals(settled.size(), PROPOSALS);
+        checkHistory();
+    }
+
+    private static Proposal proposal(int i, Random random) {
+        Optional<Long> basedOn = random.nextBoolean() ? Optional.of(1L) : Optional.empty();
+        ProposedChange change =
+                new ProposedChange(
+                        "change-" + i,
+                        "litia",
+                        "test",
+                        basedOn,
+                        List.of(SettingsEdit.set("/limits/moveSoakMillis", "" + i)));
+        return new Proposal(change, 1, 0, DEADLINE_NANOS);
+    }
+
+    private void run(List<Proposal> proposals, Random random, long nowNanos) {
+        for (int i = 0; i < proposals.size(); i++) {
+            act(i, proposals.get(i).on(nowNanos, new ProposalEvent.Tick()));
+        }
+        for (int waiting = calls.size(); waiting > 0; waiting--) {
+            Call call = calls.poll();
+            if (random.nextInt(3) == 0) {
+                calls.add(call);
+                continue;
+            }
+            Store.Result result = make(call, random);
+            act(
+                    call.proposal(),
+                    proposals
+                            .get(call.proposal())
+                            .on(nowNanos, new ProposalEvent.StoreAnswered(result)));
+        }
+    }
+
+    private void act(int proposal, List<ProposalAction> actions) {
+        for (ProposalAction action : actions) {
+            if (action instanceof ProposalAction.Settled done) {
+                assertTrue(settled.put(proposal, done.result()) == null);
+                continue;
+            }
+            calls.add(new Call(proposal, action));
+        }
+    }
+
+    /** Makes the call, or loses it on the way, or loses its answer. */
+    private Store.Result make(Call call, Random random) {
+        int fault = random.nextInt(6);
+        if (fault == 0) {
+            return new Store.Result.Unknown("lost on the way");
+        }
+        Store.Result result =
+                switch (call.action()) {
+                    case ProposalAction.ReadStore read -> store.get(KEY, 1).join();
+                    case ProposalAction.SwapStore swap ->
+                            store.swap(KEY, swap.expectedRevision(), swap.value(), 0, 1).join();
+                    case ProposalAction.Settled done -> throw new AssertionError(done);
+                };
+        return fault == 1 ? new Store.Result.Unknown("answer lost") : result;
+    }
+
+    private void checkHistory() {
+        Store.Result.Entries entries = (Store.Result.Entries) store.get(KEY, 1).join();
+        SettingsDocument document =
+                ((SettingsDocument.Result.Read)
+                                SettingsDocument.decode(entries.entries().getFirst().value()))
+                        .document();
+        List<String> ids = document.changes().stream().map(SettingsChange::id).toList();
+        assertEquals(ids.stream().distinct().count(), ids.size(), ids.toString());
+        for (Map.Entry<Integer, ProposalResult> each : settled.entrySet()) {
+            boolean made = ids.contains("change-" + each.getKey());
+            switch (each.getValue()) {
+                case ProposalResult.Accepted accepted -> {
+                    assertTrue(made);
+                    long number = document.numberOf("change-" + each.getKey()).orElseThrow();
+                    assertEquals(accepted.number(), number);
+                }
+                case ProposalResult.InDoubt inDoubt -> {}
+                default -> assertTrue(!made, each.toString());
+            }
+        }
+    }
+}
