Take the limits of moves from the settings; test moves, chunks and the store's follower

The tree no longer offers limits that nothing reads: those of moves now reach the move core when the first settings come into force, and the retention of claims is left out until the claims read it. A fresh host gets 7,100 workspaces in pieces, one a change behind gets that change only. Moves over four hosts complete, are taken back on faults, and by an operator whose answer is lost.

--- a/src/main/java/org/orioleshed/control/ControlCore.java
+++ b/src/main/java/org/orioleshed/control/ControlCore.java
@@ -56,6 +56,7 @@
     private final Map<FollowedKey, FollowedStore> followed = new LinkedHashMap<>();
     private final Proposals proposals;
     private final MoveDriver moves;
+    private final long incarnation;
     private final MembershipCodec membershipCodec = new MembershipCodec();
     private final SettingsCodec settingsCodec = new SettingsCodec();
     private final Map<Long, StatusRound> rounds = new HashMap<>();
@@ -93,8 +94,8 @@
         this.membership = new Membership(self, MembershipOptions.DEFAULT, random);
         this.spread = new SettingsSpread(random);
         this.proposals = new Proposals(store, ring, this::accepted);
-        MoveCore moveCore = new MoveCore(own.host(), own.domain(), incarnation, MoveLimits.DEFAULT);
-        this.moves = new MoveDriver(moveCore, store, peers, orders, ring);
+        this.incarnation = incarnation;
+        this.moves = new MoveDriver(store, peers, orders, ring);
         for (FollowedKey key : FollowedKey.values()) {
             followed.put(key, new FollowedStore(key, store, ring, random));
         }
@@ -268,6 +269,7 @@
 
     private void adopt(SettingsAction.Adopt adopted) {
         tree = adopted.tree();
+        moves.begin(this::moveCore);
         revision = adopted.number();
         worldChanged = true;
         logger.atInfo().log(
@@ -275,6 +277,11 @@
                 adopted.number(), adopted.changeId(), spread.status(nowNanos).unconfirmed());
     }
 
+    private MoveCore moveCore() {
+        MoveLimits limits = MoveLimitsFrom.settings(tree.limits());
+        return new MoveCore(own.host(), own.domain(), incarnation, limits);
+    }
+
     private void accepted(ProposalResult.Accepted accepted) {
         if (accepted.value().size() > 0) {
             onSettings(new SettingsEvent.StoreSaid(Optional.of(accepted.value())));
--- a/src/main/java/org/orioleshed/control/MoveDriver.java
+++ b/src/main/java/org/orioleshed/control/MoveDriver.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.HostId;
@@ -35,7 +36,6 @@
 
     private record Write(MoveWrite machine, CompletableFuture<MoveWriteResult> answer) {}
 
-    private final MoveCore core;
     private final Store store;
     private final PeerPort peers;
     private final ServerOrders orders;
@@ -43,25 +43,27 @@
     private final MoveCodec codec = new MoveCodec();
     private final MoveNotices notices = new MoveNotices();
     private final Map<Long, Write> writes = new HashMap<>();
+    private MoveCore core;
     private World world = World.EMPTY;
     private long lastWrite;
     private boolean splitChanged;
     private MoveAction.SplitChanged split =
             new MoveAction.SplitChanged(Map.of(), Map.of(), Set.of());
 
-    MoveDriver(
-            MoveCore core,
-            Store store,
-            PeerPort peers,
-            ServerOrders orders,
-            Consumer<ControlEvent> ring) {
-        this.core = core;
+    MoveDriver(Store store, PeerPort peers, ServerOrders orders, Consumer<ControlEvent> ring) {
         this.store = store;
         this.peers = peers;
         this.orders = orders;
         this.ring = ring;
     }
 
+    /** Sets moves going, once their limits are known; later calls change nothing. */
+    void begin(Supplier<MoveCore> maker) {
+        if (core == null) {
+            core = maker.get();
+        }
+    }
+
     /** Returns how traffic divides now. */
     MoveAction.SplitChanged split() {
         return split;
@@ -75,7 +77,7 @@
     }
 
     List<MoveStatus> status(long nowNanos) {
-        return core.status(nowNanos);
+        return core == null ? List.of() : core.status(nowNanos);
     }
 
     void tick(long nowNanos, long epochMillis) {
@@ -141,6 +143,9 @@
     }
 
     void on(long nowNanos, MoveEvent event) {
+        if (core == null) {
+            return;
+        }
         for (MoveAction action : core.on(nowNanos, event)) {
             switch (action) {
                 case MoveAction.SwapRecord swap -> swap(swap);
--- a/src/main/java/org/orioleshed/settings/Limits.java
+++ b/src/main/java/org/orioleshed/settings/Limits.java
@@ -1,18 +1,23 @@
 package org.orioleshed.settings;
 
+import java.util.List;
+
 /**
  * Limits of the whole fleet.
  *
- * @param claimRetentionMinutes how long the claim of a call that must not be repeated is kept
  * @param moveSpreadMillis how long before a move's time its outcome must be recorded
- * @param moveMaxUnprovenShare the most traffic that a new version gets before it has evidence, from
+ * @param moveShares the new version's share of requests at each step of a move, growing, each from
  *     0 to 1
- * @param moveSoakMillis how long a new version carries all traffic before a move completes
+ * @param moveSoakFraction the part of a move's time that must pass before it completes, from 0 to 1
  * @param versionLoadsAtOnce backend servers that may load a version at once
  */
 public record Limits(
-        long claimRetentionMinutes,
         long moveSpreadMillis,
-        double moveMaxUnprovenShare,
-        long moveSoakMillis,
-        int versionLoadsAtOnce) {}
+        List<Double> moveShares,
+        double moveSoakFraction,
+        int versionLoadsAtOnce) {
+    /** Copies the list. */
+    public Limits {
+        moveShares = List.copyOf(moveShares);
+    }
+}
--- a/src/main/java/org/orioleshed/settings/Schema.java
+++ b/src/main/java/org/orioleshed/settings/Schema.java
@@ -235,32 +235,29 @@
 
     private static Group limits() {
         return Group.of(
-                Field.withDefault(
-                        "claimRetentionMinutes",
-                        new Whole(1, 30 * 24 * 60),
-                        "1440",
-                        "How long the claim of a call that must not be repeated is kept."),
                 Field.withDefault(
                         "moveSpreadMillis",
                         new Whole(100, 60_000),
                         "3000",
                         "How long before a move's time its outcome must be recorded, so that"
-                                + " every host knows it by then."),
+                                + " every host knows it by then. Read at a host's start."),
                 Field.withDefault(
-                        "moveMaxUnprovenShare",
-                        new Fraction(0.001, 1),
-                        "0.05",
-                        "The most traffic that a new version gets before it has evidence."),
+                        "moveShares",
+                        new ListOf(new Fraction(0.001, 1)),
+                        "[0.01,0.02,0.04]",
+                        "The new version's share of requests at each step of a move, growing; the"
+                                + " last is kept until the outcome. Read at a host's start."),
                 Field.withDefault(
-                        "moveSoakMillis",
-                        new Whole(0, DAY_MILLIS),
-                        "10000",
-                        "How long a new version carries all traffic before a move completes."),
+                        "moveSoakFraction",
+                        new Fraction(0, 1),
+                        "0.8",
+                        "The part of a move's time that must pass before it completes. Read at a"
+                                + " host's start."),
                 Field.withDefault(
                         "versionLoadsAtOnce",
                         new Whole(1, 1_000),
-                        "2",
+                        "1",
                         "Backend servers that may load a version from the weight store at"
-                                + " once."));
+                                + " once. Read at a host's start."));
     }
 }
--- a/src/main/java/org/orioleshed/settings/SettingsEdit.java
+++ b/src/main/java/org/orioleshed/settings/SettingsEdit.java
@@ -5,7 +5,7 @@
 /**
  * One edit of the tree.
  *
- * @param path what is edited, as a JSON pointer such as {@code /limits/moveSoakMillis}
+ * @param path what is edited, as a JSON pointer such as {@code /limits/moveSpreadMillis}
  * @param json the new value as JSON; empty to take the value away
  */
 public record SettingsEdit(String path, Optional<String> json) {
--- a/src/main/java/org/orioleshed/settings/TreeBuilder.java
+++ b/src/main/java/org/orioleshed/settings/TreeBuilder.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.Ordering;
 import java.net.URI;
 import java.time.LocalTime;
 import java.time.ZoneId;
@@ -57,11 +58,12 @@
         Map<ServerId, BackendServer> servers = buildServers();
         Map<WorkspaceId, Workspace> workspaces = buildWorkspaces();
         Map<RouteId, VersionId> versions = buildVersions(routes);
+        Limits limits = buildLimits();
         if (!problems.isEmpty()) {
             return new SettingsTree.Result.Problems(problems);
         }
         return new SettingsTree.Result.Loaded(
-                new SettingsTree(tiers, routes, servers, workspaces, versions, buildLimits()));
+                new SettingsTree(tiers, routes, servers, workspaces, versions, limits));
     }
 
     private void buildTiers() {
@@ -250,11 +252,16 @@
 
     private Limits buildLimits() {
         JsonNode limits = Inheritance.withDefaults(LIMITS, (ObjectNode) document.get("limits"));
+        List<Double> shares = new ArrayList<>();
+        limits.get("moveShares").forEach(share -> shares.add(share.doubleValue()));
+        if (shares.isEmpty() || !Ordering.natural().isStrictlyOrdered(shares)) {
+            String allowed = "at least one share, each greater than the one before";
+            problems.add(Problem.of("/limits/moveShares", shares, allowed));
+        }
         return new Limits(
-                limits.get("claimRetentionMinutes").longValue(),
                 limits.get("moveSpreadMillis").longValue(),
-                limits.get("moveMaxUnprovenShare").doubleValue(),
-                limits.get("moveSoakMillis").longValue(),
+                shares,
+                limits.get("moveSoakFraction").doubleValue(),
                 limits.get("versionLoadsAtOnce").intValue());
     }
 
--- a/src/test/java/org/orioleshed/control/ControlFleet.java
+++ b/src/test/java/org/orioleshed/control/ControlFleet.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.time.Instant;
-import java.time.InstantSource;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -75,7 +74,7 @@
                             fleet.store,
                             this,
                             worlds::add,
-                            InstantSource.fixed(Instant.EPOCH),
+                            () -> Instant.ofEpochMilli(1 + fleet.nowMillis()),
                             ring::add,
                             new NoOrders(),
                             new Random(fleet.random.nextLong()));
@@ -164,6 +163,10 @@
         return step * STEP_MILLIS * NANOS_PER_MILLI;
     }
 
+    long nowMillis() {
+        return step * STEP_MILLIS;
+    }
+
     void runMillis(long millis) {
         for (long done = 0; done < millis; done += STEP_MILLIS) {
             step();
@@ -212,7 +215,7 @@
                         "litia",
                         "test",
                         basedOn,
-                        List.of(SettingsEdit.set("/limits/moveSoakMillis", "1234"))));
+                        List.of(SettingsEdit.set("/limits/moveSpreadMillis", "1234"))));
     }
 
     CompletableFuture<ProposalResult> propose(int host, ProposedChange change) {
--- /dev/null
+++ b/src/test/java/org/orioleshed/control/ControlMovesTest.java
@@ -0,0 +1,133 @@
+package org.orioleshed.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.VersionSplit;
+import org.orioleshed.model.Fingerprint;
+import org.orioleshed.model.ModelId;
+import org.orioleshed.model.MoveId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.move.MoveEvent;
+import org.orioleshed.move.MoveRecord;
+import org.orioleshed.move.RunResult;
+import org.testng.annotations.Test;
+
+/** Moves driven by the control duty of several hosts over one store. */
+public class ControlMovesTest {
+    private static final RouteId ROUTE = new RouteId("letters");
+    private static final VersionId OLD = new VersionId("v1");
+    private static final VersionId NEW = new VersionId("v2");
+    private static final MoveId MOVE = new MoveId("move-1");
+    private static final long COMPLETE_BY_MILLIS = 60_000;
+    private static final long STEP_MILLIS = 100;
+    private static final int RUNS_PER_STEP = 20;
+    private static final String TREE =
+            "{\"routes\":{\"letters\":{\"model\":\"letters\"}},"
+                    + "\"currentVersions\":{\"letters\":\"v1\"},"
+                    + "\"servers\":{\"defaults\":{\"model\":\"letters\"},\"items\":{"
+                    + "\"s1\":{\"domain\":\"domain-0\",\"address\":\"http://127.0.0.1:9\","
+                    + "\"version\":\"v1\"},"
+                    + "\"s2\":{\"domain\":\"domain-0\",\"address\":\"http://127.0.0.1:8\","
+                    + "\"version\":\"v2\"}}}}";
+
+    private static ControlFleet planned(long seed) {
+        ControlFleet fleet = new ControlFleet(4, TREE, seed);
+        fleet.runUntil(() -> fleet.allSee(4) && fleet.allHave(1), 20_000);
+        CompletableFuture<MoveWriteResult> answer = new CompletableFuture<>();
+        MoveRecord record =
+                MoveRecord.plan(
+                        MOVE,
+                        new Target.Model(new ModelId("letters")),
+                        OLD,
+                        NEW,
+                        List.of(ROUTE),
+                        fleet.nowMillis(),
+                        fleet.nowMillis() + COMPLETE_BY_MILLIS,
+                        List.of(),
+                        "litia",
+                        "test");
+        fleet.store.loseAnswers(1);
+        MoveWrite.Wish wish = new MoveWrite.Wish.Plan(record);
+        fleet.host(0).ring.add(new ControlEvent.MoveWanted(wish, answer));
+        fleet.runUntil(answer::isDone, 5_000);
+        assertEquals(answer.join().getClass(), MoveWriteResult.Written.class);
+        return fleet;
+    }
+
+    private static boolean all(ControlFleet fleet, VersionId version) {
+        return fleet.hosts.values().stream()
+                .allMatch(
+                        host ->
+                                host.world().splits().isEmpty()
+                                        && version.equals(
+                                                host.world().currentVersions().get(ROUTE)));
+    }
+
+    /** Runs requests as the division of traffic says, until the time is over. */
+    private static void serve(ControlFleet fleet, RunResult.Verdict ofNew, long millis) {
+        for (long done = 0; done < millis; done += STEP_MILLIS) {
+            for (ControlFleet.Host host : fleet.hosts.values()) {
+                for (int i = 0; i < RUNS_PER_STEP; i++) {
+                    run(host, ofNew, (double) i / RUNS_PER_STEP);
+                }
+            }
+            fleet.runMillis(STEP_MILLIS);
+        }
+    }
+
+    private static void run(ControlFleet.Host host, RunResult.Verdict ofNew, double draw) {
+        VersionSplit split = host.world().splits().get(ROUTE);
+        boolean toNew = split != null && split.choose(draw).equals(NEW);
+        RunResult result =
+                new RunResult(
+                        toNew ? ofNew : RunResult.Verdict.OK,
+                        1_000,
+                        100,
+                        50,
+                        100,
+                        0,
+                        0.5,
+                        new Fingerprint(0, (long) (draw * RUNS_PER_STEP)));
+        MoveEvent observed =
+                new MoveEvent.Observed(
+                        ROUTE, toNew ? NEW : OLD, new ServerId(toNew ? "s2" : "s1"), result);
+        host.ring.add(new ControlEvent.MoveHappened(observed));
+    }
+
+    @Test
+    public void aGoodVersionCompletesOnEveryHost() {
+        ControlFleet fleet = planned(1);
+        serve(fleet, RunResult.Verdict.OK, COMPLETE_BY_MILLIS + 1_000);
+        assertTrue(all(fleet, NEW), fleet.host(0).world().currentVersions().toString());
+    }
+
+    @Test
+    public void aVersionThatFailsIsTakenBackOnEveryHost() {
+        ControlFleet fleet = planned(2);
+        serve(fleet, RunResult.Verdict.FAILED, COMPLETE_BY_MILLIS + 1_000);
+        assertTrue(all(fleet, OLD), fleet.host(0).world().currentVersions().toString());
+    }
+
+    @Test
+    public void anOperatorTakesAMoveBackOnceAndAllHostsFollow() {
+        ControlFleet fleet = planned(3);
+        serve(fleet, RunResult.Verdict.OK, 5_000);
+        MoveWrite.Wish wish = new MoveWrite.Wish.TakeBack(MOVE, "litia", "no", 1);
+        fleet.store.loseAnswers(1);
+        CompletableFuture<MoveWriteResult> first = new CompletableFuture<>();
+        fleet.host(1).ring.add(new ControlEvent.MoveWanted(wish, first));
+        fleet.runMillis(5_000);
+        assertEquals(first.join().getClass(), MoveWriteResult.Written.class);
+        CompletableFuture<MoveWriteResult> second = new CompletableFuture<>();
+        fleet.host(2).ring.add(new ControlEvent.MoveWanted(wish, second));
+        fleet.runMillis(5_000);
+        assertEquals(second.join().getClass(), MoveWriteResult.Decided.class);
+        assertTrue(all(fleet, OLD));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/control/StoreFollowerTest.java
@@ -0,0 +1,111 @@
+package org.orioleshed.control;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.orioleshed.control.StoreFollower.Action;
+import org.orioleshed.control.StoreFollower.Event;
+import org.orioleshed.control.StoreFollower.Mode;
+import org.orioleshed.model.Payload;
+import org.orioleshed.store.Store;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link StoreFollower}. */
+public class StoreFollowerTest {
+    private static final long POLL_MILLIS = 1_000;
+    private static final long STEP_NANOS = 50_000_000;
+
+    private StoreFollower follower;
+    private long nowNanos;
+
+    @BeforeMethod
+    public void make() {
+        follower = new StoreFollower(POLL_MILLIS, new Random(1));
+        nowNanos = 0;
+    }
+
+    private List<Action> on(Event event) {
+        return follower.on(nowNanos, event);
+    }
+
+    /** Lets time pass, and returns what was wanted meanwhile. */
+    private List<Action> runMillis(long millis) {
+        List<Action> actions = new ArrayList<>();
+        for (long end = nowNanos + millis * 1_000_000; nowNanos < end; ) {
+            nowNanos += STEP_NANOS;
+            actions.addAll(on(new Event.Tick()));
+        }
+        return actions;
+    }
+
+    private static Event answer(long entryRevision, long storeRevision) {
+        Store.Entry entry = new Store.Entry("k", Payload.EMPTY, entryRevision);
+        return new Event.ReadAnswered(new Store.Result.Entries(List.of(entry), storeRevision));
+    }
+
+    private static Event away() {
+        return new Event.ReadAnswered(new Store.Result.Away("away"));
+    }
+
+    @Test
+    public void anyHostReadsOnceAndThenNeverAgain() {
+        assertEquals(on(new Event.Tick()), List.of(new Action.Read(true, 0)));
+        assertEquals(on(answer(5, 9)), List.of());
+        assertEquals(runMillis(60_000), List.of());
+    }
+
+    @Test
+    public void aFollowerWatchesFromWhereItReadAndPollsForWhatIsNewer() {
+        on(new Event.ModeChanged(Mode.FOLLOW));
+        runMillis(200);
+        assertEquals(on(answer(5, 9)), List.of(new Action.Watch(10)));
+        assertEquals(runMillis(POLL_MILLIS), List.of(new Action.Read(false, 5)));
+    }
+
+    @Test
+    public void aStoreThatWentBackIsReadWhole() {
+        on(new Event.ModeChanged(Mode.FOLLOW));
+        runMillis(200);
+        on(answer(5, 9));
+        runMillis(POLL_MILLIS);
+        on(new Event.ReadAnswered(new Store.Result.Entries(List.of(), 3)));
+        assertEquals(on(new Event.Tick()), List.of(new Action.Read(true, 0)));
+    }
+
+    @Test
+    public void aBrokenWatchLeadsToAWholeReadAndANewWatch() {
+        on(new Event.ModeChanged(Mode.FOLLOW));
+        runMillis(200);
+        on(answer(5, 9));
+        on(new Event.Broke());
+        assertEquals(runMillis(300), List.of(new Action.Read(true, 0)));
+        assertEquals(on(answer(5, 12)), List.of(new Action.Watch(13)));
+    }
+
+    @Test
+    public void anOutageIsAskedLessAndLess() {
+        on(new Event.ModeChanged(Mode.FOLLOW));
+        int calls = 0;
+        for (int i = 0; i < 1_200; i++) {
+            for (Action action : runMillis(50)) {
+                assertTrue(action instanceof Action.Read);
+                calls++;
+                on(away());
+            }
+        }
+        assertTrue(calls <= 20, "calls in a minute: " + calls);
+    }
+
+    @Test
+    public void aHostThatNoLongerFollowsEndsItsWatch() {
+        on(new Event.ModeChanged(Mode.FOLLOW));
+        runMillis(200);
+        on(answer(5, 9));
+        assertEquals(on(new Event.ModeChanged(Mode.ONCE)), List.of(new Action.Unwatch()));
+        assertEquals(runMillis(60_000), List.of());
+    }
+}
--- a/src/test/java/org/orioleshed/settings/ProposalProperties.java
+++ b/src/test/java/org/orioleshed/settings/ProposalProperties.java
@@ -55,7 +55,7 @@
                         "litia",
                         "test",
                         basedOn,
-                        List.of(SettingsEdit.set("/limits/moveSoakMillis", "" + i)));
+                        List.of(SettingsEdit.set("/limits/moveSpreadMillis", "" + (100 + i))));
         return new Proposal(change, 1, 0, DEADLINE_NANOS);
     }
 
--- /dev/null
+++ b/src/test/java/org/orioleshed/settings/SettingsSpreadTest.java
@@ -0,0 +1,182 @@
+package org.orioleshed.settings;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Payload;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link SettingsSpread} between a few hosts, by hand. */
+public class SettingsSpreadTest {
+    private static final long STEP_NANOS = 50_000_000;
+    private static final int WORKSPACES = 7_100;
+    private static final HostId A = new HostId("a");
+    private static final HostId B = new HostId("b");
+
+    private record Letter(HostId from, HostId to, SettingsMessage message) {}
+
+    private final Map<HostId, SettingsSpread> hosts = new LinkedHashMap<>();
+    private final Map<HostId, List<Long>> adopted = new LinkedHashMap<>();
+    private final ArrayDeque<Letter> letters = new ArrayDeque<>();
+    private final List<String> alarms = new ArrayList<>();
+    private final List<SettingsMessage> sent = new ArrayList<>();
+    private long nowNanos;
+
+    @BeforeMethod
+    public void clear() {
+        hosts.clear();
+        adopted.clear();
+        letters.clear();
+        alarms.clear();
+        sent.clear();
+        nowNanos = 0;
+        start(A);
+        start(B);
+    }
+
+    private void start(HostId host) {
+        hosts.put(host, new SettingsSpread(new Random(1)));
+        adopted.put(host, new ArrayList<>());
+        act(host, new SettingsEvent.PeersChanged(List.of(host.equals(A) ? B : A)));
+    }
+
+    private void act(HostId host, SettingsEvent event) {
+        for (SettingsAction action : hosts.get(host).on(nowNanos, event)) {
+            switch (action) {
+                case SettingsAction.Send send -> {
+                    letters.add(new Letter(host, send.to(), send.message()));
+                    sent.add(send.message());
+                }
+                case SettingsAction.Adopt adopt -> adopted.get(host).add(adopt.number());
+                case SettingsAction.Alarm alarm -> alarms.add(alarm.detail());
+                case SettingsAction.Told told -> {}
+            }
+        }
+    }
+
+    private void run(int steps) {
+        for (int i = 0; i < steps; i++) {
+            nowNanos += STEP_NANOS;
+            for (int waiting = letters.size(); waiting > 0; waiting--) {
+                Letter letter = letters.poll();
+                act(letter.to(), new SettingsEvent.Received(letter.from(), letter.message()));
+            }
+            hosts.keySet().forEach(host -> act(host, new SettingsEvent.Tick()));
+        }
+    }
+
+    private static SettingsDocument document(String text) {
+        return ((SettingsDocument.Result.Read) SettingsDocument.decode(Payload.of(text)))
+                .document();
+    }
+
+    private static SettingsDocument changed(SettingsDocument document, String id) {
+        SettingsChange change =
+                new SettingsChange(
+                        document.number() + 1,
+                        id,
+                        "litia",
+                        "test",
+                        0,
+                        List.of(SettingsEdit.set("/limits/moveSpreadMillis", "1000")));
+        return ((SettingsDocument.Result.Read) document.with(change)).document();
+    }
+
+    private void say(HostId host, SettingsDocument document) {
+        act(host, new SettingsEvent.StoreSaid(Optional.of(document.encode())));
+    }
+
+    private long number(HostId host) {
+        return hosts.get(host).status(nowNanos).number();
+    }
+
+    @Test
+    public void aFreshHostGetsALargeTreeInPieces() {
+        say(A, document(LargeTree.text(WORKSPACES, 10)));
+        run(40);
+        assertEquals(number(B), 1);
+        assertTrue(sent.stream().filter(SettingsMessage.Chunk.class::isInstance).count() > 2);
+    }
+
+    @Test
+    public void aHostOneChangeBehindGetsThatChangeOnly() {
+        SettingsDocument first = document(LargeTree.text(WORKSPACES, 10));
+        say(A, first);
+        say(B, first);
+        run(10);
+        sent.clear();
+        say(A, changed(first, "c1"));
+        run(10);
+        assertEquals(number(B), 2);
+        assertTrue(sent.stream().noneMatch(SettingsMessage.Chunk.class::isInstance));
+    }
+
+    @Test
+    public void aRevisionWithAnotherPastIsRefusedFromStoreAndPeersAlike() {
+        SettingsDocument first = document("{}");
+        say(A, first);
+        run(10);
+        say(A, changed(first, "ours"));
+        run(10);
+        SettingsDocument forked = changed(changed(first, "theirs"), "theirs-2");
+        say(B, forked);
+        run(20);
+        assertEquals(adopted.get(A), List.of(1L, 2L));
+        assertEquals(adopted.get(B), List.of(1L, 2L));
+        assertTrue(alarms.getFirst().contains("does not follow"), alarms.toString());
+    }
+
+    @Test
+    public void aLowerRevisionIsRefusedWithAnAlarmOnce() {
+        SettingsDocument first = document("{}");
+        say(A, changed(first, "c1"));
+        run(10);
+        say(A, first);
+        say(A, first);
+        assertEquals(number(A), 2);
+        assertEquals(alarms.size(), 1);
+        assertTrue(alarms.getFirst().contains("older"), alarms.toString());
+    }
+
+    @Test
+    public void aFreshHostWaitsForItsPeersBeforeItTrustsAnOldStore() {
+        SettingsDocument first = document("{}");
+        say(A, changed(first, "c1"));
+        run(10);
+        start(B);
+        hosts.get(B);
+        nowNanos += STEP_NANOS;
+        say(B, first);
+        run(20);
+        assertEquals(adopted.get(B), List.of(2L));
+    }
+
+    @Test
+    public void settingsThatAreNotValidAreNeverInForce() {
+        say(A, document("{}"));
+        run(10);
+        SettingsChange bad =
+                new SettingsChange(
+                        2,
+                        "bad",
+                        "litia",
+                        "test",
+                        0,
+                        List.of(SettingsEdit.set("/limits/moveSpreadMillis", "-1")));
+        SettingsDocument document =
+                ((SettingsDocument.Result.Read) document("{}").with(bad)).document();
+        say(A, document);
+        run(10);
+        assertEquals(number(A), 1);
+        assertEquals(alarms.size(), 1);
+    }
+}
--- a/src/test/java/org/orioleshed/settings/SettingsTreeTest.java
+++ b/src/test/java/org/orioleshed/settings/SettingsTreeTest.java
@@ -105,7 +105,8 @@
                 ""
             },
             {"{\"currentVersions\":{\"gangway\":\"v1\"}}", "/currentVersions/gangway", ""},
-            {"{\"limits\":{\"moveMaxUnprovenShare\":2}}", "/limits/moveMaxUnprovenShare", ""},
+            {"{\"limits\":{\"moveSoakFraction\":2}}", "/limits/moveSoakFraction", ""},
+            {"{\"limits\":{\"moveShares\":[0.2,0.1]}}", "/limits/moveShares", ""},
             {"[]", "", ""},
             {"{\"tiers\":{},\"tiers\":{}}", "", ""},
             {"{", "", ""},
