--- a/src/main/java/org/orioleshed/control/ControlCore.java
+++ b/src/main/java/org/orioleshed/control/ControlCore.java
@@ -44,6 +44,7 @@
 final class ControlCore {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long MOVES_NANOS = 100 * NANOS_PER_MILLI;
     private static final long STATUS_NANOS = 1_000 * NANOS_PER_MILLI;
 
     private final EntrySettings own;
@@ -66,6 +67,7 @@
     private long settingsStoreRevision;
     private Map<HostId, EntryHost> hosts = Map.of();
     private boolean worldChanged = true;
+    private long nextMovesNanos;
     private long nowNanos;
 
     ControlCore(
@@ -116,7 +118,10 @@
             each.on(now, new StoreFollower.Event.Tick());
         }
         proposals.tick(now);
-        moves.tick(now, wallClock.millis());
+        if (now >= nextMovesNanos) {
+            nextMovesNanos = now + MOVES_NANOS;
+            moves.tick(now, wallClock.millis());
+        }
         finishRounds();
     }
 
