Cut the work of each observation and tick of the moves

Sorting of quantile windows, ranking of hosts and building the same division of traffic were the repeated work.

--- a/src/main/java/org/orioleshed/admin/AdminMain.java
+++ b/src/main/java/org/orioleshed/admin/AdminMain.java
@@ -74,7 +74,9 @@
     static int run(
             String[] args, Map<String, String> environment, PrintStream out, PrintStream err) {
         try {
-            Object command = new com.github.rvesse.airline.Cli<Object>(AdminMain.class).parse(args);
+            String[] words = args.length == 0 ? new String[] {"help"} : args;
+            Object command =
+                    new com.github.rvesse.airline.Cli<Object>(AdminMain.class).parse(words);
             if (command instanceof AdminCommand admin) {
                 return admin.run(environment, out, err).code();
             }
--- a/src/main/java/org/orioleshed/move/MoveCore.java
+++ b/src/main/java/org/orioleshed/move/MoveCore.java
@@ -7,7 +7,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import org.orioleshed.fleet.EntryHost;
@@ -51,6 +50,10 @@
     private long nextGossipNanos = Long.MIN_VALUE;
     private long nextListNanos = Long.MIN_VALUE;
     private long gossipRound;
+
+    /** Whether the division of traffic may have changed. */
+    private boolean unsaid;
+
     private MoveAction.SplitChanged said =
             new MoveAction.SplitChanged(Map.of(), Map.of(), Set.of());
 
@@ -77,11 +80,7 @@
     public List<MoveAction> on(long nowNanos, MoveEvent event) {
         List<MoveAction> actions = new ArrayList<>();
         switch (event) {
-            case MoveEvent.Observed observed -> {
-                if (!observe(nowNanos, observed, actions)) {
-                    return actions;
-                }
-            }
+            case MoveEvent.Observed observed -> observe(nowNanos, observed, actions);
             case MoveEvent.RecordRead read -> read(nowNanos, read, actions);
             case MoveEvent.RecordsListed listed ->
                     listed.records().forEach(read -> read(nowNanos, read, actions));
@@ -127,9 +126,7 @@
         return all;
     }
 
-    /** Returns whether the division of traffic may have changed. */
-    private boolean observe(long nowNanos, MoveEvent.Observed observed, List<MoveAction> actions) {
-        boolean blown = false;
+    private void observe(long nowNanos, MoveEvent.Observed observed, List<MoveAction> actions) {
         for (MoveRun run : runsByRoute.getOrDefault(observed.route(), List.of())) {
             if (run.isOver(epochMillis) || run.isSuperseded()) {
                 continue;
@@ -143,19 +140,13 @@
                             run.generation(observed.server(), world),
                             observed.result());
             if (observed.version().equals(run.record().to())) {
-                blown |= checkFuse(nowNanos, run, actions);
+                checkFuse(nowNanos, run, actions);
             }
         }
-        return blown;
     }
 
-    private boolean checkFuse(long nowNanos, MoveRun run, List<MoveAction> actions) {
-        Optional<String> alarm = run.alarm();
-        if (alarm.isEmpty()) {
-            return false;
-        }
-        blow(nowNanos, run, alarm.get(), peers, actions);
-        return true;
+    private void checkFuse(long nowNanos, MoveRun run, List<MoveAction> actions) {
+        run.alarm().ifPresent(reason -> blow(nowNanos, run, reason, peers, actions));
     }
 
     private void blow(
@@ -167,6 +158,7 @@
         if (!run.blow(reason)) {
             return;
         }
+        unsaid = true;
         MoveAction.Notice.Kind kind =
                 run.isOpen()
                         ? MoveAction.Notice.Kind.FUSE
@@ -235,6 +227,7 @@
             actions.add(notice(run, kind, record.author() + ": " + record.reason()));
         }
         settleRaces();
+        unsaid = true;
         return true;
     }
 
@@ -330,6 +323,7 @@
 
     private void changeWorld(World newWorld) {
         world = newWorld;
+        unsaid = true;
         peers =
                 world.hosts().values().stream()
                         .filter(host -> host.state() != EntryHost.State.DEAD)
@@ -343,6 +337,7 @@
 
     private void tick(long nowNanos, long newEpochMillis, List<MoveAction> actions) {
         epochMillis = newEpochMillis;
+        unsaid = true;
         for (MoveRun run : runs.values()) {
             if (run.concludeAtDeadline(epochMillis)) {
                 actions.add(
@@ -431,6 +426,10 @@
     }
 
     private void sayIfChanged(long nowNanos, List<MoveAction> actions) {
+        if (!unsaid) {
+            return;
+        }
+        unsaid = false;
         MoveAction.SplitChanged now = split(nowNanos);
         if (!now.equals(said)) {
             said = now;
--- a/src/main/java/org/orioleshed/move/MoverTurn.java
+++ b/src/main/java/org/orioleshed/move/MoverTurn.java
@@ -27,8 +27,12 @@
 
     private static final int LISTING_PER_DOMAIN = 2;
 
+    /** Starts with a slash, which no move's name contains. */
+    private static final String LISTING = "/listing/";
+
     private final HostId self;
     private final Map<MoveId, Long> heardNanos = new HashMap<>();
+    private final Map<String, Integer> ranks = new HashMap<>();
     private List<EntryHost> hosts = List.of();
 
     MoverTurn(HostId self) {
@@ -37,6 +41,7 @@
 
     void changeHosts(World world) {
         hosts = world.hosts().values().stream().filter(EntryHost::takesWork).toList();
+        ranks.clear();
     }
 
     /** A move was seen for the first time; the first in the order may try at once. */
@@ -51,7 +56,7 @@
 
     /** Returns whether this host should try now, no other mover having been heard of for long. */
     boolean isMine(MoveId move, long nowNanos) {
-        int rank = rank(move.value(), ids(null));
+        int rank = ranks.computeIfAbsent(move.value(), name -> rank(name, ids(null)));
         if (rank >= MOST_TRYING) {
             return false;
         }
@@ -61,7 +66,8 @@
 
     /** Returns whether this host is one of those of its domain that list the moves. */
     boolean lists(FailureDomain domain) {
-        return rank("moves", ids(domain)) < LISTING_PER_DOMAIN;
+        String name = LISTING + domain;
+        return ranks.computeIfAbsent(name, key -> rank(key, ids(domain))) < LISTING_PER_DOMAIN;
     }
 
     private List<HostId> ids(FailureDomain only) {
--- a/src/main/java/org/orioleshed/move/PooledEvidence.java
+++ b/src/main/java/org/orioleshed/move/PooledEvidence.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import java.util.TreeMap;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.RouteId;
@@ -48,13 +47,13 @@
             return;
         }
         source.heardNanos = nowNanos;
-        Map<MoveMessage.Key, Tally> newer = new TreeMap<>();
+        Map<MoveMessage.Key, Tally> newer = new HashMap<>();
         for (Map.Entry<MoveMessage.Key, Tally> entry : tallies.entrySet()) {
             MoveMessage.Key key = entry.getKey();
-            if (!move.routes().contains(key.route())) {
+            Tally before = source.tallies.getOrDefault(key, Tally.NONE);
+            if (before.equals(entry.getValue()) || !move.routes().contains(key.route())) {
                 continue;
             }
-            Tally before = source.tallies.getOrDefault(key, Tally.NONE);
             Tally after = before.max(entry.getValue());
             if (after.equals(before)) {
                 continue;
@@ -62,6 +61,7 @@
             source.tallies.put(key, after);
             newer.put(key, after.since(before));
         }
+        // The old version first: it is what the new one is held to.
         newer.forEach((key, more) -> countOld(domain, key, more));
         newer.forEach((key, more) -> countNew(domain, key, more));
     }
--- a/src/main/java/org/orioleshed/move/SlowScale.java
+++ b/src/main/java/org/orioleshed/move/SlowScale.java
@@ -72,7 +72,7 @@
     private static final class Window {
         private static final int LENGTH = 128;
         private static final int READY = 32;
-        private static final int REFRESH = 16;
+        private static final int REFRESH = 64;
 
         private final double[] values = new double[LENGTH];
         private int count;
@@ -89,7 +89,7 @@
         void add(double value) {
             values[count % LENGTH] = value;
             count++;
-            if (count % REFRESH == 0) {
+            if (count % REFRESH == 0 || count == READY) {
                 refresh();
             }
         }
--- a/src/test/java/org/orioleshed/move/FakeFleet.java
+++ b/src/test/java/org/orioleshed/move/FakeFleet.java
@@ -52,6 +52,8 @@
     static final class Host {
         final HostId id;
         final FailureDomain domain;
+        final ServerId oldServer;
+        final ServerId newServer;
         MoveCore core;
         MoveAction.SplitChanged split = new MoveAction.SplitChanged(Map.of(), Map.of(), Set.of());
         final List<MoveAction.Notice> notices = new ArrayList<>();
@@ -60,6 +62,8 @@
         Host(HostId id, FailureDomain domain, MoveLimits limits) {
             this.id = id;
             this.domain = domain;
+            this.oldServer = new ServerId(domain + "-old");
+            this.newServer = new ServerId(domain + "-new");
             this.core = new MoveCore(id, domain, 1, limits);
         }
 
@@ -200,8 +204,8 @@
     }
 
     void observe(Host host, RouteId route, VersionId version, RunResult result) {
-        String name = host.domain + (version.equals(NEW) ? "-new" : "-old");
-        feed(host.id, new MoveEvent.Observed(route, version, new ServerId(name), result));
+        ServerId server = version.equals(NEW) ? host.newServer : host.oldServer;
+        feed(host.id, new MoveEvent.Observed(route, version, server, result));
     }
 
     /** Sends one request on each of {@code routes} through each host, all with one result. */
