Tell the moves the time to a run's first token

Prefill depends on what the engine has cached, which this host cannot see: without that time a good new version with cold caches looks slow.

--- a/src/main/java/org/orioleshed/host/RunEvidence.java
+++ b/src/main/java/org/orioleshed/host/RunEvidence.java
@@ -20,6 +20,7 @@
  */
 final class RunEvidence {
     private static final double UNKNOWN_LOAD = -1;
+    private static final long UNKNOWN_MILLIS = -1;
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final int STATUS_SERVER_ERROR = 500;
 
@@ -38,6 +39,7 @@
         final ServerId server;
         final long startedNanos;
         final double load;
+        long firstTokenMillis = UNKNOWN_MILLIS;
         int tokens;
 
         Run(RunId id, Request request, ServerId server, long startedNanos, double load) {
@@ -87,6 +89,9 @@
             case RoutingMessage.Tokens tokens -> {
                 Run run = runs.get(tokens.run().request());
                 if (run != null && run.id.equals(tokens.run())) {
+                    if (run.firstTokenMillis == UNKNOWN_MILLIS) {
+                        run.firstTokenMillis = millisSince(nowNanos, run.startedNanos);
+                    }
                     run.tokens = Math.max(run.tokens, tokens.firstToken() + tokens.count());
                 }
             }
@@ -167,7 +172,8 @@
         RunResult result =
                 new RunResult(
                         verdict,
-                        Math.max(0, (nowNanos - run.startedNanos) / NANOS_PER_MILLI),
+                        millisSince(nowNanos, run.startedNanos),
+                        run.firstTokenMillis,
                         run.tokens,
                         run.request.work() instanceof Work.Generate generate
                                 ? generate.promptTokens()
@@ -178,4 +184,8 @@
         out.accept(
                 new HostAction.Observe(run.request.route(), server.version(), server.id(), result));
     }
+
+    private static long millisSince(long nowNanos, long thenNanos) {
+        return Math.max(0, (nowNanos - thenNanos) / NANOS_PER_MILLI);
+    }
 }
