--- a/src/main/java/org/orioleshed/load/Report.java
+++ b/src/main/java/org/orioleshed/load/Report.java
@@ -1,5 +1,6 @@
 package org.orioleshed.load;
 
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
 import java.util.List;
@@ -22,6 +23,7 @@
 
     private static final long SHED_LAG_MILLIS = 200;
     private static final double PERCENTILE = 95;
+    private static final int MAX_VIOLATIONS = 20;
 
     private final List<Result> results;
     private final Ledger ledger;
@@ -61,6 +63,7 @@
         json.set("firstTokenMillisP95", byTier(tier -> firstTokens.millis(tier, PERCENTILE)));
         json.set("tokenGapMillisP95", byTier(tier -> gaps.millis(tier, PERCENTILE)));
         json.set("refusals", refusals());
+        json.set("violations", violations());
         return json;
     }
 
@@ -106,6 +109,25 @@
         return Json.MAPPER.valueToTree(new java.util.TreeMap<>(counts));
     }
 
+    /** Names the requests that broke a promise, with the runs that show it. */
+    private ArrayNode violations() {
+        ArrayNode list = Json.MAPPER.createArrayNode();
+        for (Result result : results) {
+            boolean twice = ledger.ranTwice(result.request());
+            boolean falsely = ledger.falselyNotRun(result);
+            if (list.size() < MAX_VIOLATIONS && (twice || falsely || !result.right())) {
+                list.add(
+                        String.format(
+                                "%s: %s, runs %s, sends %s",
+                                result.request().tag(),
+                                twice ? "ran twice" : falsely ? "not run was untrue" : "wrong",
+                                ledger.runs(result.request()),
+                                result.sends()));
+            }
+        }
+        return list;
+    }
+
     private long shedWhileLowerRan() {
         long shed = 0;
         for (int rank = 0; rank < TIERS.size() - 1; rank++) {
--- a/src/main/java/org/orioleshed/load/ReportTable.java
+++ b/src/main/java/org/orioleshed/load/ReportTable.java
@@ -34,6 +34,8 @@
             String name = prefix + field.getKey();
             if (field.getValue().isObject()) {
                 rows.putAll(rows(name + ".", field.getValue()));
+            } else if (field.getValue().isArray()) {
+                rows.put(name, String.valueOf(field.getValue().size()));
             } else {
                 rows.put(name, field.getValue().asText());
             }
