Bound the wait for an engine to take a run apart from the silence of its stream

Cause: a test of whole streams failed once on a busy machine: the 300 ms that the tests set for silence also bounded the wait for the response's head. The two are different bounds.

--- a/src/main/java/org/orioleshed/backend/Backends.java
+++ b/src/main/java/org/orioleshed/backend/Backends.java
@@ -56,7 +56,7 @@
     public void start(RunId run, BackendServer server, Payload body, int resumeFromToken) {
         HttpRequest request =
                 HttpRequest.newBuilder(server.address().resolve("/v1/chat/completions"))
-                        .timeout(Duration.ofMillis(limits.silenceMillis()))
+                        .timeout(Duration.ofMillis(limits.acceptMillis()))
                         .header("Content-Type", "application/json")
                         .header("X-Run-Id", run.toString())
                         .header("X-Resume-From", Integer.toString(resumeFromToken))
