--- a/src/main/java/org/orioleshed/entry/EntryAdmin.java
+++ b/src/main/java/org/orioleshed/entry/EntryAdmin.java
@@ -32,6 +32,7 @@
 import org.orioleshed.settings.ProposedChange;
 import org.orioleshed.settings.SettingsDocument;
 import org.orioleshed.settings.SettingsEdit;
+import org.orioleshed.settings.SettingsTree;
 
 /** Answers the admin API from the duties of one entry host. */
 final class EntryAdmin implements AdminBackend {
@@ -60,21 +61,26 @@
 
     @Override
     public CompletableFuture<AdminReply> settings(String path, boolean effective) {
-        return control.document().thenApply(document -> describe(document, path));
+        return control.document().thenApply(document -> describe(document, path, effective));
     }
 
-    private static AdminReply describe(Optional<SettingsDocument> document, String path) {
+    private static AdminReply describe(
+            Optional<SettingsDocument> document, String path, boolean effective) {
         if (document.isEmpty()) {
             return new AdminReply.NotFound("settings");
         }
-        return document.get()
-                .valueAt(pointer(path))
-                .<AdminReply>map(json -> new AdminReply.Document(json, document.get().number()))
+        SettingsDocument known = document.get();
+        Optional<String> value =
+                effective ? known.effectiveAt(pointer(path)) : known.valueAt(pointer(path));
+        return value.<AdminReply>map(json -> new AdminReply.Document(json, known.number()))
                 .orElseGet(() -> new AdminReply.NotFound(path));
     }
 
     @Override
     public CompletableFuture<AdminReply> changeSettings(AdminBackend.SettingsChange change) {
+        if (change.trial() && change.path().isEmpty()) {
+            return CompletableFuture.completedFuture(checkTree(change.valueJson()));
+        }
         String id = UUID.randomUUID().toString();
         SettingsEdit edit =
                 switch (change.kind()) {
@@ -93,6 +99,13 @@
         return control.propose(proposed).thenApply(result -> AdminReplies.of(id, result));
     }
 
+    private static AdminReply checkTree(String text) {
+        return switch (SettingsTree.parse(text)) {
+            case SettingsTree.Result.Loaded loaded -> new AdminReply.Accepted("", 0, "valid");
+            case SettingsTree.Result.Problems found -> AdminReplies.rejected(found.problems());
+        };
+    }
+
     private static AdminReply trial(Optional<SettingsDocument> document, ProposedChange proposed) {
         if (document.isEmpty()) {
             return new AdminReply.NotFound("settings");
--- a/src/main/java/org/orioleshed/settings/SettingsDocument.java
+++ b/src/main/java/org/orioleshed/settings/SettingsDocument.java
@@ -130,6 +130,24 @@
         for (String name : TreeEdits.names(path)) {
             node = node.path(name);
         }
+        return pretty(node);
+    }
+
+    /**
+     * Returns the value at a JSON pointer as JSON, with all that it inherits and the defaults
+     * filled in; empty when there is nothing.
+     */
+    public Optional<String> effectiveAt(String path) {
+        for (Inheritance.Resolved item : TreeBuilder.resolvedItems(tree)) {
+            if (path.equals(item.path()) || path.startsWith(item.path() + "/")) {
+                String rest = path.substring(item.path().length());
+                return pretty(item.values().at(rest));
+            }
+        }
+        return pretty(Inheritance.withDefaults(Schema.TREE, tree).at(path));
+    }
+
+    private static Optional<String> pretty(JsonNode node) {
         return node.isMissingNode() ? Optional.empty() : Optional.of(node.toPrettyString());
     }
 
--- a/src/main/java/org/orioleshed/settings/TreeBuilder.java
+++ b/src/main/java/org/orioleshed/settings/TreeBuilder.java
@@ -124,6 +124,16 @@
         return servers;
     }
 
+    /** Returns the items of all branches with what they inherit; problems are left out. */
+    static List<Inheritance.Resolved> resolvedItems(ObjectNode tree) {
+        List<Problem> ignored = new ArrayList<>();
+        List<Inheritance.Resolved> items = new ArrayList<>();
+        items.addAll(Inheritance.resolve(SERVERS, tree.path("servers"), "/servers", ignored));
+        items.addAll(
+                Inheritance.resolve(WORKSPACES, tree.path("workspaces"), "/workspaces", ignored));
+        return items;
+    }
+
     private BackendServer buildServer(Inheritance.Resolved item, Target target) {
         JsonNode values = item.values();
         return new BackendServer(
