--- a/src/main/java/org/orioleshed/control/ControlCore.java
+++ b/src/main/java/org/orioleshed/control/ControlCore.java
@@ -44,6 +44,7 @@
 final class ControlCore {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long NANOS_PER_MILLI = 1_000_000;
+    private static final long MOVES_NANOS = 100 * NANOS_PER_MILLI;
     private static final long STATUS_NANOS = 1_000 * NANOS_PER_MILLI;
 
     private final EntrySettings own;
@@ -56,6 +57,7 @@
     private final Map<FollowedKey, FollowedStore> followed = new LinkedHashMap<>();
     private final Proposals proposals;
     private final MoveDriver moves;
+    private final long incarnation;
     private final MembershipCodec membershipCodec = new MembershipCodec();
     private final SettingsCodec settingsCodec = new SettingsCodec();
     private final Map<Long, StatusRound> rounds = new HashMap<>();
@@ -65,6 +67,7 @@
     private long settingsStoreRevision;
     private Map<HostId, EntryHost> hosts = Map.of();
     private boolean worldChanged = true;
+    private long nextMovesNanos;
     private long nowNanos;
 
     ControlCore(
@@ -93,8 +96,8 @@
         this.membership = new Membership(self, MembershipOptions.DEFAULT, random);
         this.spread = new SettingsSpread(random);
         this.proposals = new Proposals(store, ring, this::accepted);
-        MoveCore moveCore = new MoveCore(own.host(), own.domain(), incarnation, MoveLimits.DEFAULT);
-        this.moves = new MoveDriver(moveCore, store, peers, orders, ring);
+        this.incarnation = incarnation;
+        this.moves = new MoveDriver(store, peers, orders, ring);
         for (FollowedKey key : FollowedKey.values()) {
             followed.put(key, new FollowedStore(key, store, ring, random));
         }
@@ -115,7 +118,10 @@
             each.on(now, new StoreFollower.Event.Tick());
         }
         proposals.tick(now);
-        moves.tick(now, wallClock.millis());
+        if (now >= nextMovesNanos) {
+            nextMovesNanos = now + MOVES_NANOS;
+            moves.tick(now, wallClock.millis());
+        }
         finishRounds();
     }
 
@@ -268,6 +274,7 @@
 
     private void adopt(SettingsAction.Adopt adopted) {
         tree = adopted.tree();
+        moves.begin(this::moveCore);
         revision = adopted.number();
         worldChanged = true;
         logger.atInfo().log(
@@ -275,6 +282,11 @@
                 adopted.number(), adopted.changeId(), spread.status(nowNanos).unconfirmed());
     }
 
+    private MoveCore moveCore() {
+        MoveLimits limits = MoveLimitsFrom.settings(tree.limits());
+        return new MoveCore(own.host(), own.domain(), incarnation, limits);
+    }
+
     private void accepted(ProposalResult.Accepted accepted) {
         if (accepted.value().size() > 0) {
             onSettings(new SettingsEvent.StoreSaid(Optional.of(accepted.value())));
--- a/src/main/java/org/orioleshed/entry/HostActions.java
+++ b/src/main/java/org/orioleshed/entry/HostActions.java
@@ -1,5 +1,6 @@
 package org.orioleshed.entry;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -14,6 +15,7 @@
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.host.HostEvent.StoreAnswer;
 import org.orioleshed.model.Payload;
+import org.orioleshed.model.Request;
 import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.RunId;
@@ -33,6 +35,7 @@
     private final Map<Long, CompletableFuture<Fate>> fates = new ConcurrentHashMap<>();
     private final AtomicLong tickets = new AtomicLong();
     private final CountDownLatch drained = new CountDownLatch(1);
+    private final EntryMetrics metrics;
     private final DecisionLog log;
     private final Store store;
     private final PeerMessages peers;
@@ -41,7 +44,8 @@
     private volatile Consumer<HostAction.Observe> observer = observed -> {};
     private volatile World world = World.EMPTY;
 
-    HostActions(DecisionLog log, Store store, PeerMessages peers) {
+    HostActions(EntryMetrics metrics, DecisionLog log, Store store, PeerMessages peers) {
+        this.metrics = metrics;
         this.log = log;
         this.store = store;
         this.peers = peers;
@@ -80,6 +84,11 @@
         callers.remove(request);
     }
 
+    /** Returns the requests whose callers wait on this host. */
+    List<Request> openRequests() {
+        return callers.values().stream().map(CallerExchange::request).toList();
+    }
+
     int openCallers() {
         return callers.size();
     }
@@ -102,9 +111,12 @@
     void perform(HostAction action) {
         switch (action) {
             case HostAction.WriteTokens tokens ->
-                    caller(tokens.request()).ifPresent(exchange -> exchange.add(tokens));
+                    caller(tokens.request())
+                            .ifPresent(exchange -> exchange.add(tokens, System.nanoTime()));
             case HostAction.Answer answer ->
-                    caller(answer.request()).ifPresent(exchange -> exchange.end(answer.outcome()));
+                    caller(answer.request())
+                            .ifPresent(
+                                    exchange -> exchange.end(answer.outcome(), System.nanoTime()));
             case HostAction.TellFate told -> tell(told);
             case HostAction.SendRouting send -> peers.send(send.to(), send.message());
             case HostAction.SendRequest send -> peers.send(send.to(), send.message());
@@ -124,7 +136,10 @@
                                     swap.timeoutMillis())
                             .thenAccept(result -> answer(swap.ticket(), result));
             case HostAction.Observe observed -> observer.accept(observed);
-            case HostAction.Log line -> log.add(line.decision());
+            case HostAction.Log line -> {
+                metrics.decided(line.decision());
+                log.add(line.decision());
+            }
             case HostAction.Drained done -> drained.countDown();
         }
     }
