Keep the load trial at the step's share in fleets of any size

With 133 hosts turns were cut short and the share fell to 0.017 of a step's 0.04, so a good version could not have been proven; turns may overlap now.

--- a/src/main/java/org/orioleshed/move/LoadTrial.java
+++ b/src/main/java/org/orioleshed/move/LoadTrial.java
@@ -28,6 +28,11 @@
 
     private final HostId self;
     private final MoveLimits limits;
+    private World world = World.EMPTY;
+    private int hosts = 1;
+
+    /** The place of this host among all, by id. */
+    private int place;
 
     LoadTrial(HostId self, MoveLimits limits) {
         this.self = self;
@@ -40,24 +45,47 @@
      * @param trialNanos the time since the step began
      * @param average the share that all requests together may reach
      */
-    double share(long trialNanos, long epochMillis, World world, double average) {
-        double base = Math.min(limits.shares().get(0), average / 2);
-        if (!isMyTurn(trialNanos, epochMillis, world, average)) {
-            return base;
-        }
-        return strength(trialNanos, hosts(world), average - base);
+    double share(long trialNanos, long epochMillis, World now, double average) {
+        learn(now);
+        double base = base(average);
+        return isMyTurn(trialNanos, epochMillis, now, average)
+                ? strength(trialNanos, average - base)
+                : base;
     }
 
     /** Returns whether this host sends more now. */
-    boolean isMyTurn(long trialNanos, long epochMillis, World world, double average) {
-        SortedSet<HostId> hosts = hosts(world);
-        double spare = average - Math.min(limits.shares().get(0), average / 2);
-        double roundMillis = (double) TURN_MILLIS * hosts.size();
-        double turnMillis = roundMillis * spare / strength(trialNanos, hosts, spare);
-        double startMillis = (double) TURN_MILLIS * hosts.headSet(self).size();
-        double phaseMillis = epochMillis % roundMillis;
-        return phaseMillis >= startMillis
-                && phaseMillis < startMillis + Math.min(turnMillis, TURN_MILLIS);
+    boolean isMyTurn(long trialNanos, long epochMillis, World now, double average) {
+        learn(now);
+        double spare = average - base(average);
+        double roundMillis = (double) TURN_MILLIS * hosts;
+        double turnMillis = roundMillis * spare / strength(trialNanos, spare);
+        double startMillis = (double) TURN_MILLIS * place;
+        double sinceStartMillis =
+                (epochMillis % roundMillis + roundMillis - startMillis) % roundMillis;
+        return sinceStartMillis < turnMillis;
+    }
+
+    /** The share between turns. */
+    private double base(double average) {
+        return Math.min(limits.shares().get(0), average / 2);
+    }
+
+    /** The share during a turn: what all hosts may send, by one, then twice that and so on. */
+    private double strength(long trialNanos, double spare) {
+        long levelNanos = ROUNDS_PER_LEVEL * TURN_MILLIS * MoveCore.NANOS_PER_MILLI * hosts;
+        long level = Math.min(MAX_LEVEL, trialNanos / levelNanos);
+        return Math.min(1, spare * hosts * (1L << level));
+    }
+
+    private void learn(World now) {
+        if (now.equals(world)) {
+            return;
+        }
+        world = now;
+        SortedSet<HostId> all = new TreeSet<>(now.hosts().keySet());
+        all.add(self);
+        hosts = all.size();
+        place = all.headSet(self).size();
     }
 
     /** Returns all of {@code servers} but one, which lies in {@code domain} if any does. */
@@ -74,17 +102,4 @@
         loaded.ifPresent(server -> others.remove(server.id()));
         return others;
     }
-
-    /** The share during a turn: what all hosts may send, by one, then twice that and so on. */
-    private static double strength(long trialNanos, SortedSet<HostId> hosts, double spare) {
-        long levelNanos = ROUNDS_PER_LEVEL * TURN_MILLIS * MoveCore.NANOS_PER_MILLI * hosts.size();
-        long level = Math.min(MAX_LEVEL, trialNanos / levelNanos);
-        return Math.min(1, spare * hosts.size() * (1L << level));
-    }
-
-    private SortedSet<HostId> hosts(World world) {
-        SortedSet<HostId> hosts = new TreeSet<>(world.hosts().keySet());
-        hosts.add(self);
-        return hosts;
-    }
 }
--- a/src/test/java/org/orioleshed/move/MoveFailuresTest.java
+++ b/src/test/java/org/orioleshed/move/MoveFailuresTest.java
@@ -6,12 +6,14 @@
 
 import java.util.List;
 import java.util.SplittableRandom;
+import org.orioleshed.fleet.Target;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.Fingerprint;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.MoveId;
 import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -190,6 +192,35 @@
         assertEquals(fleet.store.outcomes.get(MoveRecord.key(second)), Integer.valueOf(1));
     }
 
+    @Test
+    public void plainServiceMovesLastAndLeast() {
+        FakeFleet fleet = fleet(1, 2);
+        RouteId bookings = new RouteId("bookings");
+        MoveId service = new MoveId("m2");
+        MoveRecord record =
+                MoveRecord.plan(
+                        service,
+                        new Target.Service(new ServiceId("bookings")),
+                        FakeFleet.OLD,
+                        FakeFleet.NEW,
+                        List.of(bookings),
+                        fleet.epochMillis(),
+                        fleet.epochMillis() + 3 * LENGTH_MILLIS,
+                        List.of(),
+                        "operator",
+                        "test");
+        fleet.store.put(MoveRecord.key(service), record.toPayload());
+        healthy(fleet, LENGTH_MILLIS / 2);
+        assertEquals(fleet.store.record(service).state(), MoveState.PLANNED);
+        healthy(fleet, LENGTH_MILLIS / 2);
+        assertOneOutcome(fleet, MoveState.COMPLETED);
+        healthy(fleet, 5_000);
+        assertEquals(fleet.store.record(service).state(), MoveState.RUNNING);
+        for (FakeFleet.Host host : fleet.hosts.values()) {
+            assertTrue(host.share(bookings) < MoveLimits.DEFAULT.shares().get(0));
+        }
+    }
+
     @Test
     public void noPromotionWhileADomainIsCutOff() {
         FakeFleet fleet = fleet(2, 2);
