--- a/src/main/java/org/orioleshed/load/MoveTrial.java
+++ b/src/main/java/org/orioleshed/load/MoveTrial.java
@@ -30,6 +30,7 @@
     private long outcomeMillis;
     private long shownMillis;
     private String problem = "";
+    private String reason = "";
 
     MoveTrial(AdminClient admin, StoreClient store, FleetLayout layout, String id, boolean bad) {
         this.admin = admin;
@@ -63,10 +64,12 @@
 
     private void look() throws InterruptedException {
         try {
-            String state = store.value("orioleshed/moves/" + id).path("state").asText();
+            JsonNode move = store.value("orioleshed/moves/" + id);
+            String state = move.path("state").asText();
             boolean outcome = state.equals("COMPLETED") || state.equals("TAKEN_BACK");
             if (outcome && !outcomes.contains(state)) {
                 outcomes.add(state);
+                reason = move.path("reason").asText();
                 outcomeMillis = System.currentTimeMillis();
                 shownMillis = shownMillis == 0 ? outcomeMillis : shownMillis;
             }
@@ -80,9 +83,13 @@
 
     private boolean anyFuse() throws IOException, InterruptedException {
         for (Host host : layout.hosts()) {
-            JsonNode fuse = admin.move(host, id).body().path("value").path("fuse");
-            if (fuse.isTextual() && !fuse.asText().isEmpty()) {
-                return true;
+            JsonNode table = admin.move(host, id).body();
+            JsonNode row = table.path("rows").path(0);
+            for (int i = 0; i < row.size(); i++) {
+                boolean fuse = table.path("columns").path(i).asText().equals("fuse");
+                if (fuse && !row.path(i).asText().isEmpty()) {
+                    return true;
+                }
             }
         }
         return false;
@@ -103,6 +110,8 @@
         moves.put("outcomesPerMove", outcomes.size());
         moves.put("newVersionRuns", ledger.runs().stream().filter(this::isNew).count());
         moves.put("outcomeAfterMillis", outcomeMillis == 0 ? -1 : outcomeMillis - plannedMillis);
+        moves.put("reason", reason);
+        moves.put("faultShownAfterMillis", shownMillis == 0 ? -1 : shownMillis - plannedMillis);
         moves.put("problem", problem);
     }
 
