Keep each key's directory on two hosts; wait for a dead host's run to be cancelled

Two gaps: the key's only directory host could be the dead one, and a holder whose host was gone was forgotten at once, before the homes had cancelled its run. Also: a resend that follows a run elsewhere whose end is not known no longer says 'not run'.

--- a/src/main/java/org/orioleshed/request/AcceptingSide.java
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -43,6 +43,10 @@
     private final Consumer<HostAction> out;
     private final PoisonWatch poison;
     private final Results results;
+
+    /** How many hosts keep each key's entry in the directory. */
+    private static final int DIRECTORY_HOSTS = 2;
+
     private final ModelRequests models;
     private final ServiceRequests services;
     private final HostId self;
@@ -196,41 +200,40 @@
     private void opened(long nowNanos, Execution execution) {
         RequestKey key = execution.request.key();
         byKey.put(key, execution);
-        execution.directory = directoryOf(key);
-        if (execution.directory.filter(host -> !host.equals(self)).isPresent()) {
-            execution.checking = true;
-            announce(execution);
+        execution.directories = directoriesOf(key);
+        for (HostId host : execution.directories) {
+            announce(nowNanos, execution, host);
+        }
+        execution.directories.stream().filter(h -> !h.equals(self)).forEach(execution.asked::add);
+    }
+
+    /** Enters a key at one host of its directory. */
+    private void announce(long nowNanos, Execution execution, HostId host) {
+        RequestKey key = execution.request.key();
+        RequestId request = execution.request.id();
+        if (!host.equals(self)) {
+            send(host, new RequestMessage.KeyOpened(key, request));
             return;
         }
         directory
-                .open(nowNanos, key, execution.request.id())
+                .open(nowNanos, key, request)
                 .filter(holder -> !holder.host().equals(self))
-                .ifPresent(holder -> models.relay(nowNanos, execution, holder));
+                .ifPresent(holder -> models.foundHolder(nowNanos, execution, holder));
     }
 
-    private void announce(Execution execution) {
-        RequestMessage opened =
-                new RequestMessage.KeyOpened(execution.request.key(), execution.request.id());
-        execution.directory.ifPresent(host -> send(host, opened));
-    }
-
-    private Optional<HostId> directoryOf(RequestKey key) {
-        return Rendezvous.choose(world, "keys/" + key);
+    private List<HostId> directoriesOf(RequestKey key) {
+        return Rendezvous.choose(world, "keys/" + key, DIRECTORY_HOSTS);
     }
 
     /** Enters keys anew whose part of the directory went to another host. */
     private void moveKeys(long nowNanos) {
         for (Execution execution : models.all()) {
-            RequestKey key = execution.request.key();
-            Optional<HostId> host = directoryOf(key);
-            if (host.equals(execution.directory)) {
-                continue;
-            }
-            execution.directory = host;
-            if (host.filter(self::equals).isPresent()) {
-                directory.open(nowNanos, key, execution.request.id());
-            } else {
-                announce(execution);
+            List<HostId> before = execution.directories;
+            execution.directories = directoriesOf(execution.request.key());
+            for (HostId host : execution.directories) {
+                if (!before.contains(host)) {
+                    announce(nowNanos, execution, host);
+                }
             }
         }
     }
@@ -239,11 +242,13 @@
         RequestKey key = execution.request.key();
         RequestId request = execution.request.id();
         boolean again = RequestMessage.mayRunAgain(outcome);
-        if (execution.directory.filter(host -> !host.equals(self)).isEmpty()) {
-            directory.close(nowNanos, key, request, again);
-            return;
+        for (HostId host : execution.directories) {
+            if (host.equals(self)) {
+                directory.close(nowNanos, key, request, again);
+            } else {
+                send(host, new RequestMessage.KeyClosed(key, request, again));
+            }
         }
-        send(execution.directory.get(), new RequestMessage.KeyClosed(key, request, again));
     }
 
     private void join(KeyedRequest running, Request request) {
@@ -340,7 +345,9 @@
             out.accept(new HostAction.TellFate(ticket, here));
             return;
         }
-        Optional<HostId> host = directoryOf(key).filter(h -> !h.equals(self));
+        List<HostId> hosts = directoriesOf(key);
+        Optional<HostId> host =
+                hosts.contains(self) ? Optional.empty() : hosts.stream().findFirst();
         Optional<RequestId> holder =
                 host.isPresent() ? Optional.empty() : directory.holder(nowNanos, key);
         inquiries.start(nowNanos, ticket, key, host, holder);
@@ -381,7 +388,7 @@
                 Optional<RequestId> asker = Optional.of(opened.request());
                 send(from, new RequestMessage.KeyHolder(opened.key(), asker, holder));
             }
-            case RequestMessage.KeyHolder holder -> holderTold(nowNanos, holder);
+            case RequestMessage.KeyHolder holder -> holderTold(nowNanos, from, holder);
             case RequestMessage.KeyClosed closed ->
                     directory.close(nowNanos, closed.key(), closed.request(), closed.mayRunAgain());
             case RequestMessage.KeyAsked asked -> {
@@ -404,7 +411,7 @@
         }
     }
 
-    private void holderTold(long nowNanos, RequestMessage.KeyHolder told) {
+    private void holderTold(long nowNanos, HostId from, RequestMessage.KeyHolder told) {
         if (told.asker().isEmpty()) {
             inquiries.onHolder(told.key(), told.holder());
             return;
@@ -413,7 +420,7 @@
                 byKey.get(told.key()) instanceof Execution execution
                         && execution.request.id().equals(told.asker().get());
         if (awaited) {
-            models.onHolder(nowNanos, (Execution) byKey.get(told.key()), told.holder());
+            models.onHolder(nowNanos, (Execution) byKey.get(told.key()), from, told.holder());
         }
     }
 
--- a/src/main/java/org/orioleshed/request/Execution.java
+++ b/src/main/java/org/orioleshed/request/Execution.java
@@ -25,11 +25,14 @@
     /** The number of the latest attempt; zero before the first. */
     int attempt;
 
-    /** Whether the key's directory was asked and has not answered. */
-    boolean checking;
+    /** The hosts of the key's directory that were asked and have not answered yet. */
+    final Set<HostId> asked = new HashSet<>();
 
-    /** The host that keeps the key's entry in the directory; empty when none is known. */
-    Optional<HostId> directory = Optional.empty();
+    /** Whether a dead host may have left a run of the key on an engine. */
+    boolean awaitsOrphan;
+
+    /** The hosts that keep the key's entry in the directory. */
+    List<HostId> directories = List.of();
 
     /** Whether a run may have reached an engine. */
     boolean mayHaveRun;
--- a/src/main/java/org/orioleshed/request/KeyDirectory.java
+++ b/src/main/java/org/orioleshed/request/KeyDirectory.java
@@ -12,9 +12,10 @@
 
 /**
  * The part of the directory of keys that this host keeps: which request runs, or ran last, under a
- * key. The keys are divided over the hosts by rendezvous hashing. An entry stands while its request
- * runs and for a stated time after; it is dropped earlier when the directory is full, the oldest
- * first, or when the host of its request is gone.
+ * key. The keys are divided over the hosts by rendezvous hashing, each to two of them, so that the
+ * death of one does not lose the entry. An entry stands while its request runs and for a stated
+ * time after; it is dropped earlier when the directory is full, the oldest first, or when the host
+ * of its request is gone.
  */
 final class KeyDirectory {
     private static final int MAX_ENTRIES = 100_000;
@@ -33,14 +34,20 @@
         world = changed;
     }
 
-    /** Enters a request under its key unless another holds it; returns the holder then. */
+    /**
+     * Enters a request under its key unless another holds it; returns the holder then. A holder
+     * whose host is gone is returned once more, since its run may still be on an engine, and is
+     * replaced.
+     */
     Optional<RequestId> open(long nowNanos, RequestKey key, RequestId request) {
-        Optional<RequestId> holder = holder(nowNanos, key);
-        if (holder.isPresent() && !holder.get().equals(request)) {
-            return holder;
+        Entry entry = entries.get(key);
+        boolean held =
+                entry != null && nowNanos < entry.untilNanos && !entry.holder.equals(request);
+        if (held && lives(entry.holder)) {
+            return Optional.of(entry.holder);
         }
         put(key, new Entry(request, true, Long.MAX_VALUE));
-        return Optional.empty();
+        return held && entry.open ? Optional.of(entry.holder) : Optional.empty();
     }
 
     /** Notes that a request ended: its host knows the outcome for a while. */
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -102,7 +102,7 @@
     /**
      * Starts a request whose key does not run on this host.
      *
-     * @param onOpened enters the key; marks the execution as checking if a directory is asked
+     * @param onOpened enters the key; notes the hosts of the directory that are asked
      */
     void start(long nowNanos, Request request, Consumer<Execution> onOpened) {
         Execution execution = new Execution(request, new Waiting(nowNanos));
@@ -110,9 +110,11 @@
         byRequest.put(request.id(), execution);
         addCaller(execution, request);
         onOpened.accept(execution);
-        if (execution.checking) {
+        if (execution.state instanceof Relaying || execution.awaitsOrphan) {
+            execution.asked.clear();
+        } else if (!execution.asked.isEmpty()) {
             waitUntil(execution, nowNanos + nanos(limits.directoryMillis()));
-        } else if (execution.state instanceof Waiting) {
+        } else {
             offer(nowNanos, execution);
         }
         wakes.schedule(execution);
@@ -127,28 +129,35 @@
         wakes.schedule(execution);
     }
 
-    /** Hears from the key's directory who else runs it. */
-    void onHolder(long nowNanos, Execution execution, Optional<RequestId> holder) {
-        if (!execution.checking) {
+    /** Hears from a host of the key's directory who else runs it. */
+    void onHolder(long nowNanos, Execution execution, HostId from, Optional<RequestId> holder) {
+        if (!execution.asked.remove(from)) {
             return;
         }
-        execution.checking = false;
         if (holder.isPresent()) {
+            execution.asked.clear();
             relay(nowNanos, execution, holder.get());
-        } else {
+        } else if (execution.asked.isEmpty()) {
             offer(nowNanos, execution);
         }
         wakes.schedule(execution);
     }
 
+    /** Learns, before it offers, that another host holds the key; later it is too late. */
+    void foundHolder(long nowNanos, Execution execution, RequestId holder) {
+        if (execution.attempt == 0 && execution.state instanceof Waiting) {
+            relay(nowNanos, execution, holder);
+        }
+    }
+
     /** Waits for the outcome of the same key on another host. */
-    void relay(long nowNanos, Execution execution, RequestId holder) {
+    private void relay(long nowNanos, Execution execution, RequestId holder) {
         EntryHost host = world.hosts().get(holder.host());
+        execution.mayHaveRun = true;
         if (host == null || host.state() == EntryHost.State.DEAD) {
-            runAfterAll(nowNanos, execution);
+            awaitOrphan(nowNanos, execution);
             return;
         }
-        execution.mayHaveRun = true;
         execution.state = new Relaying(holder, nowNanos + nanos(RELAY_MILLIS));
         RequestKey key = execution.request.key();
         out.accept(
@@ -156,6 +165,12 @@
                         holder.host(), new RequestMessage.FateAsked(key, Optional.empty())));
     }
 
+    /** Gives the homes time to cancel the run that a dead host left on an engine. */
+    private void awaitOrphan(long nowNanos, Execution execution) {
+        execution.awaitsOrphan = true;
+        waitUntil(execution, nowNanos + nanos(limits.orphanMillis()));
+    }
+
     /** Hears the fate of a key that runs on another host. */
     void onFate(long nowNanos, Execution execution, HostId from, RequestMessage.FateTold told) {
         if (!(execution.state instanceof Relaying relaying)
@@ -164,10 +179,11 @@
         }
         switch (told.fate()) {
             case Fate.Pending pending -> {}
-            case Fate.Unknown unknown -> runAfterAll(nowNanos, execution);
+            case Fate.Unknown unknown -> runAfterAll(nowNanos, execution, true);
             case Fate.Final end when end.outcome() instanceof Outcome.Answered answered ->
                     relayAnswer(nowNanos, execution, answered, told.pieces());
-            case Fate.Final end -> runAfterAll(nowNanos, execution);
+            case Fate.Final end ->
+                    runAfterAll(nowNanos, execution, !(end.outcome() instanceof Outcome.NotRun));
         }
         wakes.schedule(execution);
     }
@@ -183,12 +199,12 @@
             end(nowNanos, execution, answered);
             return;
         }
-        runAfterAll(nowNanos, execution);
+        runAfterAll(nowNanos, execution, true);
     }
 
     /** Runs a key here, as it no longer runs elsewhere. */
-    private void runAfterAll(long nowNanos, Execution execution) {
-        execution.mayHaveRun = execution.attempt > 0;
+    private void runAfterAll(long nowNanos, Execution execution, boolean mayHaveRunThere) {
+        execution.mayHaveRun = mayHaveRunThere || execution.attempt > 0;
         waitUntil(execution, nowNanos);
     }
 
@@ -603,7 +619,7 @@
         switch (execution.state) {
             case Waiting waiting -> {
                 if (nowNanos >= waiting.untilNanos()) {
-                    execution.checking = false;
+                    execution.asked.clear();
                     offer(nowNanos, execution);
                 }
             }
--- a/src/main/java/org/orioleshed/request/Rendezvous.java
+++ b/src/main/java/org/orioleshed/request/Rendezvous.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.HostId;
@@ -30,6 +31,22 @@
                 item);
     }
 
+    /**
+     * Returns the {@code count} best hosts among those of {@code world} that take work, the best
+     * first.
+     */
+    static List<HostId> choose(World world, String item, int count) {
+        return world.hosts().values().stream()
+                .filter(host -> host.takesWork())
+                .map(host -> host.id())
+                .sorted(
+                        Comparator.<HostId>comparingLong(host -> score(host, item))
+                                .thenComparing(Comparator.naturalOrder())
+                                .reversed())
+                .limit(count)
+                .toList();
+    }
+
     private static long score(HostId host, String item) {
         return Hashing.murmur3_128()
                 .newHasher()
--- a/src/main/java/org/orioleshed/request/RequestLimits.java
+++ b/src/main/java/org/orioleshed/request/RequestLimits.java
@@ -21,6 +21,7 @@
  * @param resultMillis how long final outcomes are kept for resends
  * @param resultBytes how many bytes of final answers are kept for resends
  * @param directoryMillis how long the key's directory is waited for
+ * @param orphanMillis how long a resend waits for the run that a dead host left to be cancelled
  * @param poisonMillis how long content that crashes servers is held
  * @param poisonEntries how many contents are kept under suspicion
  */
@@ -42,13 +43,14 @@
         long resultMillis,
         int resultBytes,
         long directoryMillis,
+        long orphanMillis,
         long poisonMillis,
         int poisonEntries) {
     /** The bounds of a small entry host. */
     public static final RequestLimits DEFAULTS =
             new RequestLimits(
                     2, 500, 250, 50, 2_000, 4, 0.2, 10, 256, 500, 1_000, 15_000, 2_000, 20_000,
-                    120_000, 32 << 20, 100, 600_000, 10_000);
+                    120_000, 32 << 20, 100, 1_500, 600_000, 10_000);
 
     /** Checks the arguments. */
     public RequestLimits {
