Start lower tiers only in time, keep fewer places for patient work

Offers refused early for a long estimated wait left engines idle later; they wait now, and are dropped when their start would be too late.

--- a/src/main/java/org/orioleshed/routing/Admission.java
+++ b/src/main/java/org/orioleshed/routing/Admission.java
@@ -12,7 +12,14 @@
     static final int PATIENT_RANK = Tier.PATIENT.rank();
 
     private static final int FEWEST_PLACES_WITH_RESERVE = 3;
-    private static final int PLACES_PER_RESERVED = 8;
+    private static final int PLACES_PER_RESERVED = 16;
+
+    /** The share of its time left that a run is expected to take when its start is due. */
+    private static final double NEAR_LAST_SAFE_START = 0.5;
+
+    /** At how many homes an offer waits at least. */
+    private static final double HOMES_PER_OFFER = 2;
+
     private static final long URGENT_MEMORY_NANOS = 10_000_000_000L;
 
     private final Policy policy;
@@ -76,14 +83,21 @@
      */
     void reservePatient(Moment moment, int limit) {
         double needed = 0;
+        double most = 0;
         for (int rank : queue.ranks()) {
             if (rank >= PATIENT_RANK && policy == Policy.ORIOLESHED) {
                 for (Waiting waiting : queue.tier(rank).matching(w -> true)) {
-                    needed += neededPlaces(waiting, moment);
+                    double share = neededPlaces(waiting, moment);
+                    needed += share;
+                    most = Math.max(most, share);
                 }
             }
         }
-        patientReserve = (int) Math.min(Math.round(needed), Math.max(1, limit / 2));
+        long reserve = Math.round(needed / HOMES_PER_OFFER);
+        if (most >= NEAR_LAST_SAFE_START) {
+            reserve = Math.max(1, reserve);
+        }
+        patientReserve = (int) Math.min(reserve, Math.max(1, limit / 4));
     }
 
     int patientReserve() {
--- a/src/main/java/org/orioleshed/routing/HomeServer.java
+++ b/src/main/java/org/orioleshed/routing/HomeServer.java
@@ -17,7 +17,12 @@
 /** One backend server on its home: who waits for it, and who gets its next place. */
 final class HomeServer {
     private static final long LONGEST_REMAINING_MILLIS = 30L * 24 * 3_600_000;
-    private static final double HOPELESS_WAIT = 1.5;
+
+    /** While others wait, a run starts only with so many times its expected time left. */
+    private static final double STARTS_IN_TIME = 1.3;
+
+    /** While none waits, a run starts also when it may yet be shorter than expected. */
+    private static final double STARTS_ALONE = 0.5;
 
     private final RoutingLimits limits;
     private final Outbox outbox;
@@ -274,22 +279,12 @@
             return Optional.of(RefusalReason.NO_SERVER);
         }
         boolean fits = waiting.deadlineNanos() - moment.nowNanos() > 0;
-        if (!fits || hopeless(moment, waiting) || !hasRoom(moment, waiting)) {
+        if (!fits || !hasRoom(moment, waiting)) {
             return Optional.of(RefusalReason.OVERLOAD);
         }
         return Optional.empty();
     }
 
-    private boolean hopeless(Moment moment, Waiting waiting) {
-        if (limits.policy() == Policy.NAIVE
-                || lowerTierIsHere(waiting.rank())
-                || waiting.offer().preemptions() > 0) {
-            return false;
-        }
-        long wait = waits.millis(waiting.rank(), moment.nowNanos(), limit(), server.places());
-        return wait > HOPELESS_WAIT * moment.millisUntil(waiting.deadlineNanos());
-    }
-
     /** Makes room in a full queue at the cost of lower tiers, as far as there are any. */
     private boolean hasRoom(Moment moment, Waiting waiting) {
         if (queue.size() < limits.queueLength()) {
@@ -329,7 +324,7 @@
         boolean tooLate =
                 limits.policy() == Policy.ORIOLESHED
                         && waiting.rank() > 0
-                        && leftMillis < waiting.workMillis() / 2;
+                        && leftMillis < timeToStart(waiting);
         if (tooLate) {
             admission.unused(waiting);
             refuse(moment, waiting, RefusalReason.OVERLOAD);
@@ -349,6 +344,12 @@
                 "in-flight/limit/waiting=" + state);
     }
 
+    /** Returns how much time a lower-tier run must have left to be started: more if others wait. */
+    private double timeToStart(Waiting waiting) {
+        double share = queue.size() > 0 ? STARTS_IN_TIME : STARTS_ALONE;
+        return share * waiting.workMillis();
+    }
+
     private void regrant(Moment moment, Places.Reservation reservation) {
         long leftMillis = Math.max(0, moment.millisUntil(reservation.untilNanos()));
         outbox.granted(reservation.waiting(), id(), leftMillis);
--- a/src/main/java/org/orioleshed/routing/RoutingLimits.java
+++ b/src/main/java/org/orioleshed/routing/RoutingLimits.java
@@ -29,7 +29,7 @@
         int tokenSilenceMillis) {
     /** The limits of a host whose settings state none. */
     public static final RoutingLimits DEFAULTS =
-            new RoutingLimits(Policy.ORIOLESHED, 1_600, 79, 256, 1_000, 2, 20_000, 5_000);
+            new RoutingLimits(Policy.ORIOLESHED, 1_600, 79, 1_024, 1_000, 2, 20_000, 5_000);
 
     /** Checks the arguments. */
     public RoutingLimits {
