--- a/src/main/java/org/orioleshed/membership/Membership.java
+++ b/src/main/java/org/orioleshed/membership/Membership.java
@@ -1,7 +1,6 @@
 package org.orioleshed.membership;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -26,8 +25,7 @@
     private final MembershipView view = new MembershipView();
     private final RumorQueue news = new RumorQueue();
     private final Prober prober;
-    private final Map<HostId, Long> suspectSinceNanos = new HashMap<>();
-    private final Map<HostId, Long> deadSinceNanos = new HashMap<>();
+    private final HealthClock health = new HealthClock();
     private final HostId self;
     private List<MembershipEvent.Seed> seeds = List.of();
     private List<HostId> reachable = List.of();
@@ -113,7 +111,7 @@
     /** After a pause of this host, silence of others proves nothing. */
     private void resume() {
         prober.forgetAll();
-        suspectSinceNanos.replaceAll((id, since) -> nowNanos);
+        health.restartSuspicions(nowNanos);
         nextProbeNanos = nowNanos + random.nextLong(options.probeMillis() * NANOS_PER_MILLI);
         if (!started) {
             nextSeedNanos = nowNanos;
@@ -203,28 +201,14 @@
 
     private void checkSuspects() {
         long limitNanos = options.suspicionMillis() * NANOS_PER_MILLI;
-        List<HostId> overdue = new ArrayList<>();
-        suspectSinceNanos.forEach(
-                (id, since) -> {
-                    if (nowNanos - since >= limitNanos) {
-                        overdue.add(id);
-                    }
-                });
-        for (HostId id : overdue) {
+        for (HostId id : health.overdue(nowNanos, limitNanos)) {
             learn(new Rumor.OfHost(view.get(id).withHealth(Member.Health.DEAD)));
         }
     }
 
     private void forgetDead() {
         long limitNanos = options.forgetMillis() * NANOS_PER_MILLI;
-        Iterator<Map.Entry<HostId, Long>> dead = deadSinceNanos.entrySet().iterator();
-        while (dead.hasNext()) {
-            Map.Entry<HostId, Long> entry = dead.next();
-            if (nowNanos - entry.getValue() >= limitNanos) {
-                view.forget(entry.getKey());
-                dead.remove();
-            }
-        }
+        health.takeForgotten(nowNanos, limitNanos).forEach(view::forget);
     }
 
     private void seed(List<MembershipEvent.Seed> given) {
@@ -247,7 +231,7 @@
                 absent.add(seed.id());
             }
         }
-        for (HostId dead : deadSinceNanos.keySet()) {
+        for (HostId dead : health.dead()) {
             if (!absent.contains(dead)) {
                 absent.add(dead);
             }
@@ -322,23 +306,11 @@
         if ((moved || returned) && !merged.id().equals(self)) {
             actions.add(new MembershipAction.Locate(merged.id(), merged.address()));
         }
-        track(merged);
-        refreshReachable();
-    }
-
-    private void track(Member member) {
-        HostId id = member.id();
-        if (member.health() == Member.Health.SUSPECT) {
-            suspectSinceNanos.putIfAbsent(id, nowNanos);
-        } else {
-            suspectSinceNanos.remove(id);
-        }
-        if (member.health() == Member.Health.DEAD) {
-            deadSinceNanos.put(id, nowNanos);
-            actions.add(new MembershipAction.Died(id));
-        } else {
-            deadSinceNanos.remove(id);
+        health.track(merged, nowNanos);
+        if (merged.health() == Member.Health.DEAD) {
+            actions.add(new MembershipAction.Died(merged.id()));
         }
+        refreshReachable();
     }
 
     private void refreshReachable() {
