--- a/src/main/java/org/orioleshed/request/Execution.java
+++ b/src/main/java/org/orioleshed/request/Execution.java
@@ -126,6 +126,17 @@
         /** Whether an earlier run may have reached an engine. */
         final boolean ranBefore;
 
+        /** When to ask the home whether it has the run, as it stays silent. */
+        long probeNanos = Long.MAX_VALUE;
+
+        long probeDelayNanos;
+
+        /** Whether the body was sent twice, so that an engine may refuse the second. */
+        boolean placedAgain;
+
+        /** Whether a token of this run came. */
+        boolean heard;
+
         long silentAtNanos;
         long gapEndsNanos = Long.MAX_VALUE;
         OptionalInt totalTokens = OptionalInt.empty();
@@ -140,7 +151,7 @@
 
         @Override
         public long wakeNanos() {
-            return Math.min(silentAtNanos, gapEndsNanos);
+            return Math.min(probeNanos, Math.min(silentAtNanos, gapEndsNanos));
         }
     }
 
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -50,6 +50,9 @@
     /** How long a suspect waits while the same content runs. */
     private static final long SUSPECT_WAIT_MILLIS = 200;
 
+    /** How long a stream may pause before its home is asked whether it has the run. */
+    private static final long PROBE_MILLIS = 2_000;
+
     /** How often the host that runs a key is asked for its outcome. */
     private static final long RELAY_MILLIS = 100;
 
@@ -280,16 +283,60 @@
             wakes.schedule(execution);
             return;
         }
-        boolean placed =
-                execution != null
-                        && execution.state instanceof Running running
-                        && running.run.equals(granted.run())
-                        && running.server.equals(granted.server());
-        if (!placed) {
-            out.accept(
-                    new HostAction.SendRouting(
-                            from, new RoutingMessage.Withdrawn(granted.run(), granted.server())));
+        if (execution != null
+                && execution.state instanceof Running running
+                && running.run.equals(granted.run())
+                && running.server.equals(granted.server())) {
+            placeAgain(nowNanos, execution, running, granted);
+            wakes.schedule(execution);
+            return;
         }
+        withdraw(from, granted);
+    }
+
+    private void withdraw(HostId from, RoutingMessage.Granted granted) {
+        out.accept(
+                new HostAction.SendRouting(
+                        from, new RoutingMessage.Withdrawn(granted.run(), granted.server())));
+    }
+
+    /**
+     * A home that was asked grants a place once more, so it does not have the run: it never got the
+     * body, or forgot the run in a restart.
+     */
+    private void placeAgain(
+            long nowNanos, Execution execution, Running running, RoutingMessage.Granted granted) {
+        boolean asked = running.probeDelayNanos > nanos(limits.offerRepeatMillis());
+        if (!asked) {
+            return;
+        }
+        if (!running.heard && !running.placedAgain) {
+            running.placedAgain = true;
+            sendBody(execution, running);
+            return;
+        }
+        withdraw(running.home, granted);
+        cancelAtEngine(nowNanos, execution, running, "home-forgot");
+    }
+
+    private void cancelAtEngine(
+            long nowNanos, Execution execution, Running running, String reason) {
+        log("resume", execution, running.server, reason);
+        execution.state = new Ending(running.run, running.server);
+        canceller.atEngine(nowNanos, world, running.run, running.server, running.home);
+    }
+
+    private void sendBody(Execution execution, Running running) {
+        int known = execution.transcript.tokens();
+        out.accept(
+                new HostAction.SendRouting(
+                        running.home,
+                        new RoutingMessage.Placed(
+                                running.run,
+                                running.server,
+                                execution.request.body(),
+                                known,
+                                execution.creditLimit - known)));
     }
 
     private void place(
@@ -314,15 +361,9 @@
         execution.mayHaveRun = true;
         placement.placed(execution.request, server);
         log("place", execution, server, "granted");
-        out.accept(
-                new HostAction.SendRouting(
-                        home,
-                        new RoutingMessage.Placed(
-                                offering.run,
-                                server,
-                                execution.request.body(),
-                                known,
-                                execution.creditLimit - known)));
+        running.probeDelayNanos = nanos(limits.offerRepeatMillis());
+        running.probeNanos = nowNanos + 2 * running.probeDelayNanos;
+        sendBody(execution, running);
     }
 
     void onRefused(long nowNanos, Refused refused) {
@@ -368,6 +409,9 @@
         }
         if (execution.state instanceof Running running) {
             running.silentAtNanos = nowNanos + nanos(limits.silenceMillis());
+            running.heard = true;
+            running.probeDelayNanos = nanos(limits.offerRepeatMillis());
+            running.probeNanos = nowNanos + nanos(PROBE_MILLIS);
             if (!execution.transcript.hasGap() && running.totalTokens.isEmpty()) {
                 running.gapEndsNanos = Long.MAX_VALUE;
             } else if (running.gapEndsNanos == Long.MAX_VALUE) {
@@ -441,6 +485,7 @@
                 running.totalTokens = OptionalInt.of(finished.totalTokens());
                 running.gapEndsNanos = nowNanos + nanos(limits.gapMillis());
                 running.silentAtNanos = Long.MAX_VALUE;
+                running.probeNanos = Long.MAX_VALUE;
                 finishIfWhole(nowNanos, execution, running);
             }
             case RunEnd.Preempted preempted -> {
@@ -454,6 +499,8 @@
                 backOff(nowNanos, execution, 0);
             }
             case RunEnd.Cancelled cancelled -> backOff(nowNanos, execution, 0);
+            case RunEnd.EngineError error when running.placedAgain ->
+                    cancelAtEngine(nowNanos, execution, running, "refused-second-body");
             case RunEnd.EngineError error -> {
                 String detail = error.detail();
                 boolean retry = error.retryable() || leavesNewVersion(execution, running.server);
@@ -488,7 +535,10 @@
         }
         Optional<VersionId> version =
                 Optional.ofNullable(world.servers().get(server)).map(BackendServer::version);
-        poison.crashed(nowNanos, execution.request.fingerprint(), server, version);
+        poison.crashed(
+                nowNanos,
+                execution.request.fingerprint(),
+                new Poison.Crash(server, execution.run(), version, nowNanos));
     }
 
     /** Tries again after a run that failed and is over, if the budget and the caller allow. */
@@ -527,9 +577,7 @@
         if (alive || finishedAwaitingPieces(running)) {
             return;
         }
-        log("resume", execution, running.server, "home-lost");
-        execution.state = new Ending(running.run, running.server);
-        canceller.atEngine(nowNanos, world, running.run, running.server, running.home);
+        cancelAtEngine(nowNanos, execution, running, "home-lost");
     }
 
     private static boolean finishedAwaitingPieces(Running running) {
@@ -574,12 +622,21 @@
         if (nowNanos < running.wakeNanos()) {
             return;
         }
+        boolean callerIsSlow = execution.transcript.tokens() >= execution.creditLimit;
+        if (nowNanos >= running.probeNanos && callerIsSlow) {
+            running.probeNanos = nowNanos + nanos(PROBE_MILLIS);
+        }
+        if (nowNanos >= running.probeNanos) {
+            running.probeDelayNanos *= 2;
+            running.probeNanos = nowNanos + 2 * running.probeDelayNanos;
+            offers.probe(nowNanos, execution, running);
+            return;
+        }
         if (finishedAwaitingPieces(running)) {
             log("resume", execution, running.server, "pieces-lost");
             backOff(nowNanos, execution, 0);
             return;
         }
-        boolean callerIsSlow = execution.transcript.tokens() >= execution.creditLimit;
         if (callerIsSlow && nowNanos < running.gapEndsNanos) {
             running.silentAtNanos = nowNanos + nanos(limits.silenceMillis());
             return;
