--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -4,6 +4,8 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.orioleshed.fleet.BackendServer;
@@ -135,6 +137,35 @@
         assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
     }
 
+    @DataProvider
+    Object[][] keysAndHosts() {
+        List<Object[]> cases = new ArrayList<>();
+        for (int key = 0; key < 8; key++) {
+            cases.add(new Object[] {"k" + key, key % 3, (key + 1) % 3});
+        }
+        return cases.toArray(Object[][]::new);
+    }
+
+    /** Whichever hosts keep the key's entry, the dead one among them or not. */
+    @Test(dataProvider = "keysAndHosts")
+    public void resendDoesNotRunBesideTheRunThatADeadHostLeft(String key, int first, int second) {
+        Node dead = fleet.nodes.get(first);
+        Node other = fleet.nodes.get(second);
+        fleet.send(dead, fleet.generate(dead, key, "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 1);
+        fleet.crash(dead);
+        RequestId resend = fleet.send(other, fleet.generate(other, key, "x", Tier.URGENT, 20_000));
+        for (int i = 0; i < 50; i++) {
+            fleet.settle();
+            fleet.tick(20);
+            assertTrue(fleet.engines.live.size() <= 1, "runs: " + fleet.engines.live.keySet());
+        }
+        fleet.tellWorld(Set.of(dead.id));
+        fleet.finish();
+        assertTrue(fleet.outcome(resend) instanceof Outcome.Answered, "" + fleet.outcome(resend));
+    }
+
     @Test
     public void callerWhoLeavesIsCancelledAtOnce() {
         RequestId id = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
