--- a/src/main/java/org/orioleshed/move/MoveCore.java
+++ b/src/main/java/org/orioleshed/move/MoveCore.java
@@ -2,15 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
 import org.orioleshed.fleet.EntryHost;
-import org.orioleshed.fleet.VersionSplit;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -18,8 +15,6 @@
 import org.orioleshed.model.MoveId;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.RouteId;
-import org.orioleshed.model.ServerId;
-import org.orioleshed.model.VersionId;
 
 /**
  * The part that one entry host takes in all moves: it gathers evidence, holds a fuse, takes its
@@ -226,7 +221,7 @@
                             : MoveAction.Notice.Kind.TAKEN_BACK;
             actions.add(notice(run, kind, record.author() + ": " + record.reason()));
         }
-        settleRaces();
+        Division.settleRaces(runs.values());
         unsaid = true;
         return true;
     }
@@ -242,23 +237,6 @@
         }
     }
 
-    /** Of open moves that share a route, one goes on: the one under way, else the first planned. */
-    private void settleRaces() {
-        Comparator<MoveRun> order =
-                Comparator.comparing((MoveRun run) -> run.record().state() != MoveState.RUNNING)
-                        .thenComparing(run -> run.record().plannedMillis())
-                        .thenComparing(run -> run.record().id());
-        Set<RouteId> taken = new HashSet<>();
-        List<MoveRun> open = runs.values().stream().filter(MoveRun::isOpen).sorted(order).toList();
-        for (MoveRun run : open) {
-            boolean free = run.record().routes().stream().noneMatch(taken::contains);
-            run.setSuperseded(!free);
-            if (free) {
-                taken.addAll(run.record().routes());
-            }
-        }
-    }
-
     private void swapped(long nowNanos, MoveEvent.SwapResult result, List<MoveAction> actions) {
         for (Mover mover : movers.values()) {
             actions.addAll(
@@ -430,43 +408,11 @@
             return;
         }
         unsaid = false;
-        MoveAction.SplitChanged now = split(nowNanos);
+        MoveAction.SplitChanged now =
+                Division.of(runs.values(), nowNanos, epochMillis, world, domain);
         if (!now.equals(said)) {
             said = now;
             actions.add(now);
         }
     }
-
-    private MoveAction.SplitChanged split(long nowNanos) {
-        Map<RouteId, VersionSplit> splits = new HashMap<>();
-        Map<RouteId, VersionId> versions = new HashMap<>();
-        Map<RouteId, Long> decidedAt = new HashMap<>();
-        Set<ServerId> heldBack = new HashSet<>();
-        for (MoveRun run : runs.values()) {
-            MoveRecord record = run.record();
-            if (run.isOpen() && !run.isSuperseded()) {
-                double share = run.share(nowNanos, epochMillis, world);
-                VersionSplit split = new VersionSplit(record.from(), record.to(), share);
-                record.routes().forEach(route -> splits.put(route, split));
-                heldBack.addAll(run.heldBack(nowNanos, epochMillis, world, domain));
-                continue;
-            }
-            if (run.isOpen()) {
-                continue;
-            }
-            VersionId version = outcomeVersion(run);
-            for (RouteId route : record.routes()) {
-                if (run.revision() > decidedAt.getOrDefault(route, 0L)) {
-                    decidedAt.put(route, run.revision());
-                    versions.put(route, version);
-                }
-            }
-        }
-        return new MoveAction.SplitChanged(splits, versions, heldBack);
-    }
-
-    private static VersionId outcomeVersion(MoveRun run) {
-        boolean onNew = run.record().state() == MoveState.COMPLETED && run.fuse().isEmpty();
-        return onNew ? run.record().to() : run.record().from();
-    }
 }
