--- a/src/main/java/org/orioleshed/load/Report.java
+++ b/src/main/java/org/orioleshed/load/Report.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -52,7 +53,8 @@
         json.put("doubleRuns", results.stream().filter(r -> ledger.ranTwice(r.request())).count());
         json.put("falseNotRun", results.stream().filter(ledger::falselyNotRun).count());
         json.put("wrongAnswers", results.stream().filter(r -> !r.right()).count());
-        json.put("shedWhileLowerRan", shedWhileLowerRan());
+        Set<Result> shed = shedWhileLowerRan();
+        json.put("shedWhileLowerRan", shed.size());
         json.set("goodput", byTier(this::goodput));
         json.put("goodputAll", share(results));
         json.set("goodputModel", byTier(tier -> share(of(tier).filter(Report::isText).toList())));
@@ -63,7 +65,7 @@
         json.set("firstTokenMillisP95", byTier(tier -> firstTokens.millis(tier, PERCENTILE)));
         json.set("tokenGapMillisP95", byTier(tier -> gaps.millis(tier, PERCENTILE)));
         json.set("refusals", refusals());
-        json.set("violations", violations());
+        json.set("violations", violations(shed));
         return json;
     }
 
@@ -110,17 +112,17 @@
     }
 
     /** Names the requests that broke a promise, with the runs that show it. */
-    private ArrayNode violations() {
+    private ArrayNode violations(Set<Result> shed) {
         ArrayNode list = Json.MAPPER.createArrayNode();
         for (Result result : results) {
-            boolean twice = ledger.ranTwice(result.request());
-            boolean falsely = ledger.falselyNotRun(result);
-            if (list.size() < MAX_VIOLATIONS && (twice || falsely || !result.right())) {
+            String broken = broken(result, shed);
+            if (list.size() < MAX_VIOLATIONS && !broken.isEmpty()) {
                 list.add(
                         String.format(
-                                "%s: %s, runs %s, sends %s",
+                                "%s %s: %s, runs %s, sends %s",
+                                result.request().traffic().tier(),
                                 result.request().tag(),
-                                twice ? "ran twice" : falsely ? "not run was untrue" : "wrong",
+                                broken,
                                 ledger.runs(result.request()),
                                 result.sends()));
             }
@@ -128,8 +130,23 @@
         return list;
     }
 
-    private long shedWhileLowerRan() {
-        long shed = 0;
+    /** Returns which promise a result broke; empty when none. */
+    private String broken(Result result, Set<Result> shed) {
+        if (ledger.ranTwice(result.request())) {
+            return "ran twice";
+        }
+        if (ledger.falselyNotRun(result)) {
+            return "not run was untrue";
+        }
+        if (!result.right()) {
+            return "wrong answer";
+        }
+        return shed.contains(result) ? "shed while a lower tier ran" : "";
+    }
+
+    /** Returns the requests that were refused while work of a lower tier ran. */
+    private Set<Result> shedWhileLowerRan() {
+        Set<Result> shed = new HashSet<>();
         for (int rank = 0; rank < TIERS.size() - 1; rank++) {
             List<String> lower = TIERS.subList(rank + 1, TIERS.size());
             List<RunRecord> lowerRuns =
@@ -138,11 +155,10 @@
                             .filter(Report::isText)
                             .flatMap(result -> ledger.runs(result.request()).stream())
                             .toList();
-            shed +=
-                    of(TIERS.get(rank))
-                            .filter(Report::isText)
-                            .filter(result -> shedWhile(lowerRuns, result))
-                            .count();
+            of(TIERS.get(rank))
+                    .filter(Report::isText)
+                    .filter(result -> shedWhile(lowerRuns, result))
+                    .forEach(shed::add);
         }
         return shed;
     }
