Divide versions evenly; tell the decisions the wall clock

Cause: independent draws send now and then far more than a step's share to a new version; and without the wall clock daily windows never opened in the process.

--- a/src/main/java/org/orioleshed/entry/HostDuty.java
+++ b/src/main/java/org/orioleshed/entry/HostDuty.java
@@ -19,6 +19,7 @@
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long FULL_WAIT_NANOS = TimeUnit.MICROSECONDS.toNanos(200);
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(2);
+    private static final long WALL_CLOCK_NANOS = TimeUnit.SECONDS.toNanos(10);
     private static final int BATCH = 256;
     private static final int MAX_QUESTIONS = 64;
 
@@ -28,6 +29,7 @@
     private final MpscAtomicArrayQueue<Runnable> questions =
             new MpscAtomicArrayQueue<>(MAX_QUESTIONS);
     private final long tickNanos;
+    private long nextWallClockNanos = System.nanoTime();
     private volatile Thread owner;
     private volatile boolean idle;
     private volatile boolean closed;
@@ -82,6 +84,7 @@
             long nowNanos = System.nanoTime();
             if (nowNanos - nextTickNanos >= 0) {
                 handle(new HostEvent.Tick());
+                tellWallClock(nowNanos);
                 nextTickNanos = nowNanos + tickNanos;
             }
             if (handled == 0) {
@@ -90,6 +93,14 @@
         }
     }
 
+    /** Daily windows are the only decisions on wall time. */
+    private void tellWallClock(long nowNanos) {
+        if (nowNanos - nextWallClockNanos >= 0) {
+            handle(new HostEvent.WallClock(System.currentTimeMillis()));
+            nextWallClockNanos = nowNanos + WALL_CLOCK_NANOS;
+        }
+    }
+
     private void answerOne() {
         Runnable question = questions.poll();
         if (question != null) {
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -12,6 +12,7 @@
 import java.util.random.RandomGenerator;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.EvenDraws;
 import org.orioleshed.fleet.VersionSplit;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.Decision;
@@ -63,6 +64,7 @@
 
     private final RequestLimits limits;
     private final RandomGenerator random;
+    private final EvenDraws versionDraws;
     private final Placement placement;
     private final PoisonWatch poison;
     private final RetryBudget retries;
@@ -90,6 +92,7 @@
             Closed onClosed) {
         this.limits = limits;
         this.random = random;
+        this.versionDraws = new EvenDraws(random);
         this.placement = placement;
         this.poison = poison;
         this.out = out;
@@ -106,7 +109,7 @@
      */
     void start(long nowNanos, Request request, Consumer<Execution> onOpened) {
         Execution execution = new Execution(request, new Waiting(nowNanos));
-        execution.version = world.version(request.route(), random.nextDouble());
+        execution.version = world.version(request.route(), versionDraws.next(request.route()));
         byRequest.put(request.id(), execution);
         addCaller(execution, request);
         onOpened.accept(execution);
