Keep the store stand-in's watches from holding the threads that all stand-ins share

Cause: each waiting watch held a carrier thread of the JVM's virtual threads; with as many watches as cores the engines in the same JVM stood still (a thread dump in the stall shows ten carriers in StoreServer.watch). Ruled out: the collector (4 young collections), a deadlock.

--- a/src/main/java/org/orioleshed/standin/StoreServer.java
+++ b/src/main/java/org/orioleshed/standin/StoreServer.java
@@ -32,7 +32,7 @@
         static final Faults NONE = new Faults(false, 0, 0, false);
     }
 
-    private static final long WATCH_POLL_MILLIS = 100;
+    private static final long WATCH_POLL_MILLIS = 5;
     private static final int MAX_VALUE_BASE64 = 1_400_000;
     private static final String NO_END = "\uffff";
 
@@ -145,7 +145,6 @@
                     case "/v3/lease/revoke", "/v3/kv/lease/revoke" -> revoke(body);
                     default -> null;
                 };
-        notifyAll();
         return answer;
     }
 
@@ -282,17 +281,20 @@
         OutputStream out = exchange.getResponseBody();
         writeLine(out, first);
         while (!faults.down()) {
-            ObjectNode line;
+            ObjectNode line = null;
             synchronized (this) {
                 List<Change> changes = model.changes(key, end, next);
-                if (changes.isEmpty() || faults.silentWatches()) {
-                    wait(WATCH_POLL_MILLIS);
-                    continue;
+                if (!changes.isEmpty() && !faults.silentWatches()) {
+                    next = changes.getLast().revision() + 1;
+                    line = line(changes);
                 }
-                next = changes.getLast().revision() + 1;
-                line = line(changes);
             }
-            writeLine(out, line);
+            if (line == null) {
+                // Waiting on the monitor would hold a carrier thread for each watch.
+                Thread.sleep(WATCH_POLL_MILLIS);
+            } else {
+                writeLine(out, line);
+            }
         }
     }
 
