--- a/src/main/java/org/orioleshed/admin/AdminRoutes.java
+++ b/src/main/java/org/orioleshed/admin/AdminRoutes.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.orioleshed.admin.AdminBackend.MovePlan;
 import org.orioleshed.admin.AdminBackend.SettingsChange;
+import org.orioleshed.settings.Operator;
 
 /** Leads each call of the admin API to the backend. */
 final class AdminRoutes {
--- a/src/main/java/org/orioleshed/admin/AdminServer.java
+++ b/src/main/java/org/orioleshed/admin/AdminServer.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import org.orioleshed.settings.Operator;
 
 /** The admin API of an entry host, over HTTP. */
 public final class AdminServer implements AutoCloseable {
--- a/src/main/java/org/orioleshed/admin/Operators.java
+++ b/src/main/java/org/orioleshed/admin/Operators.java
@@ -6,6 +6,7 @@
 import java.security.MessageDigest;
 import java.util.List;
 import java.util.Optional;
+import org.orioleshed.settings.Operator;
 
 /** Finds the operator that a bearer key belongs to. */
 final class Operators {
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -13,7 +13,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.admin.AdminServer;
-import org.orioleshed.admin.Operator;
 import org.orioleshed.backend.BackendLimits;
 import org.orioleshed.backend.Backends;
 import org.orioleshed.backend.HttpClients;
@@ -167,20 +166,13 @@
         if (settings.adminAddress().isEmpty()) {
             return;
         }
-        List<Operator> operators =
-                settings.operators().stream().map(EntryProcess::operator).toList();
         admin =
                 AdminServer.start(
                         settings.adminAddress().get(),
-                        operators,
+                        settings.operators(),
                         new EntryAdmin(control, duty, actions, poison, () -> world));
     }
 
-    private static Operator operator(org.orioleshed.settings.Operator stated) {
-        return new Operator(
-                stated.name(), stated.keyHash(), Operator.Role.valueOf(stated.role().name()));
-    }
-
     private void stopAndWait() {
         stopAsked.countDown();
         try {
--- a/src/test/java/org/orioleshed/admin/AdminServerTest.java
+++ b/src/test/java/org/orioleshed/admin/AdminServerTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.orioleshed.settings.Operator;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
