Give fates a door of their own; wait for the last writes before a stop

Cause: CallerServer did two jobs. At a graceful stop the decisions are done with a request before its caller's thread has written the end, and the process closed its HTTP server at once: a narrow window in which an answer could be cut (found by reading, not seen). A question that fails no longer ends the decisions' thread.

--- a/src/main/java/org/orioleshed/entry/CallerDoor.java
+++ b/src/main/java/org/orioleshed/entry/CallerDoor.java
@@ -1,6 +1,5 @@
 package org.orioleshed.entry;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
@@ -10,7 +9,6 @@
 import com.sun.net.httpserver.Headers;
 import java.io.IOException;
 import java.nio.ByteBuffer;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicLong;
 import org.orioleshed.fleet.Route;
@@ -252,8 +250,6 @@
         try {
             JsonNode root = JSON.readTree(body);
             return root != null && root.isObject() ? root : null;
-        } catch (JsonProcessingException e) {
-            return null;
         } catch (IOException e) {
             return null;
         }
@@ -270,9 +266,4 @@
     private static BadRequest unknownRoute(String name) {
         return new BadRequest(NOT_FOUND, "unknown_route", "no such route: " + name);
     }
-
-    /** Returns the routes known, for messages. */
-    Map<RouteId, Route> routes() {
-        return world.routes();
-    }
 }
--- a/src/main/java/org/orioleshed/entry/CallerServer.java
+++ b/src/main/java/org/orioleshed/entry/CallerServer.java
@@ -1,39 +1,27 @@
 package org.orioleshed.entry;
 
 import com.codahale.metrics.MetricRegistry;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import org.orioleshed.fleet.Workspace;
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.model.Outcome;
 import org.orioleshed.model.Request;
-import org.orioleshed.model.RequestKey;
-import org.orioleshed.request.Fate;
 
 /** The HTTP door for callers, one virtual thread for each open request. */
 final class CallerServer implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final ObjectMapper JSON = new ObjectMapper();
     private static final int OK = 200;
-    private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
     private static final int METHOD_NOT_ALLOWED = 405;
     private static final int TOO_LARGE = 413;
@@ -41,7 +29,6 @@
     private static final String MAX_REQUEST_SECONDS = "20";
     private static final String MAX_CONNECTIONS = "8000";
     private static final int BACKLOG = 1_024;
-    private static final long FATE_TIMEOUT_MILLIS = 2_000;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private final CallerDoor door;
@@ -79,7 +66,7 @@
         server.setExecutor(threads);
         server.createContext("/v1/chat/completions", guarded(this::chat));
         server.createContext("/v1/services/", guarded(this::service));
-        server.createContext("/v1/requests/", guarded(this::fate));
+        server.createContext("/v1/requests/", guarded(new FateDoor(door, actions)::answer));
         server.createContext("/healthz", guarded(http -> text(http, OK, "alive")));
         server.createContext("/readyz", guarded(this::readiness));
         server.createContext("/metrics", guarded(http -> text(http, OK, metricsText.write())));
@@ -217,62 +204,10 @@
         }
     }
 
-    private static void refuse(HttpExchange http, Outcome.NotRunReason reason) throws IOException {
+    static void refuse(HttpExchange http, Outcome.NotRunReason reason) throws IOException {
         CallerReply.sendError(http, CallerError.of(new Outcome.NotRun(reason, RETRY_AFTER_MILLIS)));
     }
 
-    private void fate(HttpExchange http) throws IOException {
-        Optional<Workspace> workspace = door.workspace(http.getRequestHeaders());
-        if (workspace.isEmpty()) {
-            CallerReply.sendError(
-                    http,
-                    CallerError.of(new BadRequest(401, "unauthorized", "send a known bearer key")));
-            return;
-        }
-        String raw = http.getRequestURI().getRawPath().substring("/v1/requests/".length());
-        String key = URLDecoder.decode(raw, StandardCharsets.UTF_8);
-        if (key.isBlank() || key.length() > 200) {
-            CallerReply.sendError(
-                    http,
-                    CallerError.of(
-                            new BadRequest(
-                                    BAD_REQUEST, "bad_key", "the key has 1 to 200 characters")));
-            return;
-        }
-        try {
-            Fate fate =
-                    actions.fate(new RequestKey(workspace.get().id(), key))
-                            .get(FATE_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
-            CallerReply.send(http, OK, describe(fate).getBytes(StandardCharsets.UTF_8));
-        } catch (TimeoutException | ExecutionException e) {
-            refuse(http, Outcome.NotRunReason.OVERLOAD);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
-    }
-
-    private static String describe(Fate fate) {
-        ObjectNode root = JSON.createObjectNode();
-        switch (fate) {
-            case Fate.Unknown unknown -> root.put("fate", "unknown");
-            case Fate.Pending pending -> root.put("fate", "pending");
-            case Fate.Final known -> describe(known.outcome(), root);
-        }
-        return root.toString();
-    }
-
-    private static void describe(Outcome outcome, ObjectNode root) {
-        switch (outcome) {
-            case Outcome.Answered answered -> {
-                root.put("fate", "answered");
-                root.put("tokens", answered.tokens());
-            }
-            case Outcome.Failed failed -> root.put("fate", "failed");
-            case Outcome.NotRun notRun -> root.put("fate", "not_run");
-            case Outcome.InDoubt inDoubt -> root.put("fate", "in_doubt");
-        }
-    }
-
     private void readiness(HttpExchange http) throws IOException {
         boolean serving = ready.getAsBoolean() && !draining.get();
         text(http, serving ? OK : UNAVAILABLE, serving ? "ready" : "not ready");
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -38,7 +38,9 @@
 /** One entry host: its threads and what joins them. */
 final class EntryProcess implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long CLOSE_MARGIN_MILLIS = 2_000;
+    private static final long CLOSE_MARGIN_MILLIS = 4_000;
+    private static final long LAST_WRITES_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long LAST_WRITES_POLL_MILLIS = 10;
 
     private final EntrySettings settings;
     private final EntryLimits limits = EntryLimits.DEFAULT;
@@ -157,11 +159,20 @@
         control.drain();
         duty.add(new HostEvent.DrainAsked());
         boolean finished = actions.drained().await(settings.drainMillis(), TimeUnit.MILLISECONDS);
+        awaitLastWrites();
         logger.atInfo().log(
                 "event=stopped host=%s finished=%s open=%d",
                 settings.host(), finished, actions.openCallers());
     }
 
+    /** The decisions are done with a request before its caller's thread has written the end. */
+    private void awaitLastWrites() throws InterruptedException {
+        long untilNanos = System.nanoTime() + LAST_WRITES_NANOS;
+        while (actions.openCallers() > 0 && System.nanoTime() - untilNanos < 0) {
+            Thread.sleep(LAST_WRITES_POLL_MILLIS);
+        }
+    }
+
     private void startAdmin() throws IOException {
         if (settings.adminAddress().isEmpty()) {
             return;
--- /dev/null
+++ b/src/main/java/org/orioleshed/entry/FateDoor.java
@@ -0,0 +1,105 @@
+package org.orioleshed.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.orioleshed.fleet.Workspace;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.RequestKey;
+import org.orioleshed.request.Fate;
+
+/** Tells callers the fate of their keys: {@code GET /v1/requests/{key}}. */
+final class FateDoor {
+    /** What the path starts with. */
+    static final String PATH = "/v1/requests/";
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final int OK = 200;
+    private static final int BAD_REQUEST = 400;
+    private static final int UNAUTHORIZED = 401;
+    private static final int METHOD_NOT_ALLOWED = 405;
+    private static final int MAX_KEY_LENGTH = 200;
+    private static final long TIMEOUT_MILLIS = 2_000;
+
+    private final CallerDoor door;
+    private final HostActions actions;
+
+    FateDoor(CallerDoor door, HostActions actions) {
+        this.door = door;
+        this.actions = actions;
+    }
+
+    /** Answers one exchange. */
+    void answer(HttpExchange http) throws IOException {
+        if (!http.getRequestMethod().equals("GET")) {
+            refuse(http, METHOD_NOT_ALLOWED, "bad_method", "use GET");
+            return;
+        }
+        Optional<Workspace> workspace = door.workspace(http.getRequestHeaders());
+        if (workspace.isEmpty()) {
+            refuse(http, UNAUTHORIZED, "unauthorized", "send a known bearer key");
+            return;
+        }
+        Optional<String> key = key(http.getRequestURI().getRawPath().substring(PATH.length()));
+        if (key.isEmpty()) {
+            refuse(http, BAD_REQUEST, "bad_key", "the key has 1 to 200 characters");
+            return;
+        }
+        tell(http, new RequestKey(workspace.get().id(), key.get()));
+    }
+
+    private static Optional<String> key(String raw) {
+        try {
+            String key = URLDecoder.decode(raw, StandardCharsets.UTF_8);
+            boolean fits = !key.isBlank() && key.length() <= MAX_KEY_LENGTH;
+            return fits ? Optional.of(key) : Optional.empty();
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    private void tell(HttpExchange http, RequestKey key) throws IOException {
+        try {
+            Fate fate = actions.fate(key).get(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+            CallerReply.send(http, OK, describe(fate).getBytes(StandardCharsets.UTF_8));
+        } catch (TimeoutException | ExecutionException e) {
+            CallerServer.refuse(http, Outcome.NotRunReason.OVERLOAD);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static void refuse(HttpExchange http, int status, String code, String message)
+            throws IOException {
+        CallerReply.sendError(http, CallerError.of(new BadRequest(status, code, message)));
+    }
+
+    private static String describe(Fate fate) {
+        ObjectNode root = JSON.createObjectNode();
+        switch (fate) {
+            case Fate.Unknown unknown -> root.put("fate", "unknown");
+            case Fate.Pending pending -> root.put("fate", "pending");
+            case Fate.Final known -> describe(known.outcome(), root);
+        }
+        return root.toString();
+    }
+
+    private static void describe(Outcome outcome, ObjectNode root) {
+        switch (outcome) {
+            case Outcome.Answered answered -> {
+                root.put("fate", "answered");
+                root.put("tokens", answered.tokens());
+            }
+            case Outcome.Failed failed -> root.put("fate", "failed");
+            case Outcome.NotRun notRun -> root.put("fate", "not_run");
+            case Outcome.InDoubt inDoubt -> root.put("fate", "in_doubt");
+        }
+    }
+}
--- a/src/main/java/org/orioleshed/entry/HostDuty.java
+++ b/src/main/java/org/orioleshed/entry/HostDuty.java
@@ -63,13 +63,21 @@
     /** Runs a question on the decisions' thread; fails when too many wait. */
     <T> CompletableFuture<T> ask(Supplier<T> question) {
         CompletableFuture<T> answer = new CompletableFuture<>();
-        boolean taken = questions.offer(() -> answer.complete(question.get()));
+        boolean taken = questions.offer(() -> answer(question, answer));
         if (!taken) {
             answer.completeExceptionally(new IllegalStateException("too many questions wait"));
         }
         return answer;
     }
 
+    private static <T> void answer(Supplier<T> question, CompletableFuture<T> answer) {
+        try {
+            answer.complete(question.get());
+        } catch (RuntimeException e) {
+            answer.completeExceptionally(e);
+        }
+    }
+
     int waiting() {
         return ring.size();
     }
