--- a/src/main/java/org/orioleshed/peer/FrameKinds.java
+++ b/src/main/java/org/orioleshed/peer/FrameKinds.java
@@ -13,6 +13,8 @@
             case MEMBERSHIP -> Frame.Kind.MEMBERSHIP;
             case SETTINGS -> Frame.Kind.SETTINGS;
             case MOVE -> Frame.Kind.MOVE;
+            case DISPATCH -> Frame.Kind.DISPATCH;
+            case NEWS -> Frame.Kind.NEWS;
         };
     }
 
@@ -24,6 +26,8 @@
             case MEMBERSHIP -> MessageKind.MEMBERSHIP;
             case SETTINGS -> MessageKind.SETTINGS;
             case MOVE -> MessageKind.MOVE;
+            case DISPATCH -> MessageKind.DISPATCH;
+            case NEWS -> MessageKind.NEWS;
             case HELLO, ALIVE, UNKNOWN, UNRECOGNIZED -> null;
         };
     }
