--- a/src/main/java/org/orioleshed/control/ControlCore.java
+++ b/src/main/java/org/orioleshed/control/ControlCore.java
@@ -209,7 +209,7 @@
                                 new SettingsEvent.Received(
                                         message.from(), settingsCodec.decode(body)));
                 case MOVE -> moves.receive(nowNanos, message.from(), body);
-                case ROUTING, REQUEST -> {}
+                case ROUTING, REQUEST, DISPATCH, NEWS -> {}
             }
         } catch (BadMessageException e) {
             logger.atWarning().log(
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/Ask.java
@@ -0,0 +1,59 @@
+package org.orioleshed.dispatch;
+
+import java.util.Optional;
+import java.util.Set;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.WorkspaceId;
+
+/**
+ * What a request needs of a pool.
+ *
+ * @param service the pool
+ * @param route the route of the request
+ * @param workspace whose quota it uses; empty where it uses none, as for a second server
+ * @param domain the failure domain of the host that accepted it
+ * @param rank its urgency, 0 first
+ * @param targetLeftMillis the time left in which an answer is worth most, in milliseconds; may be
+ *     negative
+ * @param deadlineLeftMillis the time left until its caller gives up, in milliseconds
+ * @param promptTokens the tokens to read; 0 for a plain service
+ * @param outputTokens the expected tokens to generate; 0 for a plain service
+ * @param quotaUnits what it uses of the workspace's quota
+ * @param excluded servers that must not get it
+ */
+public record Ask(
+        ServiceId service,
+        RouteId route,
+        Optional<WorkspaceId> workspace,
+        FailureDomain domain,
+        int rank,
+        long targetLeftMillis,
+        long deadlineLeftMillis,
+        long promptTokens,
+        long outputTokens,
+        long quotaUnits,
+        Set<ServerId> excluded) {
+    /** Copies the set. */
+    public Ask {
+        excluded = Set.copyOf(excluded);
+    }
+
+    /** Returns the same ask at a later moment, without a quota to use. */
+    public Ask again(long laterMillis) {
+        return new Ask(
+                service,
+                route,
+                Optional.empty(),
+                domain,
+                rank,
+                targetLeftMillis - laterMillis,
+                deadlineLeftMillis - laterMillis,
+                promptTokens,
+                outputTokens,
+                0,
+                excluded);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -0,0 +1,192 @@
+package org.orioleshed.dispatch;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
+import java.util.stream.Collectors;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.WorkspaceId;
+import org.orioleshed.peer.BadMessageException;
+import org.orioleshed.peer.MessageCodec;
+import org.orioleshed.wire.DispatchWire.Dispatch;
+
+/** Writes dispatch messages as protobuf. A run's origin is the host that accepted it. */
+public final class DispatchCodec implements MessageCodec<DispatchMessage> {
+    @Override
+    public byte[] encode(DispatchMessage message) {
+        return switch (message) {
+            case DispatchMessage.ToHome to -> write(to.event());
+            case DispatchMessage.FromHome from -> write(from.action());
+        };
+    }
+
+    private static byte[] write(DispatchEvent event) {
+        return switch (event) {
+            case DispatchEvent.Asked asked ->
+                    start(Dispatch.Kind.ASKED, asked.run())
+                            .setAsk(write(asked.ask()))
+                            .build()
+                            .toByteArray();
+            case DispatchEvent.Placed placed ->
+                    start(Dispatch.Kind.PLACED, placed.run())
+                            .setAsk(write(placed.ask()))
+                            .setServer(placed.server().value())
+                            .build()
+                            .toByteArray();
+            case DispatchEvent.Withdrawn withdrawn ->
+                    start(Dispatch.Kind.WITHDRAWN, withdrawn.run()).build().toByteArray();
+            case DispatchEvent.First first ->
+                    start(Dispatch.Kind.FIRST, first.run())
+                            .setMillis(first.firstMillis())
+                            .build()
+                            .toByteArray();
+            case DispatchEvent.Ended ended ->
+                    start(Dispatch.Kind.ENDED, ended.run())
+                            .setEnd(write(ended.end()))
+                            .build()
+                            .toByteArray();
+            case DispatchEvent.HostGone gone -> throw new IllegalArgumentException("not sent");
+            case DispatchEvent.ServersChanged changed ->
+                    throw new IllegalArgumentException("not sent");
+            case DispatchEvent.LimitsChanged changed ->
+                    throw new IllegalArgumentException("not sent");
+            case DispatchEvent.ShareChanged changed ->
+                    throw new IllegalArgumentException("not sent");
+            case DispatchEvent.Tick tick -> throw new IllegalArgumentException("not sent");
+        };
+    }
+
+    private static byte[] write(DispatchAction action) {
+        return switch (action) {
+            case DispatchAction.Grant grant ->
+                    start(Dispatch.Kind.GRANT, grant.run())
+                            .setServer(grant.server().value())
+                            .build()
+                            .toByteArray();
+            case DispatchAction.Queued queued ->
+                    start(Dispatch.Kind.QUEUED, queued.run()).build().toByteArray();
+            case DispatchAction.Refuse refuse ->
+                    start(Dispatch.Kind.REFUSE, refuse.run())
+                            .setMillis(refuse.retryAfterMillis())
+                            .setReason(write(refuse.reason()))
+                            .build()
+                            .toByteArray();
+        };
+    }
+
+    private static Dispatch.Builder start(Dispatch.Kind kind, RunKey run) {
+        return Dispatch.newBuilder()
+                .setKind(kind)
+                .setRun(run.number())
+                .setOrigin(run.origin().value());
+    }
+
+    private static Dispatch.Reason write(DispatchAction.Reason reason) {
+        return switch (reason) {
+            case QUOTA -> Dispatch.Reason.QUOTA;
+            case OVERLOAD -> Dispatch.Reason.OVERLOAD;
+            case NO_SERVER -> Dispatch.Reason.NO_SERVER;
+        };
+    }
+
+    private static Dispatch.Ask write(Ask ask) {
+        Dispatch.Ask.Builder wire =
+                Dispatch.Ask.newBuilder()
+                        .setService(ask.service().value())
+                        .setRoute(ask.route().value())
+                        .setDomain(ask.domain().value())
+                        .setRank(ask.rank())
+                        .setTargetLeftMillis(ask.targetLeftMillis())
+                        .setDeadlineLeftMillis(ask.deadlineLeftMillis())
+                        .setPromptTokens(ask.promptTokens())
+                        .setOutputTokens(ask.outputTokens())
+                        .setQuotaUnits(ask.quotaUnits());
+        ask.workspace().ifPresent(workspace -> wire.setWorkspace(workspace.value()));
+        ask.excluded().forEach(server -> wire.addExcluded(server.value()));
+        return wire.build();
+    }
+
+    private static Dispatch.End write(RunEnd end) {
+        return Dispatch.End.newBuilder()
+                .setOutcome(Dispatch.Outcome.valueOf(end.outcome().name()))
+                .setEvents(end.events())
+                .setFirstMillis(end.firstMillis())
+                .setTotalMillis(end.totalMillis())
+                .build();
+    }
+
+    @Override
+    public DispatchMessage decode(byte[] bytes) throws BadMessageException {
+        try {
+            return read(Dispatch.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
+            throw new BadMessageException("no dispatch message: " + e.getMessage());
+        }
+    }
+
+    private static DispatchMessage read(Dispatch wire) throws BadMessageException {
+        RunKey run = new RunKey(new HostId(wire.getOrigin()), wire.getRun());
+        return switch (wire.getKind()) {
+            case ASKED ->
+                    new DispatchMessage.ToHome(new DispatchEvent.Asked(run, read(wire.getAsk())));
+            case WITHDRAWN -> new DispatchMessage.ToHome(new DispatchEvent.Withdrawn(run));
+            case PLACED ->
+                    new DispatchMessage.ToHome(
+                            new DispatchEvent.Placed(
+                                    run, read(wire.getAsk()), new ServerId(wire.getServer())));
+            case FIRST ->
+                    new DispatchMessage.ToHome(new DispatchEvent.First(run, wire.getMillis()));
+            case ENDED ->
+                    new DispatchMessage.ToHome(new DispatchEvent.Ended(run, read(wire.getEnd())));
+            case GRANT ->
+                    new DispatchMessage.FromHome(
+                            new DispatchAction.Grant(
+                                    run, new ServerId(wire.getServer()), "by=home"));
+            case QUEUED -> new DispatchMessage.FromHome(new DispatchAction.Queued(run));
+            case REFUSE ->
+                    new DispatchMessage.FromHome(
+                            new DispatchAction.Refuse(
+                                    run, read(wire.getReason()), wire.getMillis()));
+            case UNKNOWN, UNRECOGNIZED -> throw new BadMessageException("unknown kind");
+        };
+    }
+
+    private static DispatchAction.Reason read(Dispatch.Reason reason) throws BadMessageException {
+        return switch (reason) {
+            case QUOTA -> DispatchAction.Reason.QUOTA;
+            case OVERLOAD -> DispatchAction.Reason.OVERLOAD;
+            case NO_SERVER -> DispatchAction.Reason.NO_SERVER;
+            case NONE, UNRECOGNIZED -> throw new BadMessageException("refused without a reason");
+        };
+    }
+
+    private static Ask read(Dispatch.Ask wire) {
+        Optional<WorkspaceId> workspace =
+                wire.getWorkspace().isEmpty()
+                        ? Optional.empty()
+                        : Optional.of(new WorkspaceId(wire.getWorkspace()));
+        return new Ask(
+                new ServiceId(wire.getService()),
+                new RouteId(wire.getRoute()),
+                workspace,
+                new FailureDomain(wire.getDomain()),
+                wire.getRank(),
+                wire.getTargetLeftMillis(),
+                wire.getDeadlineLeftMillis(),
+                wire.getPromptTokens(),
+                wire.getOutputTokens(),
+                wire.getQuotaUnits(),
+                wire.getExcludedList().stream().map(ServerId::new).collect(Collectors.toSet()));
+    }
+
+    private static RunEnd read(Dispatch.End wire) {
+        return new RunEnd(
+                RunEnd.Outcome.valueOf(wire.getOutcome().name()),
+                wire.getEvents(),
+                wire.getFirstMillis(),
+                wire.getTotalMillis());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -0,0 +1,61 @@
+package org.orioleshed.dispatch;
+
+import java.util.List;
+import java.util.Map;
+import org.orioleshed.catalog.Pool;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.catalog.Quota;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.WorkspaceId;
+
+/** What can happen to a scheduler. */
+public sealed interface DispatchEvent {
+    /** A request needs a server. */
+    record Asked(RunKey run, Ask ask) implements DispatchEvent {}
+
+    /** A request needs none any more. */
+    record Withdrawn(RunKey run) implements DispatchEvent {}
+
+    /** A request was placed by another scheduler. */
+    record Placed(RunKey run, Ask ask, ServerId server) implements DispatchEvent {}
+
+    /** A run's first event came, {@code firstMillis} milliseconds after it was sent. */
+    record First(RunKey run, long firstMillis) implements DispatchEvent {}
+
+    /** A run ended. */
+    record Ended(RunKey run, RunEnd end) implements DispatchEvent {}
+
+    /** A host is gone, and its runs with it. */
+    record HostGone(HostId host) implements DispatchEvent {}
+
+    /** The servers in force. */
+    record ServersChanged(List<PoolServer> servers) implements DispatchEvent {
+        /** Copies the list. */
+        public ServersChanged {
+            servers = List.copyOf(servers);
+        }
+    }
+
+    /** The pools and quotas in force. */
+    record LimitsChanged(Map<ServiceId, Pool> pools, Map<WorkspaceId, Quota> quotas)
+            implements DispatchEvent {
+        /** Copies the maps. */
+        public LimitsChanged {
+            pools = Map.copyOf(pools);
+            quotas = Map.copyOf(quotas);
+        }
+    }
+
+    /**
+     * The parts of all servers' places and of all quotas that this scheduler may give out.
+     *
+     * @param places from 0 (exclusive) to 1
+     * @param quota from 0 (exclusive) to 1
+     */
+    record ShareChanged(double places, double quota) implements DispatchEvent {}
+
+    /** Time passed; comes at least every 50 ms while anything waits or runs. */
+    record Tick() implements DispatchEvent {}
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
@@ -0,0 +1,15 @@
+package org.orioleshed.dispatch;
+
+/** What hosts and the home of a pool say to each other. */
+public sealed interface DispatchMessage {
+    /**
+     * Something happened to a run of the sender.
+     *
+     * @param event one of {@link DispatchEvent.Asked}, {@link DispatchEvent.Withdrawn}, {@link
+     *     DispatchEvent.Placed}, {@link DispatchEvent.First}, {@link DispatchEvent.Ended}
+     */
+    record ToHome(DispatchEvent event) implements DispatchMessage {}
+
+    /** The home's answer about a run of the receiver. */
+    record FromHome(DispatchAction action) implements DispatchMessage {}
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -0,0 +1,112 @@
+package org.orioleshed.dispatch;
+
+import java.util.Optional;
+import org.orioleshed.catalog.Pool;
+
+/**
+ * Chooses the server that is expected to answer first. Answers the load pattern of unlike servers
+ * under mixed sizes: a long prompt must not wait behind another one while a server is free, and a
+ * server that fails some of its calls, or went silent, must not look attractive because it is
+ * empty.
+ */
+final class Placement {
+    /** A run that fails costs its caller about this many targets. */
+    private static final double FAULT_TARGETS = 3;
+
+    private static final double USUAL_TARGET_MILLIS = 600;
+
+    /** What a full server is slower than an empty one, at a usual step time of engines. */
+    private static final double FULL_MILLIS = 30;
+
+    /** Bytes between failure domains cost; a server nearby is taken if it is slower by less. */
+    private static final double OTHER_DOMAIN_ENGINE_MILLIS = 15;
+
+    private static final double OTHER_DOMAIN_PLAIN_MILLIS = 3;
+
+    /** Events that count when a stream's speed is weighed against its first event. */
+    private static final double WEIGHED_EVENTS = 4;
+
+    /** Memory beyond this part makes engines preempt their newest runs. */
+    private static final double MEMORY_PART = 0.92;
+
+    /** Longer than this without a first event, and longer than thrice the expected time. */
+    private static final long SILENT_MILLIS = 700;
+
+    private final PoolBook pool;
+    private final double share;
+    private final long nowNanos;
+
+    Placement(PoolBook pool, double share, long nowNanos) {
+        this.pool = pool;
+        this.share = share;
+        this.nowNanos = nowNanos;
+    }
+
+    /** Returns the best server with a free place; empty where none has one. */
+    Optional<ServerBook> choose(Ask ask) {
+        ServerBook best = null;
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (ServerBook server : pool.servers().values()) {
+            if (!maySend(server, ask) || !hasRoom(server, ask)) {
+                continue;
+            }
+            double score = score(server, ask);
+            if (score < bestScore) {
+                best = server;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the places that are not held by silent or leaving servers. */
+    int usablePlaces() {
+        return pool.servers().values().stream().filter(this::isUsable).mapToInt(this::limit).sum();
+    }
+
+    private boolean maySend(ServerBook server, Ask ask) {
+        return isUsable(server) && !ask.excluded().contains(server.server().id());
+    }
+
+    private boolean isUsable(ServerBook server) {
+        return !server.server().draining()
+                && !server.isHeldOff(nowNanos)
+                && !server.isSilent(SILENT_MILLIS, nowNanos);
+    }
+
+    private boolean hasRoom(ServerBook server, Ask ask) {
+        if (server.running() >= limit(server)) {
+            return false;
+        }
+        long memory = pool.declared().map(Pool::memoryTokens).orElse(0L);
+        long needed = server.heldTokens() + ask.promptTokens() + ask.outputTokens();
+        return memory == 0 || server.running() == 0 || needed <= memory * MEMORY_PART;
+    }
+
+    private int limit(ServerBook server) {
+        return Math.max(1, (int) (server.server().slots() * share));
+    }
+
+    /** Returns the expected time to the first event, and what else counts, in milliseconds. */
+    double score(ServerBook server, Ask ask) {
+        boolean engine = ask.promptTokens() > 0;
+        double load = (double) server.running() / limit(server);
+        double expected = engine ? engineMillis(server, ask) : plainMillis(server, load);
+        boolean near = server.server().domain().equals(ask.domain());
+        double away = engine ? OTHER_DOMAIN_ENGINE_MILLIS : OTHER_DOMAIN_PLAIN_MILLIS;
+        double faults = server.faultRate(nowNanos) * FAULT_TARGETS * USUAL_TARGET_MILLIS;
+        return expected + faults + (near ? 0 : away);
+    }
+
+    private double engineMillis(ServerBook server, Ask ask) {
+        double first =
+                server.firstFactor()
+                        * pool.speed().firstMillis(server.pendingTokens() + ask.promptTokens());
+        double stream = server.eventFactor() * pool.speed().eventMillis() * WEIGHED_EVENTS;
+        return first + stream + FULL_MILLIS * server.running() / limit(server);
+    }
+
+    private double plainMillis(ServerBook server, double load) {
+        return server.firstFactor() * pool.speed().plainMillis() * (1 + load);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/PoolBook.java
@@ -0,0 +1,112 @@
+package org.orioleshed.dispatch;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeSet;
+import org.orioleshed.catalog.Pool;
+import org.orioleshed.model.ServerId;
+
+/** One pool: its servers, its speed, and who waits for it. */
+final class PoolBook {
+    private final Map<ServerId, ServerBook> servers = new HashMap<>();
+    private final TreeSet<Waiter> onTime = new TreeSet<>(Waiter.URGENCY);
+    private final TreeSet<Waiter> late = new TreeSet<>(Waiter.URGENCY);
+    private final Map<RunKey, Waiter> waiters = new HashMap<>();
+    private final PoolSpeed speed = new PoolSpeed();
+    private Pool declared;
+
+    Map<ServerId, ServerBook> servers() {
+        return servers;
+    }
+
+    PoolSpeed speed() {
+        return speed;
+    }
+
+    void declare(Pool pool) {
+        declared = pool;
+    }
+
+    Optional<Pool> declared() {
+        return Optional.ofNullable(declared);
+    }
+
+    int waiting() {
+        return waiters.size();
+    }
+
+    Collection<Waiter> waiters() {
+        return waiters.values();
+    }
+
+    void add(Waiter waiter) {
+        waiters.put(waiter.run(), waiter);
+        onTime.add(waiter);
+    }
+
+    /** Removes a waiter; empty when it does not wait. */
+    Optional<Waiter> remove(RunKey run) {
+        Waiter waiter = waiters.remove(run);
+        if (waiter == null) {
+            return Optional.empty();
+        }
+        onTime.remove(waiter);
+        late.remove(waiter);
+        return Optional.of(waiter);
+    }
+
+    /** Puts those who can't be answered in time any more behind their rank's others. */
+    void sortLate(long nowNanos) {
+        Iterator<Waiter> all = onTime.iterator();
+        List<Waiter> moved = new ArrayList<>();
+        while (all.hasNext()) {
+            Waiter waiter = all.next();
+            if (waiter.targetNanos() < nowNanos) {
+                all.remove();
+                moved.add(waiter);
+            }
+        }
+        late.addAll(moved);
+    }
+
+    /** Returns all waiters, the next one first. */
+    List<Waiter> inOrder() {
+        List<Waiter> result = new ArrayList<>(waiters.size());
+        Iterator<Waiter> first = onTime.iterator();
+        Iterator<Waiter> second = late.iterator();
+        Waiter a = next(first);
+        Waiter b = next(second);
+        while (a != null || b != null) {
+            if (b == null || (a != null && a.ask().rank() <= b.ask().rank())) {
+                result.add(a);
+                a = next(first);
+            } else {
+                result.add(b);
+                b = next(second);
+            }
+        }
+        return result;
+    }
+
+    private static Waiter next(Iterator<Waiter> from) {
+        return from.hasNext() ? from.next() : null;
+    }
+
+    /** Returns how long a server of usual speed is busy with {@code ask}, in milliseconds. */
+    double busyMillis(Ask ask) {
+        if (ask.promptTokens() == 0) {
+            return speed.plainMillis();
+        }
+        double events = (double) ask.outputTokens() / eventTokens();
+        return speed.firstMillis(ask.promptTokens()) + events * speed.eventMillis();
+    }
+
+    private int eventTokens() {
+        return declared().map(Pool::eventTokens).orElse(1);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -0,0 +1,82 @@
+package org.orioleshed.dispatch;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.orioleshed.catalog.Quota;
+import org.orioleshed.model.WorkspaceId;
+
+/**
+ * What workspaces may still use, as far as one scheduler may give it out. A part of each quota is
+ * this scheduler's; the rest belongs to schedulers that it does not see.
+ */
+final class Quotas {
+    /**
+     * A bucket is filled to this part at first: what was used before this scheduler began is not
+     * known.
+     */
+    private final double firstFill;
+
+    private final Map<WorkspaceId, TokenBucket> buckets = new HashMap<>();
+    private Map<WorkspaceId, Quota> limits = Map.of();
+    private double share = 1;
+
+    Quotas(double firstFill) {
+        this.firstFill = firstFill;
+    }
+
+    void limit(Map<WorkspaceId, Quota> quotas, long nowNanos) {
+        limits = quotas;
+        apply(nowNanos);
+    }
+
+    void share(double newShare, long nowNanos) {
+        share = newShare;
+        apply(nowNanos);
+    }
+
+    private void apply(long nowNanos) {
+        buckets.keySet().removeIf(workspace -> quota(workspace).unlimited());
+        limits.forEach(
+                (workspace, quota) -> {
+                    if (!quota.unlimited()) {
+                        limitOne(workspace, quota, nowNanos);
+                    }
+                });
+    }
+
+    private void limitOne(WorkspaceId workspace, Quota quota, long nowNanos) {
+        double perSecond = quota.perSecond() * share;
+        double burst = Math.max(1, quota.burst() * share);
+        TokenBucket bucket = buckets.get(workspace);
+        if (bucket == null) {
+            buckets.put(workspace, new TokenBucket(perSecond, burst, burst * firstFill, nowNanos));
+            return;
+        }
+        bucket.limit(perSecond, burst, nowNanos);
+    }
+
+    private Quota quota(WorkspaceId workspace) {
+        return limits.getOrDefault(workspace, Quota.NONE);
+    }
+
+    /** Takes units; false when too few are left. */
+    boolean take(Ask ask, long nowNanos) {
+        return ask.workspace()
+                .map(buckets::get)
+                .map(bucket -> bucket.take(ask.quotaUnits(), nowNanos))
+                .orElse(true);
+    }
+
+    /** Gives back what a request that never ran had taken. */
+    void giveBack(Ask ask) {
+        ask.workspace().map(buckets::get).ifPresent(bucket -> bucket.giveBack(ask.quotaUnits()));
+    }
+
+    /** Returns when the units of {@code ask} can be taken, in milliseconds from now. */
+    long millisUntil(Ask ask) {
+        return ask.workspace()
+                .map(buckets::get)
+                .map(bucket -> bucket.millisUntil(ask.quotaUnits()))
+                .orElse(0L);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -0,0 +1,294 @@
+package org.orioleshed.dispatch;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.DispatchAction.Reason;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.Machine;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+
+/**
+ * The home of pools: one queue for each pool, ordered by urgency, before servers that get no more
+ * at once than they can run. Everything that hosts see of the servers comes here, so no two
+ * requests are sent to the same idle place.
+ */
+public final class Scheduler implements Machine<DispatchEvent, DispatchAction> {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /** When no server of a pool is known, one may come within this time. */
+    private static final long NO_SERVER_RETRY_MILLIS = 700;
+
+    /** Waiters behind one that no server may take are looked at up to this many. */
+    private static final int LOOK_AHEAD = 32;
+
+    /** A run of which nothing was heard for this long after its deadline is forgotten. */
+    private static final long FORGET_MILLIS = 1_500;
+
+    private final Map<ServiceId, PoolBook> pools = new HashMap<>();
+    private final Map<RunKey, ServerBook> runs = new HashMap<>();
+    private final Quotas quotas;
+    private List<DispatchAction> actions = new ArrayList<>();
+    private double placeShare = 1;
+    private long order;
+    private long nowNanos;
+
+    /**
+     * Makes a scheduler without servers.
+     *
+     * @param firstFill the part of each quota that may be used at once, from 0 to 1
+     */
+    public Scheduler(double firstFill) {
+        this.quotas = new Quotas(firstFill);
+    }
+
+    @Override
+    public List<DispatchAction> on(long now, DispatchEvent event) {
+        nowNanos = now;
+        actions = new ArrayList<>();
+        switch (event) {
+            case DispatchEvent.Asked asked -> ask(asked.run(), asked.ask());
+            case DispatchEvent.Withdrawn withdrawn -> withdraw(withdrawn.run());
+            case DispatchEvent.Placed placed -> placed(placed);
+            case DispatchEvent.First first -> first(first.run(), first.firstMillis());
+            case DispatchEvent.Ended ended -> end(ended.run(), ended.end());
+            case DispatchEvent.HostGone gone -> forget(gone.host());
+            case DispatchEvent.ServersChanged changed -> take(changed.servers());
+            case DispatchEvent.LimitsChanged changed -> limit(changed);
+            case DispatchEvent.ShareChanged changed -> share(changed);
+            case DispatchEvent.Tick tick -> tick();
+        }
+        return actions;
+    }
+
+    /** Returns how many requests wait, over all pools. */
+    public int waiting() {
+        return pools.values().stream().mapToInt(PoolBook::waiting).sum();
+    }
+
+    /** Returns how many runs are known, over all pools. */
+    public int running() {
+        return runs.size();
+    }
+
+    private PoolBook pool(ServiceId service) {
+        return pools.computeIfAbsent(service, key -> new PoolBook());
+    }
+
+    private void ask(RunKey run, Ask ask) {
+        PoolBook pool = pool(ask.service());
+        if (runs.containsKey(run) || pool.waiters().stream().anyMatch(w -> w.run().equals(run))) {
+            return;
+        }
+        if (!quotas.take(ask, nowNanos)) {
+            refuse(run, ask, Reason.QUOTA, (double) quotas.millisUntil(ask));
+            return;
+        }
+        if (pool.servers().isEmpty()) {
+            turnAway(run, ask, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
+            return;
+        }
+        Placement placement = new Placement(pool, placeShare, nowNanos);
+        if (isNext(pool, ask) && grant(pool, placement, run, ask)) {
+            return;
+        }
+        Patience patience = new Patience(pool, placement.usablePlaces());
+        if (!patience.mayWait(ask)) {
+            turnAway(run, ask, Reason.OVERLOAD, patience.waitMillis(ask.rank()));
+            return;
+        }
+        pool.add(new Waiter(run, ask, nowNanos, order++));
+        actions.add(new DispatchAction.Queued(run));
+    }
+
+    /** Returns whether nobody of the same or a more urgent rank waits. */
+    private static boolean isNext(PoolBook pool, Ask ask) {
+        return pool.waiters().stream().noneMatch(waiter -> waiter.ask().rank() <= ask.rank());
+    }
+
+    private boolean grant(PoolBook pool, Placement placement, RunKey run, Ask ask) {
+        Optional<ServerBook> chosen = placement.choose(ask);
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        ServerBook server = chosen.get();
+        String why =
+                "running=%d pending_tokens=%d score_ms=%.0f faults=%.2f waiting=%d"
+                        .formatted(
+                                server.running(),
+                                server.pendingTokens(),
+                                placement.score(server, ask),
+                                server.faultRate(nowNanos),
+                                pool.waiting());
+        start(server, run, ask);
+        actions.add(new DispatchAction.Grant(run, server.server().id(), why));
+        return true;
+    }
+
+    private void start(ServerBook server, RunKey run, Ask ask) {
+        boolean engine = ask.promptTokens() > 0;
+        long reading = engine ? server.pendingTokens() + ask.promptTokens() : 0;
+        server.start(run, new Running(ask, nowNanos, reading, true));
+        runs.put(run, server);
+    }
+
+    /** Refuses what had taken of its quota. */
+    private void turnAway(RunKey run, Ask ask, Reason reason, double betterMillis) {
+        quotas.giveBack(ask);
+        refuse(run, ask, reason, betterMillis);
+    }
+
+    private void refuse(RunKey run, Ask ask, Reason reason, double betterMillis) {
+        long retryAfterMillis = Patience.retryAfterMillis(ask, betterMillis);
+        actions.add(new DispatchAction.Refuse(run, reason, retryAfterMillis));
+    }
+
+    private void withdraw(RunKey run) {
+        for (PoolBook pool : pools.values()) {
+            Optional<Waiter> waiter = pool.remove(run);
+            if (waiter.isPresent()) {
+                quotas.giveBack(waiter.get().ask());
+                return;
+            }
+        }
+        end(run, new RunEnd(RunEnd.Outcome.CANCELLED, 0, 0, 0));
+    }
+
+    private void placed(DispatchEvent.Placed placed) {
+        PoolBook pool = pool(placed.ask().service());
+        pool.remove(placed.run());
+        ServerBook server = pool.servers().get(placed.server());
+        if (server == null || runs.containsKey(placed.run())) {
+            return;
+        }
+        start(server, placed.run(), placed.ask());
+    }
+
+    private void first(RunKey run, long firstMillis) {
+        ServerBook server = runs.get(run);
+        if (server != null) {
+            server.first(run, firstMillis, pool(server.server().service()).speed(), nowNanos);
+        }
+    }
+
+    private void end(RunKey run, RunEnd end) {
+        ServerBook server = runs.remove(run);
+        if (server == null) {
+            return;
+        }
+        PoolBook pool = pool(server.server().service());
+        server.end(run, end, pool.speed(), nowNanos);
+        serve(pool);
+    }
+
+    private void forget(HostId host) {
+        List<RunKey> gone =
+                runs.keySet().stream().filter(run -> run.origin().equals(host)).toList();
+        for (RunKey run : gone) {
+            end(run, new RunEnd(RunEnd.Outcome.CANCELLED, 0, 0, 0));
+        }
+        for (PoolBook pool : pools.values()) {
+            List<Waiter> waiters =
+                    pool.waiters().stream()
+                            .filter(waiter -> waiter.run().origin().equals(host))
+                            .toList();
+            waiters.forEach(waiter -> pool.remove(waiter.run()));
+        }
+    }
+
+    private void take(List<PoolServer> servers) {
+        Set<ServerId> present = new HashSet<>();
+        for (PoolServer server : servers) {
+            present.add(server.id());
+            put(server);
+        }
+        pools.values().forEach(pool -> pool.servers().keySet().retainAll(present));
+        pools.values().forEach(this::serve);
+    }
+
+    private void put(PoolServer server) {
+        PoolBook pool = pool(server.service());
+        ServerBook known = pool.servers().get(server.id());
+        if (known != null && known.server().sameStart(server)) {
+            known.update(server);
+            return;
+        }
+        pools.values().forEach(other -> other.servers().remove(server.id()));
+        pool.servers().put(server.id(), new ServerBook(server, nowNanos));
+    }
+
+    private void limit(DispatchEvent.LimitsChanged changed) {
+        changed.pools().forEach((service, pool) -> pool(service).declare(pool));
+        quotas.limit(changed.quotas(), nowNanos);
+    }
+
+    private void share(DispatchEvent.ShareChanged changed) {
+        placeShare = changed.places();
+        quotas.share(changed.quota(), nowNanos);
+    }
+
+    private void tick() {
+        forgetOverdue();
+        for (PoolBook pool : pools.values()) {
+            if (pool.waiting() > 0) {
+                pool.sortLate(nowNanos);
+                giveUp(pool);
+                serve(pool);
+            }
+        }
+    }
+
+    private void forgetOverdue() {
+        List<RunKey> overdue =
+                runs.entrySet().stream()
+                        .filter(entry -> isOverdue(entry.getValue().runs().get(entry.getKey())))
+                        .map(Map.Entry::getKey)
+                        .toList();
+        overdue.forEach(run -> end(run, new RunEnd(RunEnd.Outcome.CANCELLED, 0, 0, 0)));
+    }
+
+    private boolean isOverdue(Running run) {
+        long allowed = run.ask().deadlineLeftMillis() + FORGET_MILLIS;
+        return nowNanos - run.sentNanos() > allowed * NANOS_PER_MILLI;
+    }
+
+    private void giveUp(PoolBook pool) {
+        Placement placement = new Placement(pool, placeShare, nowNanos);
+        Patience patience = new Patience(pool, placement.usablePlaces());
+        List<Waiter> tooLate =
+                pool.waiters().stream()
+                        .filter(waiter -> !patience.mayGoOn(waiter, nowNanos))
+                        .toList();
+        for (Waiter waiter : tooLate) {
+            pool.remove(waiter.run());
+            Ask left = waiter.ask().again(waiter.waitedMillis(nowNanos));
+            quotas.giveBack(waiter.ask());
+            refuse(waiter.run(), left, Reason.OVERLOAD, patience.waitMillis(left.rank()));
+        }
+    }
+
+    /** Gives free places to those who wait. */
+    private void serve(PoolBook pool) {
+        if (pool.waiting() == 0) {
+            return;
+        }
+        Placement placement = new Placement(pool, placeShare, nowNanos);
+        int skipped = 0;
+        for (Waiter waiter : pool.inOrder()) {
+            if (grant(pool, placement, waiter.run(), waiter.ask())) {
+                pool.remove(waiter.run());
+            } else {
+                skipped++;
+            }
+            if (skipped >= LOOK_AHEAD) {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -0,0 +1,64 @@
+package org.orioleshed.dispatch;
+
+/** Units that a workspace may use: they come at a rate, up to a burst. */
+final class TokenBucket {
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private double perSecond;
+    private double burst;
+    private double units;
+    private long filledNanos;
+
+    /**
+     * Makes a bucket.
+     *
+     * @param perSecond units a second; positive
+     * @param burst the most units it holds
+     * @param units the units it holds at first
+     * @param nowNanos the present time
+     */
+    TokenBucket(double perSecond, double burst, double units, long nowNanos) {
+        this.perSecond = perSecond;
+        this.burst = burst;
+        this.units = units;
+        this.filledNanos = nowNanos;
+    }
+
+    /** Takes a new rate and burst; what it holds beyond the burst is gone. */
+    void limit(double newPerSecond, double newBurst, long nowNanos) {
+        fill(nowNanos);
+        perSecond = newPerSecond;
+        burst = newBurst;
+        units = Math.min(units, burst);
+    }
+
+    /**
+     * Takes units, or none. What exceeds the burst by itself is let through when the bucket is
+     * full, and is owed.
+     */
+    boolean take(long wanted, long nowNanos) {
+        fill(nowNanos);
+        if (units < Math.min((double) wanted, burst)) {
+            return false;
+        }
+        units -= wanted;
+        return true;
+    }
+
+    /** Gives back units that were not used. */
+    void giveBack(long unused) {
+        units = Math.min(burst, units + unused);
+    }
+
+    /** Returns the time until {@code wanted} units can be taken, in milliseconds. */
+    long millisUntil(long wanted) {
+        double missing = Math.min((double) wanted, burst) - units;
+        return missing <= 0 ? 0 : (long) Math.ceil(missing / perSecond * 1_000);
+    }
+
+    private void fill(long nowNanos) {
+        double seconds = Math.max(0, nowNanos - filledNanos) / NANOS_PER_SECOND;
+        units = Math.min(burst, units + seconds * perSecond);
+        filledNanos = nowNanos;
+    }
+}
--- a/src/main/java/org/orioleshed/entry/CallerServer.java
+++ b/src/main/java/org/orioleshed/entry/CallerServer.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.orioleshed.gateway.MetricsText;
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.model.Outcome;
 import org.orioleshed.model.Request;
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -0,0 +1,388 @@
+package org.orioleshed.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.orioleshed.catalog.Catalog;
+import org.orioleshed.catalog.CatalogSnapshot;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.catalog.Quota;
+import org.orioleshed.dispatch.Ask;
+import org.orioleshed.dispatch.DispatchAction;
+import org.orioleshed.dispatch.DispatchCodec;
+import org.orioleshed.dispatch.DispatchEvent;
+import org.orioleshed.dispatch.DispatchMessage;
+import org.orioleshed.dispatch.RunEnd;
+import org.orioleshed.dispatch.RunKey;
+import org.orioleshed.dispatch.Scheduler;
+import org.orioleshed.membership.Member;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.WorkspaceId;
+import org.orioleshed.peer.BadMessageException;
+import org.orioleshed.peer.MessageKind;
+import org.orioleshed.peer.PeerPort;
+
+/**
+ * Gets places for this host's requests: from the home of the pools, or, while that is silent, from
+ * a scheduler of its own that knows this host's runs only.
+ */
+final class Dispatcher {
+    /** The home answers each ask at once; a few round trips and a busy moment fit in this. */
+    private static final long HOME_ANSWER_MILLIS = 60;
+
+    /** A home that did not answer is asked again after this time. */
+    private static final long HOME_PAUSE_MILLIS = 400;
+
+    /** What waits at a home that does not answer others is placed here after this time. */
+    private static final long SILENT_HOME_MILLIS = 300;
+
+    /** A scheduler that begins does not know what was used before. */
+    private static final double FIRST_FILL = 0.3;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    private final HostId self;
+    private final PeerPort peers;
+    private final FleetView fleet;
+    private final Consumer<String> log;
+    private final DispatchCodec codec = new DispatchCodec();
+    private final Map<RunKey, Pending> pending = new HashMap<>();
+    private final Map<RunKey, Active> active = new HashMap<>();
+    private final Scheduler own = new Scheduler(FIRST_FILL);
+    private Scheduler asHome = new Scheduler(FIRST_FILL);
+    private Optional<Member> home = Optional.empty();
+    private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
+    private long homeSilentUntilNanos;
+    private long homeSilentSinceNanos;
+    private boolean homeSilent;
+
+    /** Who wants a place. */
+    interface Placee {
+        /** Send the request to the server. */
+        void granted(RunKey run, ServerId server, String why);
+
+        /** The request is turned away. */
+        void refused(RunKey run, DispatchAction.Reason reason, long retryAfterMillis);
+    }
+
+    private static final class Pending {
+        private final Ask ask;
+        private final Placee placee;
+        private final long sinceNanos;
+        private boolean atHome;
+        private boolean queued;
+
+        Pending(Ask ask, Placee placee, long sinceNanos) {
+            this.ask = ask;
+            this.placee = placee;
+            this.sinceNanos = sinceNanos;
+        }
+
+        Ask askNow(long nowNanos) {
+            return ask.again((nowNanos - sinceNanos) / NANOS_PER_MILLI);
+        }
+    }
+
+    private record Active(Ask ask, ServerId server, long sinceNanos) {}
+
+    Dispatcher(HostId self, PeerPort peers, FleetView fleet, Consumer<String> log) {
+        this.self = self;
+        this.peers = peers;
+        this.fleet = fleet;
+        this.log = log;
+    }
+
+    /** Asks for a place; the answer may come before this returns. */
+    void place(RunKey run, Ask ask, Placee placee) {
+        long nowNanos = System.nanoTime();
+        Pending wanted = new Pending(ask, placee, nowNanos);
+        pending.put(run, wanted);
+        place(run, wanted, ask, nowNanos);
+    }
+
+    private void place(RunKey run, Pending wanted, Ask ask, long nowNanos) {
+        if (isHome()) {
+            wanted.atHome = true;
+            fromHome(asHome.on(nowNanos, new DispatchEvent.Asked(run, ask)));
+            return;
+        }
+        if (home.isPresent() && nowNanos >= homeSilentUntilNanos) {
+            wanted.atHome = true;
+            if (toHome(new DispatchEvent.Asked(run, ask))) {
+                return;
+            }
+        }
+        wanted.atHome = false;
+        fromOwn(own.on(nowNanos, new DispatchEvent.Asked(run, ask)));
+    }
+
+    /** Wants no place any more. */
+    void withdraw(RunKey run) {
+        Pending wanted = pending.remove(run);
+        if (wanted == null) {
+            return;
+        }
+        DispatchEvent event = new DispatchEvent.Withdrawn(run);
+        if (wanted.atHome) {
+            tellHome(event);
+        } else {
+            fromOwn(own.on(System.nanoTime(), event));
+        }
+    }
+
+    /** A run's first event came. */
+    void first(RunKey run, long firstMillis) {
+        tellAll(new DispatchEvent.First(run, firstMillis));
+    }
+
+    /** A run ended. */
+    void ended(RunKey run, RunEnd end) {
+        if (active.remove(run) != null) {
+            tellAll(new DispatchEvent.Ended(run, end));
+        }
+    }
+
+    private void tellAll(DispatchEvent event) {
+        tellHome(event);
+        fromOwn(own.on(System.nanoTime(), event));
+    }
+
+    private void tellHome(DispatchEvent event) {
+        if (isHome()) {
+            fromHome(asHome.on(System.nanoTime(), event));
+        } else if (home.isPresent()) {
+            toHome(event);
+        }
+    }
+
+    private boolean toHome(DispatchEvent event) {
+        byte[] bytes = codec.encode(new DispatchMessage.ToHome(event));
+        return peers.send(home.orElseThrow().id(), MessageKind.DISPATCH, bytes);
+    }
+
+    private boolean isHome() {
+        return home.map(it -> it.id().equals(self)).orElse(false);
+    }
+
+    /** Takes a message of a peer. */
+    void received(HostId from, byte[] body) throws BadMessageException {
+        switch (codec.decode(body)) {
+            case DispatchMessage.ToHome to -> fromHome(asHome.on(System.nanoTime(), to.event()));
+            case DispatchMessage.FromHome answer -> {
+                if (home.map(it -> it.id().equals(from)).orElse(false)) {
+                    homeAnswered();
+                }
+                deliver(answer.action(), true);
+            }
+        }
+    }
+
+    private void homeAnswered() {
+        if (homeSilent) {
+            homeSilent = false;
+            log.accept("event=home_back home=" + home.orElseThrow().id());
+        }
+        homeSilentUntilNanos = System.nanoTime();
+    }
+
+    private void fromHome(List<DispatchAction> actions) {
+        for (DispatchAction action : actions) {
+            if (action.run().origin().equals(self)) {
+                deliver(action, true);
+            } else {
+                byte[] bytes = codec.encode(new DispatchMessage.FromHome(action));
+                peers.send(action.run().origin(), MessageKind.DISPATCH, bytes);
+            }
+        }
+    }
+
+    private void fromOwn(List<DispatchAction> actions) {
+        actions.forEach(action -> deliver(action, false));
+    }
+
+    private void deliver(DispatchAction action, boolean byHome) {
+        Pending wanted = pending.get(action.run());
+        switch (action) {
+            case DispatchAction.Queued queued -> {
+                if (wanted != null) {
+                    wanted.queued = true;
+                }
+            }
+            case DispatchAction.Refuse refuse -> {
+                if (wanted != null && wanted.atHome == byHome) {
+                    pending.remove(refuse.run());
+                    wanted.placee.refused(refuse.run(), refuse.reason(), refuse.retryAfterMillis());
+                }
+            }
+            case DispatchAction.Grant grant -> grant(grant, wanted, byHome);
+        }
+    }
+
+    private void grant(DispatchAction.Grant grant, Pending wanted, boolean byHome) {
+        if (wanted == null || wanted.atHome != byHome) {
+            if (byHome && !active.containsKey(grant.run())) {
+                tellHome(new DispatchEvent.Withdrawn(grant.run()));
+            }
+            return;
+        }
+        pending.remove(grant.run());
+        long nowNanos = System.nanoTime();
+        Ask ask = wanted.askNow(nowNanos);
+        active.put(grant.run(), new Active(ask, grant.server(), nowNanos));
+        DispatchEvent placed = new DispatchEvent.Placed(grant.run(), ask, grant.server());
+        if (byHome) {
+            fromOwn(own.on(nowNanos, placed));
+        } else {
+            tellHome(placed);
+        }
+        String by = byHome ? (isHome() ? "self" : "home") : "own";
+        wanted.placee.granted(grant.run(), grant.server(), "by=" + by + " " + grant.why());
+    }
+
+    void tick() {
+        long nowNanos = System.nanoTime();
+        if (isHome()) {
+            fromHome(asHome.on(nowNanos, new DispatchEvent.Tick()));
+        }
+        fromOwn(own.on(nowNanos, new DispatchEvent.Tick()));
+        if (!isHome()) {
+            checkHome(nowNanos);
+        }
+    }
+
+    private void checkHome(long nowNanos) {
+        List<RunKey> overdue = new ArrayList<>();
+        for (Map.Entry<RunKey, Pending> entry : pending.entrySet()) {
+            if (isOverdue(entry.getValue(), nowNanos)) {
+                overdue.add(entry.getKey());
+            }
+        }
+        for (RunKey run : overdue) {
+            Pending wanted = pending.get(run);
+            if (wanted == null) {
+                continue;
+            }
+            noteSilence(nowNanos);
+            tellHome(new DispatchEvent.Withdrawn(run));
+            wanted.atHome = false;
+            fromOwn(own.on(nowNanos, new DispatchEvent.Asked(run, wanted.askNow(nowNanos))));
+        }
+    }
+
+    private boolean isOverdue(Pending wanted, long nowNanos) {
+        if (!wanted.atHome) {
+            return false;
+        }
+        if (wanted.queued) {
+            return homeSilent
+                    && nowNanos - homeSilentSinceNanos > SILENT_HOME_MILLIS * NANOS_PER_MILLI;
+        }
+        return nowNanos - wanted.sinceNanos > HOME_ANSWER_MILLIS * NANOS_PER_MILLI;
+    }
+
+    private void noteSilence(long nowNanos) {
+        homeSilentUntilNanos = nowNanos + HOME_PAUSE_MILLIS * NANOS_PER_MILLI;
+        if (!homeSilent) {
+            homeSilent = true;
+            homeSilentSinceNanos = nowNanos;
+            log.accept("event=home_silent home=" + home.map(it -> it.id().value()).orElse("none"));
+        }
+    }
+
+    /** The membership view changed. */
+    void fleetChanged() {
+        Optional<Member> next = fleet.home();
+        boolean moved =
+                !next.map(Member::id).equals(home.map(Member::id))
+                        || !next.map(Member::incarnation).equals(home.map(Member::incarnation));
+        home = next;
+        share();
+        if (moved) {
+            homeMoved();
+        }
+    }
+
+    private void share() {
+        long nowNanos = System.nanoTime();
+        double known = fleet.known();
+        double live = Math.max(1, fleet.live().size());
+        double ownPlaces = Math.min(1, 2 / known);
+        var unused = own.on(nowNanos, new DispatchEvent.ShareChanged(ownPlaces, 1 / known));
+        double quota = Math.min(1, live / known);
+        fromHome(asHome.on(nowNanos, new DispatchEvent.ShareChanged(1, quota)));
+    }
+
+    private void homeMoved() {
+        long nowNanos = System.nanoTime();
+        log.accept(
+                "event=home_moved home=%s live=%d known=%d waiting=%d running=%d"
+                        .formatted(
+                                home.map(it -> it.id().value()).orElse("none"),
+                                fleet.live().size(),
+                                fleet.known(),
+                                pending.size(),
+                                active.size()));
+        homeSilent = false;
+        homeSilentUntilNanos = nowNanos;
+        if (isHome()) {
+            asHome = new Scheduler(FIRST_FILL);
+            feed(asHome, nowNanos);
+            share();
+        }
+        active.forEach(
+                (run, at) ->
+                        tellHome(
+                                new DispatchEvent.Placed(
+                                        run,
+                                        at.ask.again((nowNanos - at.sinceNanos) / NANOS_PER_MILLI),
+                                        at.server)));
+        for (Map.Entry<RunKey, Pending> entry : List.copyOf(pending.entrySet())) {
+            Pending wanted = entry.getValue();
+            if (wanted.atHome && pending.containsKey(entry.getKey())) {
+                wanted.queued = false;
+                place(entry.getKey(), wanted, wanted.askNow(nowNanos), nowNanos);
+            }
+        }
+    }
+
+    void hostDied(HostId host) {
+        fromHome(asHome.on(System.nanoTime(), new DispatchEvent.HostGone(host)));
+    }
+
+    /** The configuration or the servers changed. */
+    void changed(CatalogSnapshot newer) {
+        snapshot = newer;
+        long nowNanos = System.nanoTime();
+        fromOwn(feed(own, nowNanos));
+        fromHome(feed(asHome, nowNanos));
+    }
+
+    private List<DispatchAction> feed(Scheduler scheduler, long nowNanos) {
+        List<DispatchAction> actions = new ArrayList<>();
+        snapshot.catalog()
+                .ifPresent(catalog -> actions.addAll(scheduler.on(nowNanos, limits(catalog))));
+        actions.addAll(
+                scheduler.on(nowNanos, new DispatchEvent.ServersChanged(snapshot.servers())));
+        return actions;
+    }
+
+    private static DispatchEvent limits(Catalog catalog) {
+        Map<WorkspaceId, Quota> quotas = new HashMap<>();
+        catalog.tenancies().forEach((id, tenancy) -> quotas.put(id, tenancy.quota()));
+        return new DispatchEvent.LimitsChanged(catalog.pools(), quotas);
+    }
+
+    /** Returns the server with an id, where it is known. */
+    Optional<PoolServer> server(ServerId id) {
+        return snapshot.servers().stream().filter(server -> server.id().equals(id)).findFirst();
+    }
+
+    /** Returns one word on who is the home, for the log. */
+    String homeName() {
+        return home.map(it -> it.id().value()).orElse("none");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/Door.java
@@ -0,0 +1,22 @@
+package org.orioleshed.gateway;
+
+import org.orioleshed.catalog.DoorLimits;
+
+/** What callers' connections need of the gateway. */
+interface Door {
+    void opened(CallerConnection connection);
+
+    void closed(CallerConnection connection);
+
+    /** Returns what callers may send at present. */
+    DoorLimits limits();
+
+    /** Returns whether this host is about to stop. */
+    boolean isLeaving();
+
+    /** Makes the exchange for a request that was read whole. */
+    Exchange exchange(CallerConnection connection, CallerRequest request);
+
+    /** Notes a request that was refused before it was read whole. */
+    void refused(int status, String reason);
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -0,0 +1,124 @@
+package org.orioleshed.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.random.RandomGenerator;
+import org.orioleshed.membership.Member;
+import org.orioleshed.membership.Membership;
+import org.orioleshed.membership.MembershipAction;
+import org.orioleshed.membership.MembershipCodec;
+import org.orioleshed.membership.MembershipEvent;
+import org.orioleshed.membership.MembershipOptions;
+import org.orioleshed.model.HostId;
+import org.orioleshed.peer.BadMessageException;
+import org.orioleshed.peer.MessageKind;
+import org.orioleshed.peer.PeerPort;
+
+/** This host's view of the other hosts, and who of them is the home of the pools. */
+final class FleetView {
+    /** A host that vanished may be cut off and go on using quotas; it counts this long. */
+    private static final long QUOTA_MEMORY_NANOS = 15_000_000_000L;
+
+    private static final MembershipOptions OPTIONS =
+            new MembershipOptions(300, 150, 2_000, 200, 3, 5_000, 3, 500, 5_000, 30_000);
+
+    private final Member self;
+    private final Membership membership;
+    private final MembershipCodec codec = new MembershipCodec();
+    private final PeerPort peers;
+    private final Listener listener;
+    private final Map<HostId, Long> vanishedNanos = new HashMap<>();
+    private List<Member> members = List.of();
+
+    /** Hears of changes, on the data thread. */
+    interface Listener {
+        void fleetChanged();
+
+        void hostDied(HostId host);
+    }
+
+    FleetView(Member self, PeerPort peers, RandomGenerator random, Listener listener) {
+        this.self = self;
+        this.peers = peers;
+        this.listener = listener;
+        this.membership = new Membership(self, OPTIONS, random);
+        this.members = membership.members();
+    }
+
+    void seed(List<InetSocketAddress> addresses) {
+        List<MembershipEvent.Seed> seeds =
+                addresses.stream()
+                        .map(address -> new MembershipEvent.Seed(hostId(address), address))
+                        .filter(seed -> !seed.id().equals(self.id()))
+                        .toList();
+        apply(membership.on(System.nanoTime(), new MembershipEvent.Seeded(seeds)));
+    }
+
+    /** Returns the id of the host at {@code address}: its IP number. */
+    static HostId hostId(InetSocketAddress address) {
+        return new HostId(address.getAddress().getHostAddress());
+    }
+
+    void tick() {
+        apply(membership.on(System.nanoTime(), new MembershipEvent.Tick()));
+    }
+
+    void received(HostId from, byte[] body) throws BadMessageException {
+        apply(
+                membership.on(
+                        System.nanoTime(), new MembershipEvent.Received(from, codec.decode(body))));
+    }
+
+    void leave() {
+        apply(membership.on(System.nanoTime(), new MembershipEvent.LeaveAsked()));
+    }
+
+    private void apply(List<MembershipAction> actions) {
+        boolean changed = false;
+        for (MembershipAction action : actions) {
+            switch (action) {
+                case MembershipAction.Send send ->
+                        peers.send(send.to(), MessageKind.MEMBERSHIP, codec.encode(send.message()));
+                case MembershipAction.Locate locate -> peers.know(locate.host(), locate.address());
+                case MembershipAction.Died died -> {
+                    changed = true;
+                    vanishedNanos.put(died.host(), System.nanoTime());
+                    listener.hostDied(died.host());
+                }
+                case MembershipAction.ViewChanged view -> changed = true;
+            }
+        }
+        if (changed) {
+            members = membership.members();
+            members.forEach(member -> vanishedNanos.remove(member.id()));
+            listener.fleetChanged();
+        }
+    }
+
+    /** Returns the hosts that answer and are not about to stop, this one included. */
+    List<Member> live() {
+        return members.stream().filter(FleetView::isLive).toList();
+    }
+
+    private static boolean isLive(Member member) {
+        return member.health() == Member.Health.ALIVE && !member.leaving();
+    }
+
+    /** Returns the home: the host that has been up longest. */
+    Optional<Member> home() {
+        return members.stream()
+                .filter(FleetView::isLive)
+                .min(Comparator.comparingLong(Member::incarnation).thenComparing(Member::id));
+    }
+
+    /** Returns how many hosts may be using quotas, as far as can be told. */
+    int known() {
+        long nowNanos = System.nanoTime();
+        vanishedNanos.values().removeIf(since -> nowNanos - since > QUOTA_MEMORY_NANOS);
+        return Math.max(1, members.size() + vanishedNanos.size());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -0,0 +1,471 @@
+package org.orioleshed.gateway;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.random.RandomGenerator;
+import org.orioleshed.catalog.CatalogFollower;
+import org.orioleshed.catalog.CatalogSnapshot;
+import org.orioleshed.catalog.DoorLimits;
+import org.orioleshed.dispatch.RunKey;
+import org.orioleshed.membership.Member;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.peer.BadMessageException;
+import org.orioleshed.peer.MessageKind;
+import org.orioleshed.peer.PeerLimits;
+import org.orioleshed.peer.PeerNetwork;
+
+/** One entry host's data path. Owns the data thread, on which all of its state lives. */
+public final class Gateway implements Door, GatewayContext, FleetView.Listener {
+    private static final int TICK_MILLIS = 20;
+    private static final int SLOW_TICKS = 5;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    private static final int BACKLOG = 1_024;
+
+    /** Revisions are told to one peer at this interval, beside each change. */
+    private static final int NEWS_TICKS = 25;
+
+    /** News of a later revision may be ahead of the store's own word by this much. */
+    private static final long NEWS_PATIENCE_MILLIS = 120;
+
+    /** The balancer goes on sending for two questions after the first without a 200. */
+    private static final long STILL_SENT_MILLIS = 3_000;
+
+    /** The last part of the grace period is kept for the process to end. */
+    private static final long END_MILLIS = 700;
+
+    private static final int RUN_BITS = 20;
+    private static final long METRICS_WINDOW_SECONDS = 60;
+
+    private final GatewayOptions options;
+    private final CallDialect dialect;
+    private final LogRing log;
+    private final RandomGenerator random;
+    private final MetricRegistry metrics = new MetricRegistry();
+    private final MetricsText metricsText = new MetricsText(metrics);
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final HostId self;
+    private final PeerNetwork peers;
+    private final FleetView fleet;
+    private final Dispatcher dispatcher;
+    private final NewsCodec newsCodec = new NewsCodec();
+    private final Bootstrap serverBootstrap;
+    private final Map<InetSocketAddress, ServerPool> pools = new HashMap<>();
+    private final Map<ServiceId, RetryWindow> retryWindows = new HashMap<>();
+    private final Set<Exchange> exchanges = new HashSet<>();
+    private final Set<CallerConnection> callers = new HashSet<>();
+    private final Histogram firstEventMillis;
+    private final Histogram answerMillis;
+    private final Counter acceptedRequests;
+    private final CountDownLatch stopped = new CountDownLatch(1);
+    private CatalogFollower follower;
+    private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
+    private boolean leaving;
+    private long leavingNanos;
+    private Channel front;
+    private long nextRun;
+    private int ticks;
+
+    /** Opens all addresses but that for callers. */
+    public Gateway(
+            GatewayOptions options,
+            CallDialect dialect,
+            LogRing log,
+            RandomGenerator random,
+            long incarnation) {
+        this.options = options;
+        this.dialect = dialect;
+        this.log = log;
+        this.random = random;
+        this.self = FleetView.hostId(options.peer());
+        this.nextRun = incarnation << RUN_BITS;
+        this.firstEventMillis = histogram("first_event_millis");
+        this.answerMillis = histogram("answer_millis");
+        this.acceptedRequests = metrics.counter("requests");
+        this.peers =
+                new PeerNetwork(
+                        self,
+                        incarnation,
+                        options.peer(),
+                        PeerLimits.DEFAULT,
+                        (from, kind, body) -> loop.execute(() -> received(from, kind, body)),
+                        group);
+        Member member =
+                new Member(
+                        self,
+                        options.domain(),
+                        options.peer(),
+                        incarnation,
+                        0,
+                        false,
+                        Member.Health.ALIVE);
+        this.fleet = new FleetView(member, peers, random, this);
+        this.dispatcher = new Dispatcher(self, peers, fleet, log::add);
+        this.serverBootstrap =
+                new Bootstrap()
+                        .group(group)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+    }
+
+    private Histogram histogram(String name) {
+        return metrics.register(
+                name,
+                new Histogram(
+                        new SlidingTimeWindowArrayReservoir(
+                                METRICS_WINDOW_SECONDS, TimeUnit.SECONDS)));
+    }
+
+    /** Returns the registry for the metrics of others in this process. */
+    public MetricRegistry metrics() {
+        return metrics;
+    }
+
+    /** Returns what takes each new state of the configuration and the servers, on any thread. */
+    public void changed(CatalogSnapshot newer) {
+        loop.execute(() -> take(newer));
+    }
+
+    /**
+     * Opens the address for callers and begins to serve.
+     *
+     * @param newFollower what keeps the configuration; takes what peers know
+     */
+    public void start(CatalogFollower newFollower) {
+        follower = newFollower;
+        listen(options.ready(), new StatusServer(path -> ready()));
+        listen(options.metrics(), new StatusServer(this::metricsPage));
+        front = listen(options.callers(), frontHandler());
+        loop.execute(
+                () -> {
+                    fleet.seed(options.seeds());
+                    fleetChanged();
+                });
+        var unused =
+                loop.scheduleWithFixedDelay(
+                        this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes peer addresses to try, beside those known. */
+    public void seed(List<InetSocketAddress> addresses) {
+        List<InetSocketAddress> all = new ArrayList<>(options.seeds());
+        all.addAll(addresses);
+        loop.execute(() -> fleet.seed(all));
+    }
+
+    private Channel listen(InetSocketAddress address, ChannelHandler handler) {
+        return new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(handler)
+                .bind(address)
+                .syncUninterruptibly()
+                .channel();
+    }
+
+    private ChannelHandler frontHandler() {
+        return new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel channel) {
+                channel.pipeline()
+                        .addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
+                        .addLast(new HttpResponseEncoder())
+                        .addLast(new CallerConnection(Gateway.this));
+            }
+        };
+    }
+
+    private StatusServer.Reply ready() {
+        boolean ready = !leaving && snapshot.catalog().isPresent();
+        return ready
+                ? new StatusServer.Reply(HttpResponseStatus.OK, "ready\n")
+                : new StatusServer.Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
+    }
+
+    private StatusServer.Reply metricsPage(String path) {
+        return new StatusServer.Reply(HttpResponseStatus.OK, metricsText.write());
+    }
+
+    private void received(HostId from, MessageKind kind, byte[] body) {
+        try {
+            switch (kind) {
+                case MEMBERSHIP -> fleet.received(from, body);
+                case DISPATCH -> dispatcher.received(from, body);
+                case NEWS -> hear(from, newsCodec.decode(body));
+                case ROUTING, REQUEST, SETTINGS, MOVE -> {}
+            }
+        } catch (BadMessageException e) {
+            log.add(
+                    "event=bad_message from=%s kind=%s reason=\"%s\""
+                            .formatted(from, kind, e.getMessage()));
+        }
+    }
+
+    private void hear(HostId from, News news) {
+        if (news.hasContent()) {
+            follower.adopt(news.toSnapshot());
+            return;
+        }
+        if (news.wanted()) {
+            if (News.answer(snapshot, news).hasContent()) {
+                send(from, News.answer(snapshot, news));
+            }
+            return;
+        }
+        if (snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+            var unused =
+                    loop.schedule(
+                            () -> fetchIfBehind(from, news),
+                            NEWS_PATIENCE_MILLIS,
+                            TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void fetchIfBehind(HostId from, News news) {
+        if (snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+            log.add(
+                    "event=news_wanted from=%s config_revision=%d own=%d servers_revision=%d own=%d"
+                            .formatted(
+                                    from,
+                                    news.configRevision(),
+                                    snapshot.configRevision(),
+                                    news.serversRevision(),
+                                    snapshot.serversRevision()));
+            send(from, News.revisions(snapshot, true));
+        }
+    }
+
+    private void send(HostId to, News news) {
+        peers.send(to, MessageKind.NEWS, newsCodec.encode(news));
+    }
+
+    private void take(CatalogSnapshot newer) {
+        snapshot = newer;
+        dispatcher.changed(newer);
+        fleet.live().forEach(member -> tellRevisions(member.id()));
+    }
+
+    private void tellRevisions(HostId to) {
+        if (!to.equals(self)) {
+            send(to, News.revisions(snapshot, false));
+        }
+    }
+
+    private void tick() {
+        long nowNanos = System.nanoTime();
+        ticks++;
+        List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
+        dispatcher.tick();
+        if (ticks % SLOW_TICKS == 0) {
+            fleet.tick();
+            List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
+            pools.values().forEach(pool -> pool.closeOld(nowNanos));
+        }
+        if (ticks % NEWS_TICKS == 0) {
+            tellOne();
+        }
+        if (leaving) {
+            leave(nowNanos);
+        }
+    }
+
+    private void tellOne() {
+        List<Member> live = fleet.live();
+        if (!live.isEmpty()) {
+            tellRevisions(live.get(random.nextInt(live.size())).id());
+        }
+    }
+
+    /** Stops gracefully: finishes what runs, within the grace period; returns at the end. */
+    public void stop() {
+        loop.execute(this::beginToLeave);
+        try {
+            var unused = stopped.await(options.graceMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void beginToLeave() {
+        if (leaving) {
+            return;
+        }
+        leaving = true;
+        leavingNanos = System.nanoTime();
+        log.add(
+                "event=leaving running=%d connections=%d"
+                        .formatted(exchanges.size(), callers.size()));
+        fleet.leave();
+    }
+
+    private void leave(long nowNanos) {
+        long sinceMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - leavingNanos);
+        if (sinceMillis >= STILL_SENT_MILLIS) {
+            if (front.isOpen()) {
+                front.close();
+            }
+            List.copyOf(callers).forEach(CallerConnection::closeSoon);
+        }
+        boolean done = sinceMillis >= STILL_SENT_MILLIS && callers.isEmpty();
+        if (done || sinceMillis >= options.graceMillis() - END_MILLIS) {
+            log.add(
+                    "event=stopped after_ms=%d running=%d"
+                            .formatted(sinceMillis, exchanges.size()));
+            stopped.countDown();
+        }
+    }
+
+    @Override
+    public void fleetChanged() {
+        dispatcher.fleetChanged();
+        log.add(
+                "event=fleet live=%d known=%d home=%s"
+                        .formatted(fleet.live().size(), fleet.known(), dispatcher.homeName()));
+    }
+
+    @Override
+    public void hostDied(HostId host) {
+        log.add("event=host_died host=" + host);
+        dispatcher.hostDied(host);
+    }
+
+    @Override
+    public void opened(CallerConnection connection) {
+        callers.add(connection);
+    }
+
+    @Override
+    public void closed(CallerConnection connection) {
+        callers.remove(connection);
+    }
+
+    @Override
+    public DoorLimits limits() {
+        return snapshot.catalog().map(catalog -> catalog.limits()).orElse(DoorLimits.DEFAULT);
+    }
+
+    @Override
+    public boolean isLeaving() {
+        return leaving;
+    }
+
+    @Override
+    public Exchange exchange(CallerConnection connection, CallerRequest request) {
+        acceptedRequests.inc();
+        return new Exchange(this, connection, request);
+    }
+
+    @Override
+    public void refused(int status, String reason) {
+        metrics.counter("answers." + status).inc();
+        log.add("event=refused_unread status=%d reason=%s".formatted(status, reason));
+    }
+
+    @Override
+    public CatalogSnapshot snapshot() {
+        return snapshot;
+    }
+
+    @Override
+    public CallDialect dialect() {
+        return dialect;
+    }
+
+    @Override
+    public Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    @Override
+    public RandomGenerator random() {
+        return random;
+    }
+
+    @Override
+    public FailureDomain domain() {
+        return options.domain();
+    }
+
+    @Override
+    public RunKey nextRun() {
+        return new RunKey(self, nextRun++);
+    }
+
+    @Override
+    public ServerPool pool(InetSocketAddress address) {
+        return pools.computeIfAbsent(
+                address, key -> new ServerPool(serverBootstrap, dialect, address));
+    }
+
+    @Override
+    public RetryWindow retries(ServiceId service) {
+        return retryWindows.computeIfAbsent(
+                service, key -> new RetryWindow(options.retryRatio(), options.retryWindowMillis()));
+    }
+
+    @Override
+    public double fixedRetries() {
+        return options.retrySlack() / fleet.known();
+    }
+
+    @Override
+    public long retryAfterMillis(long leftMillis) {
+        return Math.max(0, leftMillis) / 4;
+    }
+
+    @Override
+    public void started(Exchange exchange) {
+        exchanges.add(exchange);
+    }
+
+    @Override
+    public void finished(Exchange exchange, int status, long totalMillis) {
+        exchanges.remove(exchange);
+        metrics.counter("answers." + status).inc();
+        if (status > 0 && status < 400) {
+            answerMillis.update(totalMillis);
+        }
+    }
+
+    @Override
+    public void firstEvent(long millis) {
+        firstEventMillis.update(millis);
+    }
+
+    @Override
+    public void log(String line) {
+        log.add(line);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/LogRing.java
@@ -0,0 +1,94 @@
+package org.orioleshed.gateway;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.jctools.queues.atomic.MpscAtomicArrayQueue;
+
+/**
+ * Writes lines on a thread of its own. When the ring is full, lines are dropped and counted; no
+ * caller ever waits.
+ */
+public final class LogRing implements AutoCloseable {
+    /** Some seconds of lines at a host's greatest load. */
+    private static final int LINES = 8_192;
+
+    /** Lines are written together, since each write is a system call. */
+    private static final long PAUSE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private final MpscAtomicArrayQueue<String> ring = new MpscAtomicArrayQueue<>(LINES);
+    private final AtomicLong dropped = new AtomicLong();
+    private final OutputStream out;
+    private final Thread thread;
+    private volatile boolean closed;
+
+    /** Starts the thread. */
+    public LogRing(OutputStream out) {
+        this.out = out;
+        this.thread = new Thread(this::run, "log");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** Takes a line of key=value pairs, or drops and counts it. */
+    public void add(String line) {
+        if (!ring.offer(line)) {
+            dropped.incrementAndGet();
+        }
+    }
+
+    /** Returns the lines dropped so far. */
+    public long dropped() {
+        return dropped.get();
+    }
+
+    private void run() {
+        long reported = 0;
+        while (!closed) {
+            LockSupport.parkNanos(PAUSE_NANOS);
+            reported = writeAll(reported);
+        }
+        writeAll(reported);
+    }
+
+    private long writeAll(long reported) {
+        StringBuilder text = new StringBuilder();
+        for (String line = ring.poll(); line != null; line = ring.poll()) {
+            text.append(line).append('\n');
+        }
+        long lost = dropped.get();
+        if (lost > reported) {
+            text.append("event=log_dropped lines=").append(lost - reported).append('\n');
+        }
+        write(text);
+        return lost;
+    }
+
+    private void write(StringBuilder text) {
+        if (text.isEmpty()) {
+            return;
+        }
+        try {
+            out.write(text.toString().getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        } catch (IOException e) {
+            // Nobody reads the log any more; requests are served all the same, and the lines count.
+            dropped.incrementAndGet();
+        }
+    }
+
+    /** Writes what waits and ends the thread. */
+    @Override
+    public void close() {
+        closed = true;
+        LockSupport.unpark(thread);
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(1));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- a/src/main/java/org/orioleshed/entry/MetricsText.java
+++ b/src/main/java/org/orioleshed/gateway/MetricsText.java
@@ -1,4 +1,4 @@
-package org.orioleshed.entry;
+package org.orioleshed.gateway;
 
 import com.codahale.metrics.MetricRegistry;
 import io.prometheus.client.CollectorRegistry;
@@ -6,18 +6,25 @@
 import io.prometheus.client.exporter.common.TextFormat;
 import java.io.IOException;
 import java.io.StringWriter;
+import java.io.UncheckedIOException;
 
 /** Writes the metrics in Prometheus' text format. */
-final class MetricsText {
+public final class MetricsText {
     private final CollectorRegistry registry = new CollectorRegistry();
 
-    MetricsText(MetricRegistry metrics) {
+    /** Writes the metrics of a registry. */
+    public MetricsText(MetricRegistry metrics) {
         registry.register(new DropwizardExports(metrics));
     }
 
-    String write() throws IOException {
+    /** Returns all metrics at this moment. */
+    public String write() {
         StringWriter text = new StringWriter();
-        TextFormat.write004(text, registry.metricFamilySamples());
+        try {
+            TextFormat.write004(text, registry.metricFamilySamples());
+        } catch (IOException e) {
+            throw new UncheckedIOException("a string can't fail", e);
+        }
         return text.toString();
     }
 }
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/StrictRequestDecoder.java
@@ -0,0 +1,23 @@
+package org.orioleshed.gateway;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+
+/** Refuses requests whose length is stated twice, which could hide another request. */
+final class StrictRequestDecoder extends HttpRequestDecoder {
+    private static final int MAX_PART_BYTES = 16_384;
+
+    StrictRequestDecoder(int maxHeaderBytes) {
+        super(
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(maxHeaderBytes)
+                        .setMaxHeaderSize(maxHeaderBytes)
+                        .setMaxChunkSize(MAX_PART_BYTES));
+    }
+
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("length stated with a transfer coding");
+    }
+}
--- a/src/main/java/org/orioleshed/peer/MessageKind.java
+++ b/src/main/java/org/orioleshed/peer/MessageKind.java
@@ -11,5 +11,9 @@
     /** Settings and their revisions. */
     SETTINGS,
     /** Evidence and fuses of moves. */
-    MOVE
+    MOVE,
+    /** {@link org.orioleshed.dispatch.DispatchMessage}. */
+    DISPATCH,
+    /** {@link org.orioleshed.gateway.News}. */
+    NEWS
 }
--- a/src/main/java/org/orioleshed/peer/PeerNetwork.java
+++ b/src/main/java/org/orioleshed/peer/PeerNetwork.java
@@ -33,8 +33,7 @@
     private final HostId self;
     private final long incarnation;
     private final PeerLimits limits;
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory());
+    private final EventLoopGroup group;
     private final Bootstrap dialler;
     private final Channel server;
     private final Map<HostId, Link> links = new ConcurrentHashMap<>();
@@ -58,6 +57,29 @@
             InetSocketAddress listen,
             PeerLimits limits,
             PeerListener listener) {
+        this(
+                self,
+                incarnation,
+                listen,
+                limits,
+                listener,
+                new MultiThreadIoEventLoopGroup(THREADS, NioIoHandler.newFactory()));
+    }
+
+    /**
+     * Listens on {@code listen}, works on the threads of {@code group}, and shuts them down when it
+     * is closed.
+     *
+     * @throws IllegalStateException when the address can't be listened on
+     */
+    public PeerNetwork(
+            HostId self,
+            long incarnation,
+            InetSocketAddress listen,
+            PeerLimits limits,
+            PeerListener listener,
+            EventLoopGroup group) {
+        this.group = group;
         this.self = self;
         this.incarnation = incarnation;
         this.limits = limits;
