Let requests wait for the configuration of a host that has just started

Cause: a host listens some 200 ms before its store answers; callers were refused and came back late. Ruled out: opening the address later (callers get no connection and a second host's turn).

--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -49,6 +49,9 @@
     /** An answer of a plain call is held whole up to this size. */
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
+    /** A host that starts reads its configuration within this time, unless the store is away. */
+    private static final long CONFIG_WAIT_MILLIS = 700;
+
     private static final long NO_CONFIG_RETRY_MILLIS = 300;
 
     /** Calls that may run once get no connection that the server may just be closing. */
@@ -57,6 +60,7 @@
     private static final long ANY_AGE_MILLIS = Long.MAX_VALUE / NANOS_PER_MILLI;
 
     private enum State {
+        WAITING_FOR_CONFIG,
         PLACING,
         SENT,
         DONE
@@ -75,7 +79,7 @@
     private final Set<ServerId> excluded = new HashSet<>();
     private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private final EventFramer framer = new EventFramer();
-    private State state = State.PLACING;
+    private State state = State.WAITING_FOR_CONFIG;
     private CallRoute route;
     private Optional<Tenancy> tenancy = Optional.empty();
     private ServiceId service;
@@ -103,12 +107,18 @@
     }
 
     void start() {
-        Optional<Catalog> known = context.snapshot().catalog();
-        if (known.isEmpty()) {
-            giveUp(HttpResponseStatus.SERVICE_UNAVAILABLE, "no_config", NO_CONFIG_RETRY_MILLIS);
-            return;
+        context.started(this);
+        context.snapshot().catalog().ifPresent(this::serve);
+    }
+
+    /** A configuration is known now. */
+    void configured(Catalog catalog) {
+        if (state == State.WAITING_FOR_CONFIG) {
+            serve(catalog);
         }
-        Catalog catalog = known.get();
+    }
+
+    private void serve(Catalog catalog) {
         Optional<CallRoute> found = catalog.route(hostName(), request.path());
         if (found.isEmpty()) {
             giveUp(HttpResponseStatus.NOT_FOUND, "no_route", -1);
@@ -130,7 +140,6 @@
                 Math.min(
                         deadlineNanos,
                         request.arrivedNanos() + route.timeoutMillis() * NANOS_PER_MILLI);
-        context.started(this);
         place(tenancy.map(Tenancy::workspace));
     }
 
@@ -510,6 +519,12 @@
 
     /** Ends the request when its time is over. */
     void tick(long nowNanos) {
+        if (state == State.WAITING_FOR_CONFIG) {
+            if (request.ageMillis(nowNanos) > CONFIG_WAIT_MILLIS) {
+                giveUp(HttpResponseStatus.SERVICE_UNAVAILABLE, "no_config", NO_CONFIG_RETRY_MILLIS);
+            }
+            return;
+        }
         if (state == State.DONE || nowNanos < endNanos) {
             return;
         }
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -274,6 +274,11 @@
     private void take(CatalogSnapshot newer) {
         snapshot = newer;
         dispatcher.changed(newer);
+        newer.catalog()
+                .ifPresent(
+                        catalog ->
+                                List.copyOf(exchanges)
+                                        .forEach(exchange -> exchange.configured(catalog)));
         fleet.live().forEach(member -> tellRevisions(member.id()));
     }
 
