Go on at another server when one that may be left is silent

Cause: requests at servers that went dark, or behind a cut, waited for the caller's deadline (12 s for drafts). Ruled out: shortening the route's timeout (a slow server is not a silent one).

--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -46,6 +46,14 @@
     /** With less time left than this, no server could answer. */
     private static final long LEAST_TRY_MILLIS = 30;
 
+    /** A server that is silent for this many targets, or usual pauses, is given up for another. */
+    private static final double SILENT_TARGETS = 1.5;
+
+    private static final double SILENT_GAPS = 2.5;
+
+    /** A shorter silence is usual for a server under load. */
+    private static final long LEAST_SILENCE_MILLIS = 700;
+
     /** An answer of a plain call is held whole up to this size. */
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
@@ -89,6 +97,7 @@
     private PoolServer server;
     private ServerPool.Sending sending;
     private long sentNanos;
+    private long lastByteNanos;
     private long firstMillis;
     private int eventsBefore;
     private int runs;
@@ -196,6 +205,7 @@
         long nowNanos = System.nanoTime();
         state = State.SENT;
         sentNanos = nowNanos;
+        lastByteNanos = nowNanos;
         firstMillis = 0;
         eventsBefore = framer.events();
         answerHead = null;
@@ -300,6 +310,7 @@
 
     @Override
     public void content(ByteBuf bytes) {
+        lastByteNanos = System.nanoTime();
         if (state != State.SENT || reading == Reading.NOT_RUN) {
             return;
         }
@@ -517,6 +528,27 @@
         }
     }
 
+    /** Goes on at another server where this one says nothing and the request may be repeated. */
+    private void checkSilence(long nowNanos) {
+        if (state != State.SENT || !mayTryAgain(false)) {
+            return;
+        }
+        double usualMillis =
+                firstMillis == 0
+                        ? SILENT_TARGETS * route.targetMillis()
+                        : SILENT_GAPS * route.gapMillis();
+        double allowedMillis = Math.max(LEAST_SILENCE_MILLIS, usualMillis);
+        if (nowNanos - lastByteNanos < allowedMillis * NANOS_PER_MILLI) {
+            return;
+        }
+        sending.cancel();
+        context.dispatcher().ended(run, ended(RunEnd.Outcome.TIMED_OUT));
+        mayHaveRun = true;
+        excluded.add(server.id());
+        framer.dropRest();
+        again(false, "silent");
+    }
+
     /** Ends the request when its time is over. */
     void tick(long nowNanos) {
         if (state == State.WAITING_FOR_CONFIG) {
@@ -525,7 +557,11 @@
             }
             return;
         }
-        if (state == State.DONE || nowNanos < endNanos) {
+        if (state == State.DONE) {
+            return;
+        }
+        if (nowNanos < endNanos) {
+            checkSilence(nowNanos);
             return;
         }
         if (state == State.PLACING) {
