--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -46,7 +46,10 @@
 public final class Gateway implements Door, GatewayContext, FleetView.Listener {
     private static final int TICK_MILLIS = 20;
     private static final int SLOW_TICKS = 5;
-    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    /** A connection within a region takes a few milliseconds; a lost packet costs a second. */
+    private static final int CONNECT_TIMEOUT_MILLIS = 300;
+
     private static final int BACKLOG = 1_024;
 
     /** Revisions are told to one peer at this interval, beside each change. */
