Keep the home that answers, whatever a rumour says of it; count its silence from the last ask

Cause: at the end of a cut rumours of death from the other side made hosts take themselves for the home; and a request asked again at a new home counted as unanswered at once, so the new home was held for silent. Ruled out: shorter suspicion times (they flap more).

--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -43,6 +43,9 @@
     /** A scheduler that begins does not know what was used before. */
     private static final double FIRST_FILL = 0.3;
 
+    /** A home that answered this lately is there, whatever others say. */
+    private static final long HOME_HEARD_MILLIS = 500;
+
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final HostId self;
@@ -58,6 +61,7 @@
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private long homeSilentUntilNanos;
     private long homeSilentSinceNanos;
+    private long homeHeardNanos;
     private boolean homeSilent;
 
     /** Who wants a place. */
@@ -73,6 +77,7 @@
         private final Ask ask;
         private final Placee placee;
         private final long sinceNanos;
+        private long askedNanos;
         private boolean atHome;
         private boolean queued;
 
@@ -105,6 +110,8 @@
     }
 
     private void place(RunKey run, Pending wanted, Ask ask, long nowNanos) {
+        wanted.askedNanos = nowNanos;
+        wanted.queued = false;
         if (isHome()) {
             wanted.atHome = true;
             fromHome(asHome.on(nowNanos, new DispatchEvent.Asked(run, ask)));
@@ -186,7 +193,8 @@
             homeSilent = false;
             log.accept("event=home_back home=" + home.orElseThrow().id());
         }
-        homeSilentUntilNanos = System.nanoTime();
+        homeHeardNanos = System.nanoTime();
+        homeSilentUntilNanos = homeHeardNanos;
     }
 
     private void fromHome(List<DispatchAction> actions) {
@@ -261,18 +269,24 @@
                 overdue.add(entry.getKey());
             }
         }
+        if (!overdue.isEmpty()) {
+            noteSilence(nowNanos);
+        }
         for (RunKey run : overdue) {
             Pending wanted = pending.get(run);
-            if (wanted == null) {
-                continue;
+            if (wanted != null && isOverdue(wanted, nowNanos)) {
+                placeWithoutHome(run, wanted, nowNanos);
             }
-            noteSilence(nowNanos);
-            tellHome(new DispatchEvent.Withdrawn(run));
-            wanted.atHome = false;
-            fromOwn(own.on(nowNanos, new DispatchEvent.Asked(run, wanted.askNow(nowNanos))));
         }
     }
 
+    private void placeWithoutHome(RunKey run, Pending wanted, long nowNanos) {
+        tellHome(new DispatchEvent.Withdrawn(run));
+        wanted.atHome = false;
+        wanted.queued = false;
+        fromOwn(own.on(nowNanos, new DispatchEvent.Asked(run, wanted.askNow(nowNanos))));
+    }
+
     private boolean isOverdue(Pending wanted, long nowNanos) {
         if (!wanted.atHome) {
             return false;
@@ -281,7 +295,7 @@
             return homeSilent
                     && nowNanos - homeSilentSinceNanos > SILENT_HOME_MILLIS * NANOS_PER_MILLI;
         }
-        return nowNanos - wanted.sinceNanos > HOME_ANSWER_MILLIS * NANOS_PER_MILLI;
+        return nowNanos - wanted.askedNanos > HOME_ANSWER_MILLIS * NANOS_PER_MILLI;
     }
 
     private void noteSilence(long nowNanos) {
@@ -289,13 +303,14 @@
         if (!homeSilent) {
             homeSilent = true;
             homeSilentSinceNanos = nowNanos;
-            log.accept("event=home_silent home=" + home.map(it -> it.id().value()).orElse("none"));
+            log.accept("event=home_silent home=" + homeName());
+            fleetChanged();
         }
     }
 
     /** The membership view changed. */
     void fleetChanged() {
-        Optional<Member> next = fleet.home();
+        Optional<Member> next = keepsHome(fleet.home()) ? home : fleet.home();
         boolean moved =
                 !next.map(Member::id).equals(home.map(Member::id))
                         || !next.map(Member::incarnation).equals(home.map(Member::incarnation));
@@ -306,6 +321,19 @@
         }
     }
 
+    /**
+     * Returns whether the present home stays although the view no longer names it: a rumour that it
+     * is gone counts for less than its answers, unless a host that has been up longer is back.
+     */
+    private boolean keepsHome(Optional<Member> candidate) {
+        if (home.isEmpty() || candidate.isEmpty() || isHome() || homeSilent) {
+            return false;
+        }
+        boolean younger = candidate.get().incarnation() > home.get().incarnation();
+        boolean answers = System.nanoTime() - homeHeardNanos < HOME_HEARD_MILLIS * NANOS_PER_MILLI;
+        return younger && answers && !fleet.isLeaving(home.get());
+    }
+
     private void share() {
         long nowNanos = System.nanoTime();
         double known = fleet.known();
@@ -343,7 +371,6 @@
         for (Map.Entry<RunKey, Pending> entry : List.copyOf(pending.entrySet())) {
             Pending wanted = entry.getValue();
             if (wanted.atHome && pending.containsKey(entry.getKey())) {
-                wanted.queued = false;
                 place(entry.getKey(), wanted, wanted.askNow(nowNanos), nowNanos);
             }
         }
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -115,6 +115,13 @@
                 .min(Comparator.comparingLong(Member::incarnation).thenComparing(Member::id));
     }
 
+    /** Returns whether {@code host} said in its present incarnation that it is about to stop. */
+    boolean isLeaving(Member host) {
+        return members.stream()
+                .filter(member -> member.id().equals(host.id()))
+                .anyMatch(member -> member.leaving() || member.incarnation() != host.incarnation());
+    }
+
     /** Returns how many hosts may be using quotas, as far as can be told. */
     int known() {
         long nowNanos = System.nanoTime();
--- /dev/null
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -0,0 +1,66 @@
+package org.orioleshed.dispatch;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.Optional;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.WorkspaceId;
+import org.orioleshed.peer.BadMessageException;
+
+/** Properties of {@link DispatchCodec}. */
+class DispatchCodecProperties {
+    private final DispatchCodec codec = new DispatchCodec();
+
+    @Property(tries = 200, seed = "1")
+    void asksArriveAsSent(
+            @ForAll long number,
+            @ForAll @IntRange(max = 1_000) int rank,
+            @ForAll @IntRange(min = -50_000, max = 50_000) int target,
+            @ForAll @IntRange(max = 100_000) int tokens,
+            @ForAll boolean paid)
+            throws BadMessageException {
+        Ask ask =
+                new Ask(
+                        new ServiceId("s"),
+                        new RouteId("r"),
+                        paid ? Optional.of(new WorkspaceId("w")) : Optional.empty(),
+                        new FailureDomain("d"),
+                        rank,
+                        target,
+                        5_000,
+                        tokens,
+                        tokens / 2,
+                        tokens,
+                        paid ? Set.of(new ServerId("x"), new ServerId("y")) : Set.of());
+        assertSame(new DispatchEvent.Asked(new RunKey(new HostId("h"), number), ask));
+    }
+
+    @Property(tries = 50, seed = "2")
+    void endsArriveAsSent(@ForAll RunEnd.Outcome outcome, @ForAll @IntRange int events)
+            throws BadMessageException {
+        RunEnd end = new RunEnd(outcome, events, 12, 345);
+        assertSame(new DispatchEvent.Ended(new RunKey(new HostId("h"), 7), end));
+    }
+
+    private void assertSame(DispatchEvent event) throws BadMessageException {
+        DispatchMessage message = new DispatchMessage.ToHome(event);
+        assertEquals(codec.decode(codec.encode(message)), message);
+    }
+
+    @Property(tries = 300, seed = "3")
+    void bytesThatAreNoMessageAreToldAsSuch(@ForAll byte[] bytes) {
+        try {
+            codec.decode(bytes);
+        } catch (BadMessageException e) {
+            assertEquals(e.getMessage().isBlank(), false);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/dispatch/Pools.java
@@ -0,0 +1,152 @@
+package org.orioleshed.dispatch;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.orioleshed.catalog.Pool;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.catalog.Quota;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.model.WorkspaceId;
+
+/** A scheduler over one pool, driven step by step. */
+final class Pools {
+    static final ServiceId SERVICE = new ServiceId("writers");
+    static final WorkspaceId WORKSPACE = new WorkspaceId("w");
+    static final FailureDomain NEAR = new FailureDomain("near");
+    static final FailureDomain FAR = new FailureDomain("far");
+    static final HostId HOST = new HostId("10.0.0.1");
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    final Scheduler scheduler = new Scheduler(1);
+    final List<DispatchAction> actions = new ArrayList<>();
+    private final List<PoolServer> servers = new ArrayList<>();
+    private long nowNanos = 1_000_000_000L;
+
+    Pools() {
+        pool(1_000_000);
+    }
+
+    Pools pool(long memoryTokens) {
+        Pool pool = new Pool(SERVICE, "/health", 100, true, memoryTokens, 7);
+        return tell(new DispatchEvent.LimitsChanged(Map.of(SERVICE, pool), Map.of()));
+    }
+
+    Pools quota(double perSecond, double burst) {
+        Pool pool = new Pool(SERVICE, "/health", 100, true, 1_000_000, 7);
+        Quota quota = new Quota(perSecond, burst, true, 200);
+        return tell(
+                new DispatchEvent.LimitsChanged(Map.of(SERVICE, pool), Map.of(WORKSPACE, quota)));
+    }
+
+    Pools server(String id, int slots) {
+        return server(id, slots, NEAR, false);
+    }
+
+    Pools server(String id, int slots, FailureDomain domain, boolean draining) {
+        servers.removeIf(server -> server.id().value().equals(id));
+        servers.add(
+                new PoolServer(
+                        new ServerId(id),
+                        SERVICE,
+                        new InetSocketAddress("10.0.1.1", 80),
+                        domain,
+                        new VersionId("v1"),
+                        slots,
+                        draining,
+                        1));
+        return tell(new DispatchEvent.ServersChanged(servers));
+    }
+
+    Pools gone(String id) {
+        servers.removeIf(server -> server.id().value().equals(id));
+        return tell(new DispatchEvent.ServersChanged(servers));
+    }
+
+    Pools ask(int run, int rank) {
+        return ask(run, ask(rank, 600, 10_000, 1_000, 100));
+    }
+
+    Pools ask(int run, Ask ask) {
+        return tell(new DispatchEvent.Asked(key(run), ask));
+    }
+
+    Pools first(int run, long millis) {
+        return tell(new DispatchEvent.First(key(run), millis));
+    }
+
+    Pools end(int run, RunEnd.Outcome outcome) {
+        return tell(new DispatchEvent.Ended(key(run), new RunEnd(outcome, 10, 80, 400)));
+    }
+
+    Pools after(long millis) {
+        nowNanos += millis * NANOS_PER_MILLI;
+        return tell(new DispatchEvent.Tick());
+    }
+
+    Pools tell(DispatchEvent event) {
+        actions.addAll(scheduler.on(nowNanos, event));
+        return this;
+    }
+
+    static RunKey key(int run) {
+        return new RunKey(HOST, run);
+    }
+
+    static Ask ask(int rank, long target, long deadline, long prompt, long output) {
+        return ask(rank, target, deadline, prompt, output, Set.of());
+    }
+
+    static Ask ask(
+            int rank, long target, long deadline, long prompt, long output, Set<ServerId> not) {
+        return new Ask(
+                SERVICE,
+                new RouteId("r"),
+                Optional.of(WORKSPACE),
+                NEAR,
+                rank,
+                target,
+                deadline,
+                prompt,
+                output,
+                prompt + output,
+                not);
+    }
+
+    /** Returns the server that a run was granted, or null. */
+    String serverOf(int run) {
+        return actions.stream()
+                .filter(DispatchAction.Grant.class::isInstance)
+                .map(DispatchAction.Grant.class::cast)
+                .filter(grant -> grant.run().equals(key(run)))
+                .map(grant -> grant.server().value())
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Returns how a run was refused, or null. */
+    DispatchAction.Refuse refusalOf(int run) {
+        return actions.stream()
+                .filter(DispatchAction.Refuse.class::isInstance)
+                .map(DispatchAction.Refuse.class::cast)
+                .filter(refuse -> refuse.run().equals(key(run)))
+                .findFirst()
+                .orElse(null);
+    }
+
+    /** Returns the runs in the order in which they were granted. */
+    List<Long> granted() {
+        return actions.stream()
+                .filter(DispatchAction.Grant.class::isInstance)
+                .map(action -> action.run().number())
+                .toList();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -0,0 +1,242 @@
+package org.orioleshed.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import org.orioleshed.dispatch.DispatchAction.Reason;
+import org.orioleshed.dispatch.RunEnd.Outcome;
+import org.orioleshed.model.ServerId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link Scheduler}: each replays the load that the decision answers. */
+public class SchedulerTest {
+    @Test
+    public void neverSendsAServerMoreThanItRuns() {
+        Pools pools = new Pools().server("a", 2);
+        for (int run = 1; run <= 5; run++) {
+            pools.ask(run, 1);
+        }
+        assertEquals(pools.granted(), List.of(1L, 2L));
+        assertEquals(pools.scheduler.waiting(), 3);
+    }
+
+    @Test
+    public void aBurstIsServedByUrgencyThenByTarget() {
+        Pools pools = new Pools().server("a", 1).ask(1, 2);
+        pools.ask(2, 2);
+        pools.ask(3, Pools.ask(1, 900, 10_000, 1_000, 100));
+        pools.ask(4, Pools.ask(1, 300, 10_000, 1_000, 100));
+        for (int run : new int[] {1, 4, 3}) {
+            pools.end(run, Outcome.ANSWERED);
+        }
+        assertEquals(pools.granted(), List.of(1L, 4L, 3L, 2L));
+    }
+
+    @Test
+    public void whoIsLateAlreadyDoesNotMakeOthersOfItsRankLate() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0);
+        pools.ask(2, Pools.ask(0, 200, 10_000, 1_000, 100));
+        pools.after(300);
+        pools.ask(3, Pools.ask(0, 600, 10_000, 1_000, 100));
+        pools.end(1, Outcome.ANSWERED);
+        assertEquals(pools.granted(), List.of(1L, 3L));
+    }
+
+    @Test
+    public void aNewcomerDoesNotOvertakeWhoWaits() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0).ask(2, 0);
+        pools.server("b", 1);
+        pools.ask(3, 0);
+        assertEquals(pools.serverOf(2), "b");
+        assertNull(pools.serverOf(3));
+    }
+
+    @Test
+    public void longPromptsGoToDifferentServers() {
+        Pools pools = new Pools().server("a", 8).server("b", 8);
+        pools.ask(1, Pools.ask(0, 600, 10_000, 50_000, 100));
+        pools.ask(2, Pools.ask(0, 600, 10_000, 50_000, 100));
+        assertTrue(!pools.serverOf(1).equals(pools.serverOf(2)));
+    }
+
+    @Test
+    public void theFasterServerIsPreferredOnceItIsKnown() {
+        Pools pools = new Pools().server("slow", 4);
+        for (int run = 1; run <= 30; run++) {
+            pools.ask(run, 0).first(run, 400).end(run, Outcome.ANSWERED);
+        }
+        pools.server("fast", 4);
+        pools.ask(100, 0);
+        assertEquals(pools.serverOf(100), "fast");
+    }
+
+    @Test
+    public void aServerThatFailsLooksWorseThanABusyOne() {
+        Pools pools = new Pools().server("bad", 4);
+        for (int run = 1; run <= 6; run++) {
+            pools.ask(run, 0).end(run, Outcome.FAILED);
+        }
+        pools.server("good", 4).ask(10, 0).ask(11, 0);
+        assertEquals(pools.serverOf(10), "good");
+        assertEquals(pools.serverOf(11), "good");
+    }
+
+    @Test(dataProvider = "faults")
+    public void aServerThatCannotBeReachedRestsForAWhile(Outcome outcome) {
+        Pools pools = new Pools().server("a", 4).ask(1, 0).end(1, outcome);
+        pools.ask(2, 0);
+        assertNull(pools.serverOf(2));
+        pools.after(400);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return new Object[][] {{Outcome.UNREACHABLE}, {Outcome.BROKEN}, {Outcome.TIMED_OUT}};
+    }
+
+    @Test
+    public void aSilentServerGetsNothingMore() {
+        Pools pools = new Pools().server("dark", 8).ask(1, 0).after(900);
+        pools.server("well", 8).ask(2, 0);
+        assertEquals(pools.serverOf(2), "well");
+        pools.gone("well").ask(3, 0);
+        assertNull(pools.serverOf(3));
+    }
+
+    @Test
+    public void aLeavingServerGetsNothingMoreAndFinishesWhatRuns() {
+        Pools pools = new Pools().server("a", 4).ask(1, 0);
+        pools.server("a", 4, Pools.NEAR, true).ask(2, 0);
+        assertNull(pools.serverOf(2));
+        assertEquals(pools.scheduler.running(), 1);
+    }
+
+    @Test
+    public void aServerThatStartedAnewHasNoneOfTheOldRuns() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0).gone("a").server("a", 1).ask(2, 0);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
+    @Test
+    public void excludedServersAreNotChosen() {
+        Pools pools = new Pools().server("a", 4);
+        pools.ask(1, Pools.ask(0, 600, 5_000, 10, 10, Set.of(new ServerId("a"))));
+        assertNull(pools.serverOf(1));
+    }
+
+    @Test
+    public void memoryBoundsWhatRunsTogether() {
+        Pools pools = new Pools().pool(10_000).server("a", 8);
+        pools.ask(1, Pools.ask(0, 600, 5_000, 8_000, 100));
+        pools.ask(2, Pools.ask(0, 600, 5_000, 8_000, 100));
+        pools.ask(3, Pools.ask(1, 600, 5_000, 500, 10));
+        assertEquals(pools.serverOf(1), "a");
+        assertNull(pools.serverOf(2));
+    }
+
+    @Test
+    public void aRequestLargerThanMemoryRunsAlone() {
+        Pools pools = new Pools().pool(10_000).server("a", 8);
+        pools.ask(1, Pools.ask(0, 600, 5_000, 20_000, 100));
+        assertEquals(pools.serverOf(1), "a");
+    }
+
+    @Test
+    public void whoCannotBeServedInTimeIsToldAtOnceWhenToComeBack() {
+        Pools pools = new Pools().server("a", 1);
+        int run = 1;
+        while (pools.refusalOf(run - 1) == null && run < 500) {
+            pools.ask(run++, Pools.ask(1, 600, 3_000, 1_000, 700));
+        }
+        DispatchAction.Refuse refusal = pools.refusalOf(run - 1);
+        assertNotNull(refusal);
+        assertEquals(refusal.reason(), Reason.OVERLOAD);
+        assertTrue(refusal.retryAfterMillis() <= 1_000, "within a third of the time left");
+        assertTrue(refusal.retryAfterMillis() >= 100);
+    }
+
+    @Test
+    public void anUrgentRequestIsNotRefusedForAQueueOfPatientOnes() {
+        Pools pools = new Pools().server("a", 1);
+        for (int run = 1; run <= 100; run++) {
+            pools.ask(run, Pools.ask(2, 600, 3_000, 1_000, 700));
+        }
+        pools.ask(200, Pools.ask(0, 600, 3_000, 1_000, 700));
+        assertNull(pools.refusalOf(200));
+    }
+
+    @Test
+    public void whoWaitsTooLongIsGivenUpWhileThereIsTimeToComeBack() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0);
+        pools.ask(2, Pools.ask(0, 600, 2_000, 1_000, 100));
+        pools.after(1_100);
+        DispatchAction.Refuse refusal = pools.refusalOf(2);
+        assertNotNull(refusal);
+        assertTrue(refusal.retryAfterMillis() <= 300);
+    }
+
+    @Test
+    public void withoutServersARequestIsRefusedAndNotCharged() {
+        Pools pools = new Pools().quota(10, 1_200).ask(1, 0);
+        assertEquals(pools.refusalOf(1).reason(), Reason.NO_SERVER);
+        pools.server("a", 4).ask(2, 0);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
+    @Test
+    public void aQuotaIsSharedByAllHostsAndSaysWhenItIsFilledAgain() {
+        Pools pools = new Pools().quota(1_000, 1_100).server("a", 9).ask(1, 0).ask(2, 0);
+        assertEquals(pools.serverOf(1), "a");
+        assertEquals(pools.refusalOf(2).reason(), Reason.QUOTA);
+        assertEquals(pools.refusalOf(2).retryAfterMillis(), 1_100);
+    }
+
+    @Test
+    public void runsOfADeadHostFreeTheirPlaces() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0);
+        pools.tell(new DispatchEvent.HostGone(Pools.HOST));
+        assertEquals(pools.scheduler.running(), 0);
+    }
+
+    @Test
+    public void repeatedAndLateMessagesChangeNothing() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0).ask(1, 0);
+        assertEquals(pools.granted(), List.of(1L));
+        pools.end(1, Outcome.ANSWERED).end(1, Outcome.ANSWERED).first(1, 10);
+        pools.tell(new DispatchEvent.Withdrawn(Pools.key(1)));
+        assertEquals(pools.scheduler.running(), 0);
+        pools.ask(2, 0);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
+    @Test
+    public void placesTakenElsewhereAreCounted() {
+        Pools pools = new Pools().server("a", 1);
+        pools.tell(
+                new DispatchEvent.Placed(
+                        Pools.key(1), Pools.ask(0, 600, 5_000, 10, 10), new ServerId("a")));
+        pools.ask(2, 0);
+        assertNull(pools.serverOf(2));
+    }
+
+    @Test
+    public void aRunOfWhichNothingIsHeardIsForgottenAfterItsDeadline() {
+        Pools pools = new Pools().server("a", 1);
+        pools.ask(1, Pools.ask(0, 600, 1_000, 10, 10)).after(2_600);
+        assertEquals(pools.scheduler.running(), 0);
+    }
+
+    @Test
+    public void aShareOfThePlacesIsAtLeastOne() {
+        Pools pools = new Pools().server("a", 8);
+        pools.tell(new DispatchEvent.ShareChanged(0.01, 1));
+        pools.ask(1, 0).ask(2, 0);
+        assertEquals(pools.granted(), List.of(1L));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
@@ -0,0 +1,49 @@
+package org.orioleshed.dispatch;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.Test;
+
+/** Tests of {@link TokenBucket}. */
+public class TokenBucketTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    @Test
+    public void givesNoMoreThanBurstAndRate() {
+        TokenBucket bucket = new TokenBucket(100, 50, 50, 0);
+        long given = 0;
+        for (int tick = 0; tick <= 1_000; tick++) {
+            if (bucket.take(5, tick * SECOND / 100)) {
+                given += 5;
+            }
+        }
+        assertTrue(given <= 50 + 100 * 10, "given " + given);
+        assertTrue(given >= 100 * 10, "given " + given);
+    }
+
+    @Test
+    public void aRequestLargerThanTheBurstPassesWhenTheBucketIsFullAndIsOwed() {
+        TokenBucket bucket = new TokenBucket(10, 20, 20, 0);
+        assertTrue(bucket.take(100, 0));
+        assertFalse(bucket.take(1, SECOND));
+        assertTrue(bucket.millisUntil(20) >= 9_000);
+    }
+
+    @Test
+    public void aLowerLimitHoldsAtOnce() {
+        TokenBucket bucket = new TokenBucket(100, 100, 100, 0);
+        bucket.limit(1, 10, 0);
+        assertTrue(bucket.take(10, 0));
+        assertFalse(bucket.take(1, 0));
+        assertEquals(bucket.millisUntil(10), 10_000);
+    }
+
+    @Test
+    public void aClockThatStandsStillFillsNothing() {
+        TokenBucket bucket = new TokenBucket(1_000, 10, 0, SECOND);
+        assertFalse(bucket.take(1, SECOND));
+        assertFalse(bucket.take(1, 0));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -0,0 +1,55 @@
+package org.orioleshed.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import org.orioleshed.platform.NodeSettings.BadSettingsException;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link NodeSettings}. */
+public class NodeSettingsTest {
+    private static final String GOOD =
+            """
+            // comments are fine
+            {"ip":"10.1.0.25","zone":"suva-a","port-range":[7600,7615],
+             "seeds":["10.2.0.17:8229"],"odd":{"new":true},
+             "listen":{"front":"10.1.0.25:8221","ready":"10.1.0.25:8224"},
+             "bounds":{"retry-ratio":0.2,"retry-window-s":10,"retry-slack":56,"grace-s":8},
+             "platform":{"address":"10.200.1.7:8225"}}
+            """;
+
+    @Test
+    public void readsWhatTheGatewayNeeds() throws BadSettingsException {
+        NodeSettings settings = NodeSettings.parse(GOOD);
+        assertEquals(settings.gateway().peer(), new InetSocketAddress("10.1.0.25", 7600));
+        assertEquals(settings.gateway().seeds(), List.of(new InetSocketAddress("10.2.0.17", 7600)));
+        assertEquals(settings.gateway().graceMillis(), 8_000);
+        assertEquals(settings.store(), new InetSocketAddress("10.200.1.7", 8225));
+    }
+
+    @DataProvider
+    Object[][] bad() {
+        return new Object[][] {
+            {"{", "not JSON"},
+            {GOOD.replace("\"ip\"", "\"ip2\""), "/ip"},
+            {GOOD.replace("\"zone\":\"suva-a\"", "\"zone\":7"), "/zone"},
+            {GOOD.replace("[7600,7615]", "[]"), "/port-range/0"},
+            {GOOD.replace("7600", "99999"), "/port-range/0"},
+            {GOOD.replace("10.1.0.25:8221", "front:8221"), "/listen/front"},
+            {GOOD.replace("10.2.0.17:8229", "nowhere"), "/seeds"},
+            {GOOD.replace("\"retry-ratio\":0.2", "\"retry-ratio\":\"x\""), "/bounds/retry-ratio"},
+            {GOOD.replace("10.200.1.7:8225", ""), "/platform/address"},
+        };
+    }
+
+    @Test(dataProvider = "bad")
+    public void aMistakeIsNamedByItsField(String text, String field) {
+        BadSettingsException error =
+                expectThrows(BadSettingsException.class, () -> NodeSettings.parse(text));
+        assertTrue(error.getMessage().contains(field), error.getMessage());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/PlatformDialectTest.java
@@ -0,0 +1,108 @@
+package org.orioleshed.platform;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import io.netty.handler.codec.http.DefaultHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.Optional;
+import org.orioleshed.gateway.AnswerFacts;
+import org.orioleshed.gateway.CallDialect.ServerOrder;
+import org.orioleshed.gateway.CallFacts;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.WorkspaceId;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PlatformDialect}. */
+public class PlatformDialectTest {
+    private final PlatformDialect dialect = new PlatformDialect();
+
+    @Test
+    public void readsACallersFacts() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .set("x-request-id", "9c")
+                        .set("Api-Key", "k")
+                        .set("X-Deadline-Ms", "1500")
+                        .set("X-Token-Counts", "1460,80")
+                        .set("X-Length-Hint", "30");
+        assertEquals(
+                dialect.read(headers),
+                new CallFacts("9c", Optional.of("k"), 1_500, 1_460, 80, 30, 1_540));
+    }
+
+    @DataProvider
+    Object[][] odd() {
+        return new Object[][] {{"", ""}, {"x", "x"}, {"-5", "1,2,3"}, {"1e9", ","}};
+    }
+
+    @Test(dataProvider = "odd")
+    public void oddNumbersAreNone(String deadline, String tokens) {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .set("X-Deadline-Ms", deadline)
+                        .set("X-Token-Counts", tokens);
+        CallFacts facts = dialect.read(headers);
+        assertEquals(facts.deadlineMillis(), -1);
+        assertTrue(facts.promptTokens() >= 0);
+    }
+
+    @Test
+    public void twoKeysAreNone() {
+        HttpHeaders headers = new DefaultHttpHeaders().add("Api-Key", "a").add("Api-Key", "b");
+        assertEquals(dialect.read(headers).key(), Optional.empty());
+    }
+
+    @Test
+    public void aServerGetsWhatTheSystemSetsAndNothingThatACallerForged() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .set("Api-Key", "k")
+                        .set("X-Tenant", "forged")
+                        .set("X-Expect-Instance", "forged")
+                        .set("X-Hold", "forged")
+                        .set("X-Pin-Ms", "9")
+                        .set("X-Kv-Backup", "forged")
+                        .set("Kv-From", "forged")
+                        .set("Connection", "close, X-Own")
+                        .set("X-Own", "1")
+                        .set("X-Other", "kept")
+                        .set("X-Deadline-Ms", "9000");
+        HttpHeaders sent =
+                dialect.toServer(
+                        headers,
+                        new ServerOrder(
+                                new ServerId("i-1"),
+                                Optional.of(new WorkspaceId("t")),
+                                700,
+                                Optional.of("12")));
+        assertEquals(sent.getAll("X-Tenant").toString(), "[t]");
+        assertEquals(sent.get("X-Expect-Instance"), "i-1");
+        assertEquals(sent.get("X-Deadline-Ms"), "700");
+        assertEquals(sent.get("Last-Event-Id"), "12");
+        assertEquals(sent.get("X-Other"), "kept");
+        assertEquals(sent.size(), 5);
+    }
+
+    @Test
+    public void readsAServersFacts() {
+        HttpHeaders headers =
+                new DefaultHttpHeaders()
+                        .set("X-Request-Id", "9c")
+                        .set("X-Response-Signature", "s")
+                        .set("Keep-Alive", "timeout=5, max=9");
+        assertEquals(dialect.readAnswer(headers), new AnswerFacts("9c", true, false, 5_000));
+        assertTrue(dialect.readAnswer(headers.set("X-Not-Executed", "1")).notRun());
+    }
+
+    @Test
+    public void ownAnswersBearNoSignatureAndSayWhenToComeBack() {
+        HttpHeaders headers = new DefaultHttpHeaders();
+        dialect.markOwn(headers, "9c", 350);
+        assertEquals(headers.get("Retry-After"), "0.350");
+        assertEquals(headers.get("X-Request-Id"), "9c");
+        assertFalse(headers.contains("X-Response-Signature"));
+    }
+}
