--- a/src/main/java/org/orioleshed/dispatch/Ask.java
+++ b/src/main/java/org/orioleshed/dispatch/Ask.java
@@ -36,11 +36,29 @@
         long outputTokens,
         long quotaUnits,
         Set<ServerId> excluded) {
+    /** A workspace's rank goes before the route's; no route has a rank this low. */
+    private static final int RANKS_OF_A_WORKSPACE = 64;
+
     /** Copies the set. */
     public Ask {
         excluded = Set.copyOf(excluded);
     }
 
+    /**
+     * Returns the rank of a call.
+     *
+     * @param ofWorkspace the rank of its workspace, 0 first
+     * @param ofRoute the rank of its route, 0 first
+     */
+    public static int rank(int ofWorkspace, int ofRoute) {
+        return ofWorkspace * RANKS_OF_A_WORKSPACE + Math.min(ofRoute, RANKS_OF_A_WORKSPACE - 1);
+    }
+
+    /** Returns the rank of its route among those of a workspace. */
+    int routeRank() {
+        return rank % RANKS_OF_A_WORKSPACE;
+    }
+
     /** Returns the same ask at a later moment, without a quota to use. */
     public Ask again(long laterMillis) {
         return new Ask(
--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -10,6 +10,9 @@
  * this scheduler's; the rest belongs to schedulers that it does not see.
  */
 public final class Quotas {
+    private static final double KEPT_FOR_EACH_RANK = 0.2;
+    private static final double MAX_KEPT = 0.6;
+
     /**
      * A bucket is filled to this part at first: what was used before this scheduler began is not
      * known.
@@ -84,10 +87,20 @@
     boolean take(Ask ask, long nowNanos) {
         return ask.workspace()
                 .map(buckets::get)
-                .map(bucket -> bucket.take(ask.quotaUnits(), nowNanos))
+                .map(bucket -> bucket.take(ask.quotaUnits(), kept(ask), nowNanos))
                 .orElse(true);
     }
 
+    /**
+     * Returns the part of a burst that a call leaves to more urgent ones of its workspace. Answers
+     * the load pattern of a workspace beyond its quota, whose patient calls used up what its urgent
+     * ones needed. A plain call uses next to nothing.
+     */
+    private static double kept(Ask ask) {
+        boolean plain = ask.promptTokens() == 0;
+        return plain ? 0 : Math.min(MAX_KEPT, KEPT_FOR_EACH_RANK * ask.routeRank());
+    }
+
     /** Gives back what a request that never ran had taken. */
     void giveBack(Ask ask) {
         ask.workspace().map(buckets::get).ifPresent(bucket -> bucket.giveBack(ask.quotaUnits()));
@@ -97,7 +110,7 @@
     long millisUntil(Ask ask) {
         return ask.workspace()
                 .map(buckets::get)
-                .map(bucket -> bucket.millisUntil(ask.quotaUnits()))
+                .map(bucket -> bucket.millisUntil(ask.quotaUnits(), kept(ask)))
                 .orElse(0L);
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/TokenBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -35,10 +35,12 @@
     /**
      * Takes units, or none. What exceeds the burst by itself is let through when the bucket is
      * full, and is owed.
+     *
+     * @param kept the part of the burst that must be left, from 0 to 1
      */
-    boolean take(long wanted, long nowNanos) {
+    boolean take(long wanted, double kept, long nowNanos) {
         fill(nowNanos);
-        if (units < Math.min((double) wanted, burst)) {
+        if (units < Math.min(wanted + kept * burst, burst)) {
             return false;
         }
         units -= wanted;
@@ -50,9 +52,12 @@
         units = Math.min(burst, units + unused);
     }
 
-    /** Returns the time until {@code wanted} units can be taken, in milliseconds. */
-    long millisUntil(long wanted) {
-        double missing = Math.min((double) wanted, burst) - units;
+    /**
+     * Returns the time until {@code wanted} units can be taken and {@code kept} of the burst is
+     * left, in milliseconds.
+     */
+    long millisUntil(long wanted, double kept) {
+        double missing = Math.min(wanted + kept * burst, burst) - units;
         return missing <= 0 ? 0 : (long) Math.ceil(missing / perSecond * 1_000);
     }
 
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -37,9 +37,6 @@
 final class Exchange implements Dispatcher.Placee, ServerCall {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /** A workspace's rank goes before the route's; no route has a rank this low. */
-    private static final int RANKS_OF_A_WORKSPACE = 64;
-
     /** Tries that provably did not run the request, beside those that may have. */
     private static final int MAX_PROVED_TRIES = 3;
 
@@ -181,7 +178,7 @@
 
     private int rank() {
         int first = tenancy.flatMap(Tenancy::priority).orElse(0);
-        return first * RANKS_OF_A_WORKSPACE + Math.min(route.priority(), RANKS_OF_A_WORKSPACE - 1);
+        return Ask.rank(first, route.priority());
     }
 
     @Override
--- a/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -197,6 +197,18 @@
         assertEquals(pools.refusalOf(2).retryAfterMillis(), 1_100);
     }
 
+    @Test
+    public void patientCallsLeaveAPartOfTheQuotaToUrgentOnes() {
+        Pools pools = new Pools().quota(1, 10_000).server("a", 99);
+        int run = 1;
+        while (pools.refusalOf(run - 1) == null) {
+            pools.ask(run++, Pools.ask(2, 600, 10_000, 900, 100));
+        }
+        assertEquals(pools.refusalOf(run - 1).reason(), Reason.QUOTA);
+        pools.ask(100, 0).ask(101, 0).ask(102, 0);
+        assertEquals(pools.serverOf(102), "a");
+    }
+
     @Test
     public void runsOfADeadHostFreeTheirPlaces() {
         Pools pools = new Pools().server("a", 1).ask(1, 0);
--- a/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
+++ b/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
@@ -15,7 +15,7 @@
         TokenBucket bucket = new TokenBucket(100, 50, 50, 0);
         long given = 0;
         for (int tick = 0; tick <= 1_000; tick++) {
-            if (bucket.take(5, tick * SECOND / 100)) {
+            if (bucket.take(5, 0, tick * SECOND / 100)) {
                 given += 5;
             }
         }
@@ -26,24 +26,33 @@
     @Test
     public void aRequestLargerThanTheBurstPassesWhenTheBucketIsFullAndIsOwed() {
         TokenBucket bucket = new TokenBucket(10, 20, 20, 0);
-        assertTrue(bucket.take(100, 0));
-        assertFalse(bucket.take(1, SECOND));
-        assertTrue(bucket.millisUntil(20) >= 9_000);
+        assertTrue(bucket.take(100, 0, 0));
+        assertFalse(bucket.take(1, 0, SECOND));
+        assertTrue(bucket.millisUntil(20, 0) >= 9_000);
+    }
+
+    @Test
+    public void whatIsKeptIsLeftForOthers() {
+        TokenBucket bucket = new TokenBucket(10, 100, 100, 0);
+        assertTrue(bucket.take(50, 0.4, 0));
+        assertFalse(bucket.take(20, 0.4, 0));
+        assertEquals(bucket.millisUntil(20, 0.4), 1_000);
+        assertTrue(bucket.take(50, 0, 0));
     }
 
     @Test
     public void aLowerLimitHoldsAtOnce() {
         TokenBucket bucket = new TokenBucket(100, 100, 100, 0);
         bucket.limit(1, 10, 0);
-        assertTrue(bucket.take(10, 0));
-        assertFalse(bucket.take(1, 0));
-        assertEquals(bucket.millisUntil(10), 10_000);
+        assertTrue(bucket.take(10, 0, 0));
+        assertFalse(bucket.take(1, 0, 0));
+        assertEquals(bucket.millisUntil(10, 0), 10_000);
     }
 
     @Test
     public void aClockThatStandsStillFillsNothing() {
         TokenBucket bucket = new TokenBucket(1_000, 10, 0, SECOND);
-        assertFalse(bucket.take(1, SECOND));
-        assertFalse(bucket.take(1, 0));
+        assertFalse(bucket.take(1, 0, SECOND));
+        assertFalse(bucket.take(1, 0, 0));
     }
 }
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -0,0 +1,153 @@
+package org.orioleshed.platform;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import org.orioleshed.catalog.CatalogFollower;
+import org.orioleshed.dispatch.Quotas;
+import org.orioleshed.gateway.Gateway;
+import org.orioleshed.gateway.GatewayOptions;
+import org.orioleshed.gateway.LogRing;
+import org.orioleshed.model.FailureDomain;
+
+/** One gateway on loopback before stand-ins of the store and of two workers. */
+final class Fleet implements AutoCloseable {
+    static final String CONFIG =
+            """
+            {"version":1,"routes":[
+              {"name":"stream","host":"h","prefix":"/s/","kind":"stream","timeout-ms":%1$d,
+               "target-latency-ms":600,"gap-aim-ms":300,"attempts":2,"resumable":true,
+               "service":"pool"},
+              {"name":"once","host":"h","prefix":"/o/","kind":"non_idempotent",
+               "timeout-ms":%1$d,"target-latency-ms":600,"attempts":1,"service":"pool"},
+              {"name":"safe","host":"h","prefix":"/i/","kind":"idempotent","timeout-ms":%1$d,
+               "target-latency-ms":600,"attempts":2,"service":"pool"},
+              {"name":"open","host":"h","prefix":"/p/","kind":"idempotent","timeout-ms":%1$d,
+               "target-latency-ms":600,"attempts":2,"service":"pool","public":true}],
+             "services":[{"name":"pool","max-conns":100,
+                          "engine":{"kv-capacity":1000000,"stride":1}}],
+             "limits":{"max-header-bytes":4096,"max-body-bytes":65536,
+                       "header-timeout-ms":3000,"idle-timeout-ms":15000},
+             "tenants":[{"name":"ws","api-keys":["key"],"unit":"tokens","plain-tokens":10,
+                         "rate-per-s":%2$d,"burst":%2$d}]}
+            """;
+    private static final long WAIT_NANOS = 20_000_000_000L;
+
+    final StoreFake store = new StoreFake();
+    final WorkerFake first = new WorkerFake();
+    final WorkerFake second = new WorkerFake();
+    final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final LogRing log = new LogRing(logged);
+    private final GatewayOptions options;
+    private final EventLoop loop =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+
+    Fleet(long timeoutMillis, long unitsPerSecond) throws IOException {
+        store.put("op/config", CONFIG.formatted(timeoutMillis, unitsPerSecond));
+        store.put("servers/i-1", first.entry("pool", 8));
+        options =
+                new GatewayOptions(
+                        new FailureDomain("z"),
+                        freeAddress(),
+                        freeAddress(),
+                        freeAddress(),
+                        freeAddress(),
+                        List.of(),
+                        1,
+                        10_000,
+                        50,
+                        Quotas.Slack.NONE,
+                        2_000);
+        Gateway gateway =
+                new Gateway(options, new PlatformDialect(), log, new SplittableRandom(1), 1);
+        CatalogFollower follower =
+                new CatalogFollower(
+                        new PlatformStore(new StoreCalls(loop, store.address())),
+                        new ManifestDecoder(),
+                        loop,
+                        new SplittableRandom(1),
+                        gateway::changed,
+                        log::add);
+        gateway.start(follower);
+        follower.start();
+        await(() -> get(options.ready(), "/ready").startsWith("HTTP/1.1 200"));
+    }
+
+    /** Adds the second worker and waits until the gateway knows it. */
+    void addSecond() {
+        store.put("servers/i-2", second.entry("pool", 8));
+        await(() -> logged.toString(StandardCharsets.UTF_8).contains("server=i-2"));
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    /** Opens a connection to the callers' address. */
+    Socket connect() throws IOException {
+        return new Socket(options.callers().getAddress(), options.callers().getPort());
+    }
+
+    /** Sends bytes on a new connection and returns all that comes until it closes. */
+    String send(String bytes) throws IOException {
+        try (Socket socket = connect()) {
+            socket.getOutputStream().write(WorkerFake.bytes(bytes));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    /** Returns a request for a path with the usual header fields and a body. */
+    static String request(String path, String id, String body) {
+        return "POST %s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nApi-Key: key\r\n"
+                        .formatted(path, id)
+                + "X-Token-Counts: 100,10\r\nX-Deadline-Ms: 5000\r\nConnection: close\r\n"
+                + "Content-Length: %d\r\n\r\n%s".formatted(body.length(), body);
+    }
+
+    static String get(InetSocketAddress address, String path) {
+        try (Socket socket = new Socket(address.getAddress(), address.getPort())) {
+            socket.getOutputStream()
+                    .write(WorkerFake.bytes("GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+            byte[] bytes = new byte[200];
+            int read = socket.getInputStream().read(bytes);
+            return new String(bytes, 0, Math.max(0, read), StandardCharsets.ISO_8859_1);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    /** Waits until something is so; fails if it never is. */
+    static void await(BooleanSupplier condition) {
+        long end = System.nanoTime() + WAIT_NANOS;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("it never became so");
+            }
+            try {
+                Thread.sleep(5);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        store.close();
+        first.close();
+        second.close();
+        log.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/StoreFake.java
@@ -0,0 +1,173 @@
+package org.orioleshed.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.Executors;
+
+/**
+ * A small stand-in of the platform's store: ranges and watches, and what can go wrong with them.
+ */
+final class StoreFake implements AutoCloseable {
+    private static final int PAGE = 3;
+    private static final long POLL_MILLIS = 5;
+
+    private final HttpServer server;
+    private final SortedMap<String, Item> items = new TreeMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private long revision = 10;
+    private volatile int failWith;
+    private volatile boolean watchesSilent;
+    private volatile boolean historyGone;
+
+    private record Item(String value, long revision) {}
+
+    private record Change(String key, String json, long revision) {}
+
+    StoreFake() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
+        server.createContext("/", this::handle);
+        server.start();
+    }
+
+    InetSocketAddress address() {
+        return server.getAddress();
+    }
+
+    synchronized void put(String key, String value) {
+        revision++;
+        items.put(key, new Item(value, revision));
+        changes.add(new Change(key, item(key, items.get(key)), revision));
+    }
+
+    synchronized void delete(String key) {
+        revision++;
+        items.remove(key);
+        String json =
+                "{\"key\":\"%s\",\"revision\":%d,\"tombstone\":true}".formatted(key, revision);
+        changes.add(new Change(key, json, revision));
+    }
+
+    void failWith(int status) {
+        failWith = status;
+    }
+
+    void silenceWatches(boolean silent) {
+        watchesSilent = silent;
+    }
+
+    /** Watches from before now are told that the history is gone. */
+    synchronized void forgetHistory() {
+        historyGone = true;
+        changes.clear();
+    }
+
+    private static String item(String key, Item item) {
+        String base64 =
+                Base64.getEncoder().encodeToString(item.value().getBytes(StandardCharsets.UTF_8));
+        return "{\"key\":\"%s\",\"value\":\"%s\",\"revision\":%d,\"lease\":0}"
+                .formatted(key, base64, item.revision());
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        String path = exchange.getRequestURI().getPath();
+        try {
+            if (failWith != 0) {
+                reply(exchange, failWith, "{}");
+            } else if (path.equals("/kv-range")) {
+                reply(exchange, 200, range(query(exchange, "prefix"), query(exchange, "after")));
+            } else if (path.equals("/kv-watch")) {
+                watch(exchange);
+            } else {
+                reply(exchange, 404, "{}");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private synchronized String range(String prefix, String after) {
+        List<String> found = new ArrayList<>();
+        boolean more = false;
+        for (var entry : items.tailMap(prefix).entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (entry.getKey().compareTo(after) <= 0) {
+                continue;
+            }
+            if (found.size() == PAGE) {
+                more = true;
+                break;
+            }
+            found.add(item(entry.getKey(), entry.getValue()));
+        }
+        return "{\"items\":[%s],\"truncated\":%s,\"as-of\":%d}"
+                .formatted(String.join(",", found), more, revision);
+    }
+
+    private void watch(HttpExchange exchange) throws IOException, InterruptedException {
+        String prefix = query(exchange, "prefix");
+        long after = Long.parseLong(query(exchange, "after"));
+        if (historyGone) {
+            historyGone = false;
+            reply(exchange, 410, "{}");
+            return;
+        }
+        long end = System.nanoTime() + Long.parseLong(query(exchange, "wait-ms")) * 1_000_000;
+        while (System.nanoTime() < end) {
+            if (!watchesSilent) {
+                String events = eventsAfter(prefix, after);
+                if (!events.isEmpty()) {
+                    reply(exchange, 200, events);
+                    return;
+                }
+            }
+            Thread.sleep(POLL_MILLIS);
+        }
+        reply(exchange, 200, "{\"events\":[],\"as-of\":%d}".formatted(after));
+    }
+
+    private synchronized String eventsAfter(String prefix, long after) {
+        List<String> found =
+                changes.stream()
+                        .filter(it -> it.key().startsWith(prefix) && it.revision() > after)
+                        .map(Change::json)
+                        .toList();
+        return found.isEmpty()
+                ? ""
+                : "{\"events\":[%s],\"as-of\":%d}".formatted(String.join(",", found), revision);
+    }
+
+    private static String query(HttpExchange exchange, String name) {
+        for (String part : exchange.getRequestURI().getRawQuery().split("&", -1)) {
+            if (part.startsWith(name + "=")) {
+                return URLDecoder.decode(part.substring(name.length() + 1), StandardCharsets.UTF_8);
+            }
+        }
+        return "";
+    }
+
+    private static void reply(HttpExchange exchange, int status, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        exchange.getResponseHeaders().set("Content-Type", "application/json");
+        exchange.sendResponseHeaders(status, bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/WorkerFake.java
@@ -0,0 +1,165 @@
+package org.orioleshed.platform;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * A small stand-in of a worker on a bare socket, so that it can misbehave in any way. It notes what
+ * reaches it.
+ */
+final class WorkerFake implements AutoCloseable {
+    final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
+    private final ServerSocket socket;
+    private volatile Script script = Script.answering(200, "ok");
+
+    /** A request as it arrived; header names in lower case. */
+    record Request(String line, Map<String, String> headers, String body) {
+        String id() {
+            return headers.getOrDefault("x-request-id", "");
+        }
+    }
+
+    /** What the worker does with a request. */
+    interface Script {
+        /** Answers on {@code out}; returns whether the connection stays open. */
+        boolean play(Request request, OutputStream out, InputStream in)
+                throws IOException, InterruptedException;
+
+        static Script answering(int status, String body) {
+            return (request, out, in) -> {
+                out.write(bytes(head(request, status, true) + length(body) + body));
+                return true;
+            };
+        }
+
+        /** Streams events {@code from} to {@code to} and ends the stream. */
+        static Script streaming(int from, int to, long pauseMillis) {
+            return (request, out, in) -> {
+                out.write(bytes(head(request, 200, true) + STREAM));
+                for (int i = from; i <= to; i++) {
+                    out.write(bytes(chunk("id: %d\ndata: e%d\n\n".formatted(i, i))));
+                    out.flush();
+                    Thread.sleep(pauseMillis);
+                }
+                out.write(bytes("0\r\n\r\n"));
+                return true;
+            };
+        }
+    }
+
+    static final String STREAM =
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    WorkerFake() throws IOException {
+        socket = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    void script(Script newScript) {
+        script = newScript;
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) socket.getLocalSocketAddress();
+    }
+
+    String entry(String service, int slots) {
+        return "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\",\"batch-slots\":%d,\"state\":\"ready\",\"seq\":1}"
+                .formatted(service, address().getPort(), slots);
+    }
+
+    static String head(Request request, int status, boolean signed) {
+        return "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n".formatted(status, request.id())
+                + (signed ? "X-Response-Signature: s\r\n" : "");
+    }
+
+    static String length(String body) {
+        return "Content-Length: %d\r\n\r\n".formatted(body.length());
+    }
+
+    static String chunk(String data) {
+        return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
+    }
+
+    static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private void accept() {
+        while (!socket.isClosed()) {
+            try {
+                Socket connection = socket.accept();
+                Thread.ofVirtual().start(() -> serve(connection));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket connection) {
+        try (connection) {
+            InputStream in = new BufferedInputStream(connection.getInputStream());
+            boolean open = true;
+            while (open) {
+                Request request = read(in);
+                if (request == null) {
+                    return;
+                }
+                requests.add(request);
+                open = script.play(request, connection.getOutputStream(), in);
+                connection.getOutputStream().flush();
+            }
+        } catch (IOException e) {
+            // The other side is gone.
+            return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        String line = line(in);
+        if (line.isEmpty()) {
+            return null;
+        }
+        Map<String, String> headers = new TreeMap<>();
+        for (String field = line(in); !field.isEmpty(); field = line(in)) {
+            int colon = field.indexOf(':');
+            headers.put(
+                    field.substring(0, colon).toLowerCase(Locale.ROOT),
+                    field.substring(colon + 1).strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
+        String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
+        return new Request(line, headers, body);
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int next = in.read(); next >= 0 && next != '\n'; next = in.read()) {
+            if (next != '\r') {
+                line.write(next);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
