Moves between versions of a pool by operators' orders; hosts find each other through the store

Moves: the home, which sees all answers of a pool, gives a new version a bounded part of the requests, takes it back on faults or slowness, completes it once proved and once the old servers run nothing; the outcome is recorded by one compare-and-swap, whatever happens to hosts.

--- a/src/main/java/org/orioleshed/catalog/CatalogFollower.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogFollower.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.orioleshed.model.Payload;
+import org.orioleshed.model.ServiceId;
 import org.orioleshed.store.Store;
 
 /**
@@ -31,6 +32,7 @@
     private final Consumer<CatalogSnapshot> listener;
     private final Consumer<String> log;
     private final Map<String, Known> servers = new HashMap<>();
+    private final Map<ServiceId, MoveOrder> orders = new HashMap<>();
     private final Followed configWatch;
     private final Followed serverWatch;
     private long configRevision;
@@ -64,7 +66,7 @@
         this.random = random;
         this.listener = listener;
         this.log = log;
-        this.configWatch = new Followed(decoder.configKey());
+        this.configWatch = new Followed(decoder.operatorPrefix());
         this.serverWatch = new Followed(decoder.serversPrefix());
     }
 
@@ -114,6 +116,27 @@
         }
     }
 
+    private boolean takeOrder(String key, Payload value, long revision) {
+        try {
+            Optional<MoveOrder> order = decoder.order(key, value.toBytes(), revision);
+            if (order.isEmpty()) {
+                return false;
+            }
+            MoveOrder known = orders.get(order.get().service());
+            if (known != null && known.revision() >= revision) {
+                return false;
+            }
+            orders.put(order.get().service(), order.get());
+            log.accept("event=move_ordered order=%s".formatted(order.get()));
+            return true;
+        } catch (BadCatalogException e) {
+            log.accept(
+                    "event=order_unreadable key=%s revision=%d reason=\"%s\""
+                            .formatted(key, revision, e.getMessage()));
+            return false;
+        }
+    }
+
     private void takeServers(
             List<Store.Entry> entries, long revision, boolean holdMissing, String source) {
         Map<String, Known> missing = new HashMap<>(servers);
@@ -190,7 +213,13 @@
         }
         listener.accept(
                 new CatalogSnapshot(
-                        configRevision, configValue, catalog, serversRevision, entries, usable));
+                        configRevision,
+                        configValue,
+                        catalog,
+                        serversRevision,
+                        entries,
+                        usable,
+                        List.copyOf(orders.values())));
     }
 
     /** One prefix of the store: read whole, then watched, then read whole again after a break. */
@@ -224,19 +253,25 @@
                 takeServers(entries.entries(), entries.storeRevision(), wasUnwell, "store");
                 publish();
             } else {
-                takeConfig(entries.entries());
+                takeOperators(entries.entries());
             }
             store.watch(prefix, entries.storeRevision() + 1, this);
         }
 
-        private void takeConfig(List<Store.Entry> entries) {
+        private void takeOperators(List<Store.Entry> entries) {
+            boolean changed = false;
             for (Store.Entry entry : entries) {
-                if (entry.key().equals(prefix)
-                        && CatalogFollower.this.takeConfig(
-                                entry.value(), entry.revision(), "store")) {
-                    publish();
-                }
+                changed |= takeOperators(entry.key(), entry.value(), entry.revision());
             }
+            if (changed) {
+                publish();
+            }
+        }
+
+        private boolean takeOperators(String key, Payload value, long revision) {
+            return key.equals(decoder.configKey())
+                    ? takeConfig(value, revision, "store")
+                    : takeOrder(key, value, revision);
         }
 
         private void recovered() {
@@ -266,9 +301,7 @@
 
         private void changed(String key, Optional<Payload> value, long revision) {
             if (!isServers()) {
-                if (key.equals(prefix)
-                        && value.isPresent()
-                        && CatalogFollower.this.takeConfig(value.get(), revision, "store")) {
+                if (value.isPresent() && takeOperators(key, value.get(), revision)) {
                     publish();
                 }
                 return;
--- a/src/main/java/org/orioleshed/catalog/CatalogSnapshot.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogSnapshot.java
@@ -14,6 +14,7 @@
  * @param serversRevision the store's revision up to which the servers are known
  * @param entries the servers' entries as the store holds them
  * @param servers the servers that may be used
+ * @param orders the newest order to move each pool between versions
  */
 public record CatalogSnapshot(
         long configRevision,
@@ -21,15 +22,18 @@
         Optional<Catalog> catalog,
         long serversRevision,
         List<Store.Entry> entries,
-        List<PoolServer> servers) {
+        List<PoolServer> servers,
+        List<MoveOrder> orders) {
     /** What a host knows at its start. */
     public static final CatalogSnapshot NOTHING =
-            new CatalogSnapshot(0, Payload.EMPTY, Optional.empty(), 0, List.of(), List.of());
+            new CatalogSnapshot(
+                    0, Payload.EMPTY, Optional.empty(), 0, List.of(), List.of(), List.of());
 
     /** Copies the lists. */
     public CatalogSnapshot {
         entries = List.copyOf(entries);
         servers = List.copyOf(servers);
+        orders = List.copyOf(orders);
     }
 
     /** Returns whether {@code other} holds something later. */
--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -55,6 +55,10 @@
                     throw new IllegalArgumentException("not sent");
             case DispatchEvent.ShareChanged changed ->
                     throw new IllegalArgumentException("not sent");
+            case DispatchEvent.MoveOrdered ordered ->
+                    throw new IllegalArgumentException("not sent");
+            case DispatchEvent.MoveSettled settled ->
+                    throw new IllegalArgumentException("not sent");
             case DispatchEvent.Tick tick -> throw new IllegalArgumentException("not sent");
         };
     }
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Map;
+import org.orioleshed.catalog.MoveOrder;
+import org.orioleshed.catalog.MoveOutcome;
 import org.orioleshed.catalog.Pool;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.Quota;
@@ -56,6 +58,20 @@
      */
     record ShareChanged(double places, double quota) implements DispatchEvent {}
 
+    /**
+     * An order to move a pool between versions.
+     *
+     * @param order the order
+     * @param seenNanos when this host saw it, on its monotonic clock
+     * @param evidenceHere whether this scheduler sees the pool's answers and may use the new
+     *     version
+     */
+    record MoveOrdered(MoveOrder order, long seenNanos, boolean evidenceHere)
+            implements DispatchEvent {}
+
+    /** The recorded outcome of a move. */
+    record MoveSettled(MoveOrder order, MoveOutcome outcome) implements DispatchEvent {}
+
     /** Time passed; comes at least every 50 ms while anything waits or runs. */
     record Tick() implements DispatchEvent {}
 }
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -1,6 +1,7 @@
 package org.orioleshed.dispatch;
 
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.orioleshed.catalog.Pool;
 
 /**
@@ -44,10 +45,32 @@
 
     /** Returns the best server with a free place; empty where none has one. */
     Optional<ServerBook> choose(Ask ask) {
+        if (pool.move().isEmpty()) {
+            return best(ask, server -> true);
+        }
+        VersionMove move = pool.move().get();
+        boolean wantsNew = (move.nextIsNew() && hasVersion(move, true)) || !hasVersion(move, false);
+        Optional<ServerBook> chosen =
+                best(ask, server -> move.isTarget(server.server().version()) == wantsNew);
+        return chosen.isEmpty() && move.mayUseOther(wantsNew)
+                ? best(ask, server -> move.isTarget(server.server().version()) != wantsNew)
+                : chosen;
+    }
+
+    /** Returns whether any server of the new, or of the old, version takes calls. */
+    private boolean hasVersion(VersionMove move, boolean target) {
+        return pool.servers().values().stream()
+                .anyMatch(
+                        server ->
+                                !server.server().draining()
+                                        && move.isTarget(server.server().version()) == target);
+    }
+
+    private Optional<ServerBook> best(Ask ask, Predicate<ServerBook> allowed) {
         ServerBook best = null;
         double bestScore = Double.POSITIVE_INFINITY;
         for (ServerBook server : pool.servers().values()) {
-            if (!maySend(server, ask) || !hasRoom(server, ask)) {
+            if (!allowed.test(server) || !maySend(server, ask) || !hasRoom(server, ask)) {
                 continue;
             }
             double score = score(server, ask);
--- a/src/main/java/org/orioleshed/dispatch/PoolBook.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolBook.java
@@ -19,6 +19,7 @@
     private final Map<RunKey, Waiter> waiters = new HashMap<>();
     private final PoolSpeed speed = new PoolSpeed();
     private Pool declared;
+    private VersionMove move;
 
     Map<ServerId, ServerBook> servers() {
         return servers;
@@ -36,6 +37,15 @@
         return Optional.ofNullable(declared);
     }
 
+    /** Returns the move between versions that was ordered last. */
+    Optional<VersionMove> move() {
+        return Optional.ofNullable(move);
+    }
+
+    void move(VersionMove newMove) {
+        move = newMove;
+    }
+
     int waiting() {
         return waiters.size();
     }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.orioleshed.catalog.MoveOrder;
+import org.orioleshed.catalog.MoveOutcome;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.DispatchAction.Reason;
 import org.orioleshed.model.HostId;
@@ -34,6 +36,7 @@
     private final Map<ServiceId, PoolBook> pools = new HashMap<>();
     private final Map<RunKey, ServerBook> runs = new HashMap<>();
     private final Quotas quotas;
+    private final MovePolicy movePolicy;
     private List<DispatchAction> actions = new ArrayList<>();
     private double placeShare = 1;
     private long order;
@@ -44,8 +47,10 @@
      *
      * @param firstFill the part of each quota that may be used at once, from 0 to 1
      * @param slack what may be used beyond quotas
+     * @param movePolicy what a bad version may cost
      */
-    public Scheduler(double firstFill, Quotas.Slack slack) {
+    public Scheduler(double firstFill, Quotas.Slack slack, MovePolicy movePolicy) {
+        this.movePolicy = movePolicy;
         this.quotas = new Quotas(firstFill, slack);
     }
 
@@ -63,6 +68,8 @@
             case DispatchEvent.ServersChanged changed -> take(changed.servers());
             case DispatchEvent.LimitsChanged changed -> limit(changed);
             case DispatchEvent.ShareChanged changed -> share(changed);
+            case DispatchEvent.MoveOrdered ordered -> order(ordered);
+            case DispatchEvent.MoveSettled settled -> settle(settled);
             case DispatchEvent.Tick tick -> tick();
         }
         return actions;
@@ -137,6 +144,7 @@
         long reading = engine ? server.pendingTokens() + ask.promptTokens() : 0;
         server.start(run, new Running(ask, nowNanos, reading, true));
         runs.put(run, server);
+        pool(ask.service()).move().ifPresent(move -> move.sent(server.server().version()));
     }
 
     /** Refuses what had taken of its quota. */
@@ -184,6 +192,9 @@
             return;
         }
         PoolBook pool = pool(server.server().service());
+        double slowness = server.slowness(run, end, pool.speed());
+        pool.move()
+                .ifPresent(move -> move.ended(server.server().version(), end.outcome(), slowness));
         server.end(run, end, pool.speed(), nowNanos);
         serve(pool);
     }
@@ -234,8 +245,51 @@
         quotas.share(changed.quota(), nowNanos);
     }
 
+    private void order(DispatchEvent.MoveOrdered ordered) {
+        PoolBook pool = pool(ordered.order().service());
+        boolean known = pool.move().map(move -> move.order().equals(ordered.order())).orElse(false);
+        if (!known) {
+            MovePolicy allowed = ordered.evidenceHere() ? movePolicy : new MovePolicy(0, 0);
+            pool.move(new VersionMove(ordered.order(), allowed, ordered.seenNanos()));
+        }
+    }
+
+    private void settle(DispatchEvent.MoveSettled settled) {
+        pool(settled.order().service())
+                .move()
+                .filter(move -> move.order().equals(settled.order()))
+                .ifPresent(move -> move.settle(settled.outcome()));
+    }
+
+    /** Returns the moves under way and those decided, with their outcomes so far. */
+    public List<MoveView> moves() {
+        return pools.values().stream()
+                .flatMap(pool -> pool.move().stream())
+                .map(move -> new MoveView(move.order(), move.outcome(), move.evidence()))
+                .toList();
+    }
+
+    /** A move, its outcome so far, and the evidence for it. */
+    public record MoveView(MoveOrder order, MoveOutcome outcome, String evidence) {}
+
+    private void decideMove(PoolBook pool) {
+        if (pool.move().isEmpty()) {
+            return;
+        }
+        VersionMove move = pool.move().get();
+        int oldRuns = 0;
+        boolean newServers = false;
+        for (ServerBook server : pool.servers().values()) {
+            boolean target = move.isTarget(server.server().version());
+            oldRuns += target ? 0 : server.running();
+            newServers |= target && !server.server().draining();
+        }
+        move.decide(nowNanos, oldRuns, newServers);
+    }
+
     private void tick() {
         forgetOverdue();
+        pools.values().forEach(this::decideMove);
         for (PoolBook pool : pools.values()) {
             if (pool.waiting() > 0) {
                 pool.sortLate(nowNanos);
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -5,9 +5,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
+import org.orioleshed.catalog.MoveOrder;
+import org.orioleshed.catalog.MoveOutcome;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.Quota;
 import org.orioleshed.dispatch.Ask;
@@ -15,6 +18,7 @@
 import org.orioleshed.dispatch.DispatchCodec;
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.DispatchMessage;
+import org.orioleshed.dispatch.MovePolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RunEnd;
 import org.orioleshed.dispatch.RunKey;
@@ -57,9 +61,14 @@
     private final Map<RunKey, Pending> pending = new HashMap<>();
     private final Map<RunKey, Active> active = new HashMap<>();
     private final Quotas.Slack slack;
+    private final MovePolicy movePolicy;
+    private final Map<MoveOrder, Long> ordersSeenNanos = new HashMap<>();
+    private final Map<MoveOrder, MoveOutcome> recorded = new HashMap<>();
+    private final Map<MoveOrder, MoveOutcome> told = new HashMap<>();
     private final Scheduler own;
     private Scheduler asHome;
     private Optional<Member> home = Optional.empty();
+    private BiConsumer<MoveOrder, MoveOutcome> recorder = (order, outcome) -> {};
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private long homeSilentUntilNanos;
     private long homeSilentSinceNanos;
@@ -101,11 +110,13 @@
             PeerPort peers,
             FleetView fleet,
             Quotas.Slack slack,
+            MovePolicy movePolicy,
             Consumer<String> log) {
         this.self = self;
         this.slack = slack;
-        this.own = new Scheduler(FIRST_FILL, slack);
-        this.asHome = new Scheduler(FIRST_FILL, slack);
+        this.movePolicy = movePolicy;
+        this.own = new Scheduler(FIRST_FILL, slack, movePolicy);
+        this.asHome = new Scheduler(FIRST_FILL, slack, movePolicy);
         this.peers = peers;
         this.fleet = fleet;
         this.log = log;
@@ -265,6 +276,7 @@
         long nowNanos = System.nanoTime();
         if (isHome()) {
             fromHome(asHome.on(nowNanos, new DispatchEvent.Tick()));
+            asHome.moves().forEach(this::record);
         }
         fromOwn(own.on(nowNanos, new DispatchEvent.Tick()));
         if (!isHome()) {
@@ -272,6 +284,31 @@
         }
     }
 
+    /** Has the state of a move recorded where it is new. */
+    private void record(Scheduler.MoveView move) {
+        if (move.outcome() == told.put(move.order(), move.outcome())) {
+            return;
+        }
+        log.accept(
+                "event=move order=%s outcome=%s %s"
+                        .formatted(move.order(), move.outcome(), move.evidence()));
+        recorder.accept(move.order(), move.outcome());
+    }
+
+    /** Takes what records outcomes of moves. */
+    void recorder(BiConsumer<MoveOrder, MoveOutcome> newRecorder) {
+        recorder = newRecorder;
+    }
+
+    /** The store holds an outcome of a move. */
+    void recorded(MoveOrder order, MoveOutcome outcome) {
+        recorded.put(order, outcome);
+        long nowNanos = System.nanoTime();
+        DispatchEvent settled = new DispatchEvent.MoveSettled(order, outcome);
+        fromOwn(own.on(nowNanos, settled));
+        fromHome(asHome.on(nowNanos, settled));
+    }
+
     private void checkHome(long nowNanos) {
         List<RunKey> overdue = new ArrayList<>();
         for (Map.Entry<RunKey, Pending> entry : pending.entrySet()) {
@@ -367,7 +404,8 @@
         homeSilent = false;
         homeSilentUntilNanos = nowNanos;
         if (isHome()) {
-            asHome = new Scheduler(FIRST_FILL, slack);
+            told.clear();
+            asHome = new Scheduler(FIRST_FILL, slack, movePolicy);
             feed(asHome, nowNanos);
             share();
         }
@@ -402,6 +440,19 @@
         List<DispatchAction> actions = new ArrayList<>();
         snapshot.catalog()
                 .ifPresent(catalog -> actions.addAll(scheduler.on(nowNanos, limits(catalog))));
+        for (MoveOrder order : snapshot.orders()) {
+            long seenNanos = ordersSeenNanos.computeIfAbsent(order, key -> nowNanos);
+            boolean evidenceHere = scheduler != own;
+            actions.addAll(
+                    scheduler.on(
+                            nowNanos,
+                            new DispatchEvent.MoveOrdered(order, seenNanos, evidenceHere)));
+        }
+        recorded.forEach(
+                (order, outcome) ->
+                        actions.addAll(
+                                scheduler.on(
+                                        nowNanos, new DispatchEvent.MoveSettled(order, outcome))));
         actions.addAll(
                 scheduler.on(nowNanos, new DispatchEvent.ServersChanged(snapshot.servers())));
         return actions;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -32,6 +32,8 @@
 import org.orioleshed.catalog.CatalogFollower;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.catalog.DoorLimits;
+import org.orioleshed.catalog.MoveOrder;
+import org.orioleshed.catalog.MoveOutcome;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.FailureDomain;
@@ -92,6 +94,7 @@
     private final CountDownLatch stopped = new CountDownLatch(1);
     private CatalogFollower follower;
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
+    private volatile boolean alone = true;
     private boolean leaving;
     private long leavingNanos;
     private Channel front;
@@ -132,7 +135,9 @@
                         false,
                         Member.Health.ALIVE);
         this.fleet = new FleetView(member, peers, random, this);
-        this.dispatcher = new Dispatcher(self, peers, fleet, options.quotaSlack(), log::add);
+        this.dispatcher =
+                new Dispatcher(
+                        self, peers, fleet, options.quotaSlack(), options.movePolicy(), log::add);
         this.serverBootstrap =
                 new Bootstrap()
                         .group(group)
@@ -178,6 +183,21 @@
                         this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Takes what records outcomes of moves; to be called before the start. */
+    public void recorder(MoveRecorder recorder) {
+        dispatcher.recorder(recorder::record);
+    }
+
+    /** The store holds an outcome of a move; may be called from any thread. */
+    public void recorded(MoveOrder order, MoveOutcome outcome) {
+        loop.execute(() -> dispatcher.recorded(order, outcome));
+    }
+
+    /** Returns whether this host sees no other; may be called from any thread. */
+    public boolean isAlone() {
+        return alone;
+    }
+
     /** Takes peer addresses to try, beside those known. */
     public void seed(List<InetSocketAddress> addresses) {
         List<InetSocketAddress> all = new ArrayList<>(options.seeds());
@@ -357,6 +377,7 @@
 
     @Override
     public void fleetChanged() {
+        alone = fleet.live().size() <= 1;
         dispatcher.fleetChanged();
         log.add(
                 "event=fleet live=%d known=%d home=%s"
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.orioleshed.dispatch.MovePolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.model.FailureDomain;
 
@@ -18,6 +19,7 @@
  * @param retryWindowMillis the window in which they count, in milliseconds
  * @param retrySlack second sends allowed beside that, over all hosts
  * @param quotaSlack what workspaces may use beyond their quotas
+ * @param movePolicy what a bad version may cost
  * @param graceMillis the time from the word to stop to the end of the process, in milliseconds
  */
 public record GatewayOptions(
@@ -31,6 +33,7 @@
         long retryWindowMillis,
         double retrySlack,
         Quotas.Slack quotaSlack,
+        MovePolicy movePolicy,
         long graceMillis) {
     /** Copies the list. */
     public GatewayOptions {
--- a/src/main/java/org/orioleshed/gateway/News.java
+++ b/src/main/java/org/orioleshed/gateway/News.java
@@ -54,6 +54,7 @@
                 Optional.empty(),
                 entries.isPresent() ? serversRevision : 0,
                 entries.orElse(List.of()),
+                List.of(),
                 List.of());
     }
 }
--- /dev/null
+++ b/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
@@ -0,0 +1,209 @@
+package org.orioleshed.catalog;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Predicate;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.store.MemoryStore;
+import org.orioleshed.store.Store;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link CatalogFollower}. */
+public class CatalogFollowerTest {
+    private ScheduledExecutorService executor;
+    private MemoryStore store;
+    private volatile CatalogSnapshot latest;
+    private CatalogFollower follower;
+
+    /** A configuration is its version in digits; a server is anything but "bad". */
+    private static final class Plain implements CatalogDecoder {
+        @Override
+        public String configKey() {
+            return "op/config";
+        }
+
+        @Override
+        public String operatorPrefix() {
+            return "op/";
+        }
+
+        @Override
+        public String serversPrefix() {
+            return "servers/";
+        }
+
+        @Override
+        public Catalog config(byte[] value) throws BadCatalogException {
+            try {
+                long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
+                return new Catalog(
+                        version, Map.of(), Map.of(), Map.of(), Map.of(), DoorLimits.DEFAULT);
+            } catch (NumberFormatException e) {
+                throw new BadCatalogException("no number", e);
+            }
+        }
+
+        @Override
+        public PoolServer server(String key, byte[] value) throws BadCatalogException {
+            if (new String(value, StandardCharsets.UTF_8).equals("bad")) {
+                throw new BadCatalogException("bad");
+            }
+            return new PoolServer(
+                    new ServerId(key),
+                    new ServiceId("s"),
+                    new InetSocketAddress("10.0.0.1", 1),
+                    new FailureDomain("d"),
+                    new VersionId("v"),
+                    1,
+                    false,
+                    0);
+        }
+
+        @Override
+        public Optional<MoveOrder> order(String key, byte[] value, long revision) {
+            return Optional.of(
+                    new MoveOrder(new ServiceId("s"), new VersionId("v2"), 1_000, revision));
+        }
+
+        @Override
+        public String outcomeKey(ServiceId service) {
+            return "outcome";
+        }
+
+        @Override
+        public byte[] encodeOutcome(MoveOrder order, MoveOutcome outcome) {
+            return new byte[0];
+        }
+
+        @Override
+        public Optional<MoveOutcome> outcome(MoveOrder order, byte[] value) {
+            return Optional.empty();
+        }
+    }
+
+    @BeforeMethod
+    public void open() {
+        executor = Executors.newSingleThreadScheduledExecutor();
+        store = new MemoryStore();
+        latest = CatalogSnapshot.NOTHING;
+        follower =
+                new CatalogFollower(
+                        store,
+                        new Plain(),
+                        executor,
+                        new SplittableRandom(1),
+                        snapshot -> latest = snapshot,
+                        line -> {});
+        store.put("op/config", "1");
+        store.put("servers/a", "x");
+        follower.start();
+        await(it -> version(it) == 1 && it.servers().size() == 1);
+    }
+
+    @AfterMethod
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private static long version(CatalogSnapshot snapshot) {
+        return snapshot.catalog().map(Catalog::version).orElse(0L);
+    }
+
+    private void await(Predicate<CatalogSnapshot> wanted) {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (!wanted.test(latest)) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("it never became so: " + latest);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    public void followsChangesAsTheyCome() {
+        store.put("op/config", "2");
+        store.put("servers/b", "x");
+        await(it -> version(it) == 2 && it.servers().size() == 2);
+        store.delete("servers/a");
+        await(it -> it.servers().size() == 1);
+    }
+
+    @Test
+    public void anEntryThatCannotBeReadNamesNoServerAndTheOthersHold() {
+        store.put("servers/b", "bad");
+        store.put("servers/c", "x");
+        await(it -> it.entries().size() == 3);
+        assertEquals(latest.servers().size(), 2);
+    }
+
+    @Test
+    public void aConfigurationThatCannotBeReadChangesNothing() {
+        store.put("op/config", "odd");
+        store.put("op/config", "3");
+        await(it -> version(it) == 3);
+    }
+
+    @Test
+    public void takesOrdersToMove() {
+        store.put("op/rollout/s", "x");
+        await(it -> it.orders().size() == 1);
+    }
+
+    @Test
+    public void aBrokenWatchIsMadeUpForByReadingAgain() {
+        store.setAway(true);
+        store.setAway(false);
+        store.put("op/config", "4");
+        await(it -> version(it) == 4);
+    }
+
+    @Test
+    public void aServerThatVanishedDuringAnOutageIsHeldAndThenGone() {
+        store.setAway(true);
+        store.delete("servers/a");
+        store.setAway(false);
+        store.put("servers/b", "x");
+        await(it -> it.servers().size() == 2);
+        await(it -> it.servers().size() == 1);
+        assertEquals(latest.servers().getFirst().id(), new ServerId("servers/b"));
+    }
+
+    @Test
+    public void takesWhatPeersKnowLaterAndNothingOlder() {
+        store.setAway(true);
+        follower.adopt(peers(1_000, "9"));
+        await(it -> version(it) == 9);
+        follower.adopt(peers(5, "2"));
+        follower.adopt(peers(2_000, "10"));
+        await(it -> version(it) == 10);
+        store.setAway(false);
+        store.put("servers/c", "x");
+        await(it -> it.entries().stream().anyMatch(entry -> entry.key().equals("servers/c")));
+        assertEquals(version(latest), 10);
+    }
+
+    private static CatalogSnapshot peers(long revision, String config) {
+        return new CatalogSnapshot(
+                revision,
+                Payload.of(config),
+                Optional.empty(),
+                0,
+                List.<Store.Entry>of(),
+                List.of(),
+                List.of());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/gateway/HostRegistryTest.java
@@ -0,0 +1,68 @@
+package org.orioleshed.gateway;
+
+import static org.testng.Assert.assertEquals;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.orioleshed.store.MemoryStore;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link HostRegistry}. */
+public class HostRegistryTest {
+    private static final InetSocketAddress A = new InetSocketAddress("10.0.0.1", 7600);
+    private static final InetSocketAddress B = new InetSocketAddress("10.0.0.2", 7600);
+
+    private final List<InetSocketAddress> found = new CopyOnWriteArrayList<>();
+    private final List<String> log = new CopyOnWriteArrayList<>();
+    private ScheduledExecutorService executor;
+    private MemoryStore store;
+
+    @BeforeMethod
+    public void open() {
+        executor = Executors.newSingleThreadScheduledExecutor();
+        store = new MemoryStore();
+        found.clear();
+        log.clear();
+    }
+
+    @AfterMethod
+    public void close() {
+        executor.shutdownNow();
+    }
+
+    private void start(InetSocketAddress self) {
+        new HostRegistry(store, self, executor, () -> true, found::addAll, log::add).start();
+    }
+
+    private void await(String line) {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (log.stream().noneMatch(it -> it.contains(line))) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("no line with " + line + " in " + log);
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    @Test
+    public void aLoneHostFindsTheOthersAndPassesOverWhatIsNoAddress() {
+        store.put("orioleshed/hosts/odd", "no address");
+        start(A);
+        await("registered key=orioleshed/hosts/10.0.0.1");
+        start(B);
+        await("hosts_found count=1");
+        assertEquals(found.contains(A) || found.contains(B), true);
+    }
+
+    @Test
+    public void aLostAnswerDoesNotKeepItFromRegistering() {
+        store.loseAnswers(1);
+        start(A);
+        await("registered key=orioleshed/hosts/10.0.0.1");
+    }
+}
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import org.orioleshed.catalog.CatalogFollower;
+import org.orioleshed.dispatch.MovePolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.gateway.Gateway;
 import org.orioleshed.gateway.GatewayOptions;
@@ -67,6 +68,7 @@
                         10_000,
                         50,
                         Quotas.Slack.NONE,
+                        MovePolicy.DEFAULT,
                         2_000);
         Gateway gateway =
                 new Gateway(options, new PlatformDialect(), log, new SplittableRandom(1), 1);
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -19,7 +19,7 @@
              "seeds":["10.2.0.17:8229"],"odd":{"new":true},
              "listen":{"front":"10.1.0.25:8221","ready":"10.1.0.25:8224"},
              "bounds":{"retry-ratio":0.2,"retry-window-s":10,"retry-slack":56,"grace-s":8,
-              "quota-over":0.1,"quota-slack":140000},
+              "expose-share":0.1,"expose-slack":50,"quota-over":0.1,"quota-slack":140000},
              "platform":{"address":"10.200.1.7:8225"}}
             """;
 
