Charge what is placed without the home, and share quotas by registered hosts from the start

Cause: after all hosts were killed each took itself for the only one and gave out whole quotas until the views merged; and a request placed without the home was charged nowhere. Ruled out: the slack taken before (the excess was more than all of it). Content that crashed three servers is held (SchedulerTest).

--- a/src/main/java/org/orioleshed/dispatch/Ask.java
+++ b/src/main/java/org/orioleshed/dispatch/Ask.java
@@ -22,6 +22,7 @@
  * @param promptTokens the tokens to read; 0 for a plain service
  * @param outputTokens the expected tokens to generate; 0 for a plain service
  * @param quotaUnits what it uses of the workspace's quota
+ * @param content a fingerprint of what is asked and by whom
  * @param excluded servers that must not get it
  */
 public record Ask(
@@ -35,6 +36,7 @@
         long promptTokens,
         long outputTokens,
         long quotaUnits,
+        long content,
         Set<ServerId> excluded) {
     /** A workspace's rank goes before the route's; no route has a rank this low. */
     private static final int RANKS_OF_A_WORKSPACE = 64;
@@ -59,19 +61,29 @@
         return rank % RANKS_OF_A_WORKSPACE;
     }
 
-    /** Returns the same ask at a later moment, without a quota to use. */
+    /** Returns the same ask without a quota to use, since that is paid elsewhere. */
+    public Ask paid() {
+        return with(Optional.empty(), 0, 0);
+    }
+
+    /** Returns the same ask at a later moment. */
     public Ask again(long laterMillis) {
+        return with(workspace, quotaUnits, laterMillis);
+    }
+
+    private Ask with(Optional<WorkspaceId> payer, long units, long laterMillis) {
         return new Ask(
                 service,
                 route,
-                Optional.empty(),
+                payer,
                 domain,
                 rank,
                 targetLeftMillis - laterMillis,
                 deadlineLeftMillis - laterMillis,
                 promptTokens,
                 outputTokens,
-                0,
+                units,
+                content,
                 excluded);
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/DispatchAction.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchAction.java
@@ -35,6 +35,8 @@
         /** It would not be answered in time. */
         OVERLOAD,
         /** No server of the pool may get it. */
-        NO_SERVER
+        NO_SERVER,
+        /** Its content crashed the servers that ran it. */
+        HELD
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -93,6 +93,7 @@
             case QUOTA -> Dispatch.Reason.QUOTA;
             case OVERLOAD -> Dispatch.Reason.OVERLOAD;
             case NO_SERVER -> Dispatch.Reason.NO_SERVER;
+            case HELD -> Dispatch.Reason.HELD;
         };
     }
 
@@ -107,7 +108,8 @@
                         .setDeadlineLeftMillis(ask.deadlineLeftMillis())
                         .setPromptTokens(ask.promptTokens())
                         .setOutputTokens(ask.outputTokens())
-                        .setQuotaUnits(ask.quotaUnits());
+                        .setQuotaUnits(ask.quotaUnits())
+                        .setContent(ask.content());
         ask.workspace().ifPresent(workspace -> wire.setWorkspace(workspace.value()));
         ask.excluded().forEach(server -> wire.addExcluded(server.value()));
         return wire.build();
@@ -163,6 +165,7 @@
             case QUOTA -> DispatchAction.Reason.QUOTA;
             case OVERLOAD -> DispatchAction.Reason.OVERLOAD;
             case NO_SERVER -> DispatchAction.Reason.NO_SERVER;
+            case HELD -> DispatchAction.Reason.HELD;
             case NONE, UNRECOGNIZED -> throw new BadMessageException("refused without a reason");
         };
     }
@@ -183,6 +186,7 @@
                 wire.getPromptTokens(),
                 wire.getOutputTokens(),
                 wire.getQuotaUnits(),
+                wire.getContent(),
                 wire.getExcludedList().stream().map(ServerId::new).collect(Collectors.toSet()));
     }
 
--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -101,6 +101,11 @@
         return plain ? 0 : Math.min(MAX_KEPT, KEPT_FOR_EACH_RANK * ask.routeRank());
     }
 
+    /** Takes units of a request that another scheduler placed, whether or not they are there. */
+    void charge(Ask ask) {
+        ask.workspace().map(buckets::get).ifPresent(bucket -> bucket.giveBack(-ask.quotaUnits()));
+    }
+
     /** Gives back what a request that never ran had taken. */
     void giveBack(Ask ask) {
         ask.workspace().map(buckets::get).ifPresent(bucket -> bucket.giveBack(ask.quotaUnits()));
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -35,6 +35,7 @@
 
     private final Map<ServiceId, PoolBook> pools = new HashMap<>();
     private final Map<RunKey, ServerBook> runs = new HashMap<>();
+    private final CrashWatch crashes = new CrashWatch();
     private final Quotas quotas;
     private final MovePolicy movePolicy;
     private List<DispatchAction> actions = new ArrayList<>();
@@ -94,6 +95,10 @@
         if (runs.containsKey(run) || pool.waiters().stream().anyMatch(w -> w.run().equals(run))) {
             return;
         }
+        if (crashes.isHeld(ask.content(), nowNanos)) {
+            refuse(run, ask, Reason.HELD, (double) ask.deadlineLeftMillis());
+            return;
+        }
         if (!quotas.take(ask, nowNanos)) {
             refuse(run, ask, Reason.QUOTA, (double) quotas.millisUntil(ask));
             return;
@@ -176,6 +181,7 @@
         if (server == null || runs.containsKey(placed.run())) {
             return;
         }
+        quotas.charge(placed.ask());
         start(server, placed.run(), placed.ask());
     }
 
@@ -192,6 +198,7 @@
             return;
         }
         PoolBook pool = pool(server.server().service());
+        watchCrashes(server, run, end.outcome());
         double slowness = server.slowness(run, end, pool.speed());
         pool.move()
                 .ifPresent(move -> move.ended(server.server().version(), end.outcome(), slowness));
@@ -199,6 +206,21 @@
         serve(pool);
     }
 
+    private void watchCrashes(ServerBook server, RunKey run, RunEnd.Outcome outcome) {
+        Running running = server.runs().get(run);
+        if (running == null) {
+            return;
+        }
+        ServerId id = server.server().id();
+        long content = running.ask().content();
+        switch (outcome) {
+            case BROKEN -> crashes.broke(id, content, nowNanos);
+            case UNREACHABLE -> crashes.missed(id, nowNanos);
+            case ANSWERED -> crashes.answered(content, nowNanos);
+            case CANCELLED, FAILED, REJECTED, TIMED_OUT, MISDIRECTED -> {}
+        }
+    }
+
     private void forget(HostId host) {
         List<RunKey> gone =
                 runs.keySet().stream().filter(run -> run.origin().equals(host)).toList();
@@ -220,7 +242,12 @@
             present.add(server.id());
             put(server);
         }
-        pools.values().forEach(pool -> pool.servers().keySet().retainAll(present));
+        for (PoolBook pool : pools.values()) {
+            Set<ServerId> gone = new HashSet<>(pool.servers().keySet());
+            gone.removeAll(present);
+            gone.forEach(server -> crashes.missed(server, nowNanos));
+            pool.servers().keySet().retainAll(present);
+        }
         pools.values().forEach(this::serve);
     }
 
@@ -231,6 +258,9 @@
             known.update(server);
             return;
         }
+        if (known != null) {
+            crashes.missed(server.id(), nowNanos);
+        }
         pools.values().forEach(other -> other.servers().remove(server.id()));
         pool.servers().put(server.id(), new ServerBook(server, nowNanos));
     }
--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -24,6 +24,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
@@ -83,6 +84,9 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            door.failed("caller", cause);
+        }
         context.close();
     }
 
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -46,7 +46,7 @@
     private static final long SILENT_HOME_MILLIS = 300;
 
     /** A scheduler that begins does not know what was used before. */
-    private static final double FIRST_FILL = 0.1;
+    private static final double FIRST_FILL = 0.05;
 
     /** A home that answered this lately is there, whatever others say. */
     private static final long HOME_HEARD_MILLIS = 500;
@@ -261,12 +261,12 @@
         pending.remove(grant.run());
         long nowNanos = System.nanoTime();
         Ask ask = wanted.askNow(nowNanos);
-        active.put(grant.run(), new Active(ask, grant.server(), nowNanos));
-        DispatchEvent placed = new DispatchEvent.Placed(grant.run(), ask, grant.server());
+        active.put(grant.run(), new Active(ask.paid(), grant.server(), nowNanos));
         if (byHome) {
-            fromOwn(own.on(nowNanos, placed));
+            Ask paid = ask.paid();
+            fromOwn(own.on(nowNanos, new DispatchEvent.Placed(grant.run(), paid, grant.server())));
         } else {
-            tellHome(placed);
+            tellHome(new DispatchEvent.Placed(grant.run(), ask, grant.server()));
         }
         String by = byHome ? (isHome() ? "self" : "home") : "own";
         wanted.placee.granted(grant.run(), grant.server(), "by=" + by + " " + grant.why());
--- a/src/main/java/org/orioleshed/gateway/Door.java
+++ b/src/main/java/org/orioleshed/gateway/Door.java
@@ -17,6 +17,9 @@
     /** Makes the exchange for a request that was read whole. */
     Exchange exchange(CallerConnection connection, CallerRequest request);
 
+    /** Notes a fault of this program while it served {@code whom}. */
+    void failed(String whom, Throwable cause);
+
     /** Notes a request that was refused before it was read whole. */
     void refused(int status, String reason);
 }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import com.google.common.hash.Hashing;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -172,10 +173,22 @@
                         route.repeat() == Repeat.STREAM ? Math.max(1, facts.promptTokens()) : 0,
                         route.repeat() == Repeat.STREAM ? facts.likelyTokens() : 0,
                         tenancy.map(Tenancy::quota).orElse(Quota.NONE).units(facts.statedTokens()),
+                        content(),
                         excluded);
         context.dispatcher().place(run, ask, this);
     }
 
+    /** Returns a fingerprint of what is asked and by whom. */
+    private long content() {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putUnencodedChars(request.uri())
+                .putUnencodedChars(facts.key().orElse(""))
+                .putBytes(request.body().toBytes())
+                .hash()
+                .asLong();
+    }
+
     private int rank() {
         int first = tenancy.flatMap(Tenancy::priority).orElse(0);
         return Ask.rank(first, route.priority());
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -33,6 +33,8 @@
     private final Listener listener;
     private final Map<HostId, Long> vanishedNanos = new HashMap<>();
     private List<Member> members = List.of();
+    private int registered;
+    private long registeredNanos;
 
     /** Hears of changes, on the data thread. */
     interface Listener {
@@ -122,10 +124,18 @@
                 .anyMatch(member -> member.leaving() || member.incarnation() != host.incarnation());
     }
 
+    /** Takes the number of hosts, this one included, of which something outside tells. */
+    void registered(int count) {
+        registered = count;
+        registeredNanos = System.nanoTime();
+    }
+
     /** Returns how many hosts may be using quotas, as far as can be told. */
     int known() {
         long nowNanos = System.nanoTime();
         vanishedNanos.values().removeIf(since -> nowNanos - since > QUOTA_MEMORY_NANOS);
-        return Math.max(1, members.size() + vanishedNanos.size());
+        boolean fresh = nowNanos - registeredNanos < QUOTA_MEMORY_NANOS;
+        int seen = Math.max(1, members.size() + vanishedNanos.size());
+        return fresh ? Math.max(seen, registered) : seen;
     }
 }
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -175,6 +175,7 @@
         front = listen(options.callers(), frontHandler());
         loop.execute(
                 () -> {
+                    fleet.registered(options.leastHosts());
                     fleet.seed(options.seeds());
                     fleetChanged();
                 });
@@ -202,7 +203,12 @@
     public void seed(List<InetSocketAddress> addresses) {
         List<InetSocketAddress> all = new ArrayList<>(options.seeds());
         all.addAll(addresses);
-        loop.execute(() -> fleet.seed(all));
+        loop.execute(
+                () -> {
+                    fleet.registered(addresses.size() + 1);
+                    fleet.seed(all);
+                    dispatcher.fleetChanged();
+                });
     }
 
     private Channel listen(InetSocketAddress address, ChannelHandler handler) {
@@ -249,6 +255,8 @@
                 case NEWS -> hear(from, newsCodec.decode(body));
                 case ROUTING, REQUEST, SETTINGS, MOVE -> {}
             }
+        } catch (RuntimeException e) {
+            failed("peer " + from, e);
         } catch (BadMessageException e) {
             log.add(
                     "event=bad_message from=%s kind=%s reason=\"%s\""
@@ -312,6 +320,15 @@
     }
 
     private void tick() {
+        try {
+            tickNow();
+        } catch (RuntimeException e) {
+            // A task that throws is not run again, and this one keeps all promises about time.
+            failed("tick", e);
+        }
+    }
+
+    private void tickNow() {
         long nowNanos = System.nanoTime();
         ticks++;
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
@@ -416,6 +433,18 @@
         return new Exchange(this, connection, request);
     }
 
+    @Override
+    public void failed(String whom, Throwable cause) {
+        metrics.counter("faults").inc();
+        StackTraceElement[] frames = cause.getStackTrace();
+        log.add(
+                "event=fault whom=%s error=\"%s\" at=%s"
+                        .formatted(
+                                whom,
+                                cause,
+                                frames.length == 0 ? "unknown" : frames[0].toString()));
+    }
+
     @Override
     public void refused(int status, String reason) {
         metrics.counter("answers." + status).inc();
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -15,6 +15,7 @@
  * @param metrics where it serves metrics
  * @param peer where it listens for other hosts
  * @param seeds other hosts' peer addresses, some of which may be stale
+ * @param leastHosts how many hosts there are at least, this one included; positive
  * @param retryRatio second sends for each first send, over all hosts
  * @param retryWindowMillis the window in which they count, in milliseconds
  * @param retrySlack second sends allowed beside that, over all hosts
@@ -29,6 +30,7 @@
         InetSocketAddress metrics,
         InetSocketAddress peer,
         List<InetSocketAddress> seeds,
+        int leastHosts,
         double retryRatio,
         long retryWindowMillis,
         double retrySlack,
--- a/src/main/java/org/orioleshed/gateway/HostRegistry.java
+++ b/src/main/java/org/orioleshed/gateway/HostRegistry.java
@@ -62,7 +62,7 @@
     /** Starts to register, renew and look. */
     public void start() {
         executor.execute(this::renew);
-        var unused = executor.schedule(this::lookIfAlone, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        executor.execute(this::lookIfAlone);
     }
 
     private void renew() {
@@ -145,8 +145,8 @@
                 others.add(address);
             }
         }
-        log.accept("event=hosts_found count=%d".formatted(others.size()));
         found.accept(others);
+        log.accept("event=hosts_found count=%d".formatted(others.size()));
     }
 
     private String key() {
--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -39,6 +39,7 @@
                         tokens,
                         tokens / 2,
                         tokens,
+                        number,
                         paid ? Set.of(new ServerId("x"), new ServerId("y")) : Set.of());
         assertSame(new DispatchEvent.Asked(new RunKey(new HostId("h"), number), ask));
     }
--- a/src/test/java/org/orioleshed/dispatch/Pools.java
+++ b/src/test/java/org/orioleshed/dispatch/Pools.java
@@ -118,6 +118,7 @@
                 prompt,
                 output,
                 prompt + output,
+                prompt,
                 not);
     }
 
--- a/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -209,6 +209,46 @@
         assertEquals(pools.serverOf(102), "a");
     }
 
+    @Test
+    public void whatAnotherSchedulerPlacedCountsAgainstTheQuota() {
+        Pools pools = new Pools().quota(1_000, 3_000).server("a", 9);
+        pools.tell(
+                new DispatchEvent.Placed(
+                        Pools.key(1), Pools.ask(0, 600, 5_000, 2_500, 100), new ServerId("a")));
+        pools.ask(2, 0);
+        assertEquals(pools.refusalOf(2).reason(), Reason.QUOTA);
+    }
+
+    @Test
+    public void contentThatCrashesThreeServersIsHeldAndItsNeighboursAreNot() {
+        Pools pools = new Pools();
+        for (int crash = 1; crash <= 3; crash++) {
+            String server = "s" + crash;
+            pools.server(server, 9);
+            pools.ask(10 * crash, Pools.ask(0, 600, 5_000, 666, 10));
+            pools.ask(10 * crash + 1, Pools.ask(0, 600, 5_000, 100 + crash, 10));
+            assertEquals(pools.serverOf(10 * crash), server);
+            pools.end(10 * crash, Outcome.BROKEN).end(10 * crash + 1, Outcome.BROKEN);
+            pools.gone(server).after(1_000);
+        }
+        pools.server("s4", 9);
+        pools.ask(90, Pools.ask(0, 600, 5_000, 666, 10));
+        pools.ask(91, Pools.ask(0, 600, 5_000, 101, 10));
+        assertEquals(pools.refusalOf(90).reason(), Reason.HELD);
+        assertEquals(pools.serverOf(91), "s4");
+    }
+
+    @Test
+    public void brokenAnswersOfServersThatStayHoldNothing() {
+        Pools pools = new Pools().server("a", 9);
+        for (int run = 1; run <= 5; run++) {
+            pools.ask(run, Pools.ask(0, 600, 50_000, 666, 10)).end(run, Outcome.BROKEN);
+            pools.after(5_000);
+        }
+        pools.ask(9, Pools.ask(0, 600, 50_000, 666, 10));
+        assertEquals(pools.serverOf(9), "a");
+    }
+
     @Test
     public void runsOfADeadHostFreeTheirPlaces() {
         Pools pools = new Pools().server("a", 1).ask(1, 0);
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -65,6 +65,7 @@
                         freeAddress(),
                         List.of(),
                         1,
+                        1,
                         10_000,
                         50,
                         Quotas.Slack.NONE,
