--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -1,7 +1,6 @@
 package org.orioleshed.gateway;
 
 import com.google.common.hash.Hashing;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -11,10 +10,9 @@
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpVersion;
-import java.io.ByteArrayOutputStream;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
 import org.orioleshed.catalog.CallRoute;
@@ -27,6 +25,7 @@
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.RunEnd;
 import org.orioleshed.dispatch.RunKey;
+import org.orioleshed.model.Payload;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
@@ -35,26 +34,9 @@
  * One caller's request, from its arrival to the end of its answer. Knows of each try how far it
  * came, and sends the request again only where that can't run it twice.
  */
-final class Exchange implements Dispatcher.Placee, ServerCall {
+final class Exchange implements Dispatcher.Placee, ServerTry.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    /** Tries that provably did not run the request, beside those that may have. */
-    private static final int MAX_PROVED_TRIES = 3;
-
-    /** With less time left than this, no server could answer. */
-    private static final long LEAST_TRY_MILLIS = 30;
-
-    /** A server that is silent for this many targets, or usual pauses, is given up for another. */
-    private static final double SILENT_TARGETS = 1.5;
-
-    private static final double SILENT_GAPS = 2.5;
-
-    /** A shorter silence is usual for a server under load. */
-    private static final long LEAST_SILENCE_MILLIS = 700;
-
-    /** An answer of a plain call is held whole up to this size. */
-    private static final int MAX_ANSWER_BYTES = 16 << 20;
-
     /** A host that starts reads its configuration within this time, unless the store is away. */
     private static final long CONFIG_WAIT_MILLIS = 700;
 
@@ -72,39 +54,22 @@
         DONE
     }
 
-    private enum Reading {
-        WHOLE,
-        EVENTS,
-        NOT_RUN
-    }
-
     private final GatewayContext context;
     private final CallerConnection caller;
     private final CallerRequest request;
     private final CallFacts facts;
     private final Set<ServerId> excluded = new HashSet<>();
-    private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private final EventFramer framer = new EventFramer();
     private State state = State.WAITING_FOR_CONFIG;
-    private CallRoute route;
     private Optional<Tenancy> tenancy = Optional.empty();
+    private CallRoute route;
+    private RepeatRule rule;
     private ServiceId service;
-    private long deadlineNanos;
     private long endNanos;
     private RunKey run;
-    private PoolServer server;
-    private ServerPool.Sending sending;
-    private long sentNanos;
-    private long lastByteNanos;
-    private long firstMillis;
-    private int eventsBefore;
-    private int runs;
-    private int provedTries;
-    private boolean mayHaveRun;
+    private ServerTry current;
     private boolean streaming;
-    private Reading reading;
-    private HttpResponse answerHead;
-    private AnswerFacts answerFacts;
+    private boolean reported;
 
     Exchange(GatewayContext context, CallerConnection caller, CallerRequest request) {
         this.context = context;
@@ -139,14 +104,13 @@
                 return;
             }
         }
+        rule = new RepeatRule(route);
         service = route.pick(context.random().nextDouble());
-        long waitMillis =
-                facts.deadlineMillis() >= 0 ? facts.deadlineMillis() : route.timeoutMillis();
-        deadlineNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
-        endNanos =
-                Math.min(
-                        deadlineNanos,
-                        request.arrivedNanos() + route.timeoutMillis() * NANOS_PER_MILLI);
+        long waitMillis = route.timeoutMillis();
+        if (facts.deadlineMillis() >= 0) {
+            waitMillis = Math.min(waitMillis, facts.deadlineMillis());
+        }
+        endNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
         place(tenancy.map(Tenancy::workspace));
     }
 
@@ -157,25 +121,31 @@
     }
 
     private void place(Optional<WorkspaceId> payer) {
-        long nowNanos = System.nanoTime();
         state = State.PLACING;
         run = context.nextRun();
-        long ageMillis = request.ageMillis(nowNanos);
-        Ask ask =
-                new Ask(
-                        service,
-                        route.id(),
-                        payer,
-                        context.domain(),
-                        rank(),
-                        route.targetMillis() - ageMillis,
-                        (endNanos - nowNanos) / NANOS_PER_MILLI,
-                        route.repeat() == Repeat.STREAM ? Math.max(1, facts.promptTokens()) : 0,
-                        route.repeat() == Repeat.STREAM ? facts.likelyTokens() : 0,
-                        tenancy.map(Tenancy::quota).orElse(Quota.NONE).units(facts.statedTokens()),
-                        content(),
-                        excluded);
-        context.dispatcher().place(run, ask, this);
+        context.dispatcher().place(run, ask(payer), this);
+    }
+
+    private Ask ask(Optional<WorkspaceId> payer) {
+        boolean model = route.repeat() == Repeat.STREAM;
+        long nowNanos = System.nanoTime();
+        return new Ask(
+                service,
+                route.id(),
+                payer,
+                context.domain(),
+                rank(),
+                route.targetMillis() - request.ageMillis(nowNanos),
+                leftMillis(nowNanos),
+                model ? Math.max(1, facts.promptTokens()) : 0,
+                model ? facts.likelyTokens() : 0,
+                tenancy.map(Tenancy::quota).orElse(Quota.NONE).units(facts.statedTokens()),
+                content(),
+                excluded);
+    }
+
+    private long leftMillis(long nowNanos) {
+        return (endNanos - nowNanos) / NANOS_PER_MILLI;
     }
 
     /** Returns a fingerprint of what is asked and by whom. */
@@ -190,40 +160,35 @@
     }
 
     private int rank() {
-        int first = tenancy.flatMap(Tenancy::priority).orElse(0);
-        return Ask.rank(first, route.priority());
+        return Ask.rank(tenancy.flatMap(Tenancy::priority).orElse(0), route.priority());
     }
 
     @Override
     public void granted(RunKey granted, ServerId id, String why) {
         if (state != State.PLACING || !granted.equals(run)) {
-            context.dispatcher().ended(granted, ended(RunEnd.Outcome.CANCELLED));
+            context.dispatcher().ended(granted, new RunEnd(RunEnd.Outcome.CANCELLED, 0, 0, 0));
             return;
         }
         Optional<PoolServer> known = context.dispatcher().server(id);
         if (known.isEmpty() || known.get().draining()) {
-            context.dispatcher().ended(run, ended(RunEnd.Outcome.MISDIRECTED));
+            context.dispatcher().ended(run, new RunEnd(RunEnd.Outcome.MISDIRECTED, 0, 0, 0));
             excluded.add(id);
+            rule.notSent();
             again(true, "server_left");
             return;
         }
-        server = known.get();
-        send(why);
+        send(known.get(), why);
     }
 
-    private void send(String why) {
+    private void send(PoolServer server, String why) {
         long nowNanos = System.nanoTime();
         state = State.SENT;
-        sentNanos = nowNanos;
-        lastByteNanos = nowNanos;
-        firstMillis = 0;
-        eventsBefore = framer.events();
-        answerHead = null;
-        whole.reset();
-        if (runs + provedTries == 0) {
+        if (rule.tries() == 0) {
             context.retries(service).first(nowNanos);
         }
-        runs++;
+        rule.sent();
+        current =
+                new ServerTry(run, server, route.repeat() == Repeat.STREAM, framer, this, nowNanos);
         context.log(
                 "event=placed request=%s run=%s route=%s rank=%d server=%s try=%d waited_ms=%d %s"
                         .formatted(
@@ -232,21 +197,24 @@
                                 route.id(),
                                 rank(),
                                 server.id(),
-                                runs + provedTries,
+                                rule.tries(),
                                 request.ageMillis(nowNanos),
                                 why));
-        long maxIdleMillis = route.mayRunAgain() ? ANY_AGE_MILLIS : FRESH_MILLIS;
-        sending = new ServerPool.Sending();
         context.pool(server.address())
-                .send(toServer(nowNanos), facts.id(), maxIdleMillis, this, sending);
+                .send(
+                        toServer(server, nowNanos),
+                        facts.id(),
+                        route.mayRunAgain() ? ANY_AGE_MILLIS : FRESH_MILLIS,
+                        current,
+                        current.sending());
     }
 
-    private FullHttpRequest toServer(long nowNanos) {
+    private FullHttpRequest toServer(PoolServer server, long nowNanos) {
         CallDialect.ServerOrder order =
                 new CallDialect.ServerOrder(
                         server.id(),
                         tenancy.map(Tenancy::workspace),
-                        Math.max(1, (endNanos - nowNanos) / NANOS_PER_MILLI),
+                        Math.max(1, leftMillis(nowNanos)),
                         streaming ? framer.lastId() : Optional.empty());
         HttpHeaders headers = context.dialect().toServer(request.headers(), order);
         byte[] body = request.body().toBytes();
@@ -267,7 +235,7 @@
         if (state != State.PLACING || !refusedRun.equals(run)) {
             return;
         }
-        String word = reason.name().toLowerCase(java.util.Locale.ROOT);
+        String word = reason.name().toLowerCase(Locale.ROOT);
         if (reason == DispatchAction.Reason.QUOTA) {
             giveUp(HttpResponseStatus.TOO_MANY_REQUESTS, word, retryAfterMillis);
             return;
@@ -277,7 +245,7 @@
 
     /** Ends a request that no server has at present. */
     private void giveUpUnplaced(String reason, long retryAfterMillis) {
-        if (mayHaveRun) {
+        if (rule.mayHaveRun()) {
             giveUp(HttpResponseStatus.BAD_GATEWAY, reason, -1);
         } else {
             giveUp(HttpResponseStatus.SERVICE_UNAVAILABLE, reason, retryAfterMillis);
@@ -285,121 +253,53 @@
     }
 
     @Override
-    public void unreachable(String detail) {
-        if (state != State.SENT) {
-            return;
-        }
-        notRun(RunEnd.Outcome.UNREACHABLE, detail);
-    }
-
-    private void notRun(RunEnd.Outcome outcome, String detail) {
-        runs--;
-        provedTries++;
-        context.dispatcher().ended(run, ended(outcome));
-        excluded.add(server.id());
+    public void notRun(ServerTry which, RunEnd.Outcome outcome, String detail) {
+        context.dispatcher().ended(which.run(), which.end(outcome));
+        excluded.add(which.server().id());
+        rule.provedNotRun();
         again(true, outcome + ":" + detail);
     }
 
     @Override
-    public void head(HttpResponse response, AnswerFacts answered) {
-        answerHead = response;
-        answerFacts = answered;
-        boolean success = isSuccess();
-        if (answered.notRun() || response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
-            reading = Reading.NOT_RUN;
-        } else if (success && answered.signed() && route.repeat() == Repeat.STREAM) {
-            reading = Reading.EVENTS;
-        } else {
-            reading = Reading.WHOLE;
-        }
-    }
-
-    private boolean isSuccess() {
-        return answerHead.status().codeClass() == HttpStatusClass.SUCCESS;
-    }
-
-    @Override
-    public void content(ByteBuf bytes) {
-        lastByteNanos = System.nanoTime();
-        if (state != State.SENT || reading == Reading.NOT_RUN) {
+    public void events(ServerTry which, HttpResponse head, byte[] events) {
+        if (!which.hasEvents() || state != State.SENT) {
             return;
         }
-        if (reading == Reading.EVENTS) {
-            byte[] events = framer.feed(bytes);
-            if (events.length > 0) {
-                forward(events);
-            }
-            return;
-        }
-        if (whole.size() + bytes.readableBytes() > MAX_ANSWER_BYTES) {
-            sending.cancel();
-            broken("answer_too_long");
-            return;
-        }
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        whole.writeBytes(copy);
-    }
-
-    private void forward(byte[] events) {
-        if (firstMillis == 0) {
-            firstMillis = Math.max(1, (System.nanoTime() - sentNanos) / NANOS_PER_MILLI);
-            context.dispatcher().first(run, firstMillis);
-        }
-        beginStream();
+        beginStream(which, head);
         caller.streamPart(events);
     }
 
-    private void beginStream() {
+    private void beginStream(ServerTry which, HttpResponse head) {
+        if (which.run().equals(run) && !reported) {
+            reported = true;
+            context.dispatcher().first(run, Math.max(1, which.firstMillis()));
+        }
         if (!streaming) {
             streaming = true;
             context.firstEvent(request.ageMillis(System.nanoTime()));
-            caller.beginStream(
-                    answerHead.status(), context.dialect().toCaller(answerHead.headers()));
+            caller.beginStream(head.status(), context.dialect().toCaller(head.headers()));
         }
     }
 
     @Override
-    public void end() {
-        if (state != State.SENT) {
-            return;
-        }
-        switch (reading) {
-            case NOT_RUN -> {
-                boolean elsewhere =
-                        answerHead.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
-                notRun(
-                        elsewhere ? RunEnd.Outcome.MISDIRECTED : RunEnd.Outcome.REJECTED,
-                        answerHead.status().codeAsText().toString());
-            }
-            case EVENTS -> endStream();
-            case WHOLE -> endWhole();
-        }
-    }
-
-    private void endStream() {
-        context.dispatcher().ended(run, ended(RunEnd.Outcome.ANSWERED));
-        beginStream();
-        byte[] rest = framer.rest();
+    public void streamEnded(ServerTry which, HttpResponse head, byte[] rest) {
+        beginStream(which, head);
+        context.dispatcher().ended(which.run(), which.end(RunEnd.Outcome.ANSWERED));
         if (rest.length > 0) {
             caller.streamPart(rest);
         }
-        finish(answerHead.status().code(), "answered");
+        finish(head.status().code(), "answered");
         caller.endStream();
     }
 
-    private void endWhole() {
-        int status = answerHead.status().code();
-        boolean success = isSuccess();
-        if (success && !answerFacts.signed()) {
-            broken("unsigned");
-            return;
-        }
-        boolean fault = status >= 500;
-        context.dispatcher()
-                .ended(run, ended(fault ? RunEnd.Outcome.FAILED : RunEnd.Outcome.ANSWERED));
-        mayHaveRun = true;
-        excluded.add(server.id());
+    @Override
+    public void answered(ServerTry which, HttpResponse head, AnswerFacts answer, Payload body) {
+        int status = head.status().code();
+        boolean fault = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
+        RunEnd.Outcome outcome = fault ? RunEnd.Outcome.FAILED : RunEnd.Outcome.ANSWERED;
+        context.dispatcher().ended(which.run(), which.end(outcome));
+        rule.ran();
+        excluded.add(which.server().id());
         if (fault && mayTryAgain(false)) {
             again(false, "status=" + status);
             return;
@@ -408,15 +308,12 @@
             breakOff("status=" + status);
             return;
         }
-        if (!answerFacts.signed() && isPromise(status)) {
+        if (!answer.signed() && isPromise(status)) {
             giveUp(HttpResponseStatus.BAD_GATEWAY, "unproved_" + status, -1);
             return;
         }
         finish(status, "answered");
-        caller.answer(
-                answerHead.status(),
-                context.dialect().toCaller(answerHead.headers()),
-                whole.toByteArray());
+        caller.answer(head.status(), context.dialect().toCaller(head.headers()), body.toBytes());
     }
 
     /** Returns whether a status tells the caller that its request has not run. */
@@ -425,50 +322,37 @@
     }
 
     @Override
-    public void broken(String detail) {
-        if (state != State.SENT) {
-            return;
-        }
-        context.dispatcher().ended(run, ended(RunEnd.Outcome.BROKEN));
-        mayHaveRun = true;
-        excluded.add(server.id());
+    public void broken(ServerTry which, RunEnd.Outcome outcome, String detail) {
+        context.dispatcher().ended(which.run(), which.end(outcome));
+        rule.ran();
+        excluded.add(which.server().id());
         framer.dropRest();
-        again(false, "broken:" + detail);
-    }
-
-    private RunEnd ended(RunEnd.Outcome outcome) {
-        long totalMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
-        return new RunEnd(outcome, framer.events() - eventsBefore, firstMillis, totalMillis);
+        again(false, outcome + ":" + detail);
     }
 
     private boolean mayTryAgain(boolean proved) {
-        long leftMillis = (endNanos - System.nanoTime()) / NANOS_PER_MILLI;
-        if (leftMillis < LEAST_TRY_MILLIS) {
-            return false;
-        }
-        if (proved) {
-            return provedTries <= MAX_PROVED_TRIES;
-        }
+        long leftMillis = leftMillis(System.nanoTime());
         boolean resumes = !streaming || framer.lastId().isPresent();
-        return route.mayRunAgain() && runs < route.attempts() && resumes;
+        return resumes && rule.mayTryAgain(proved, leftMillis);
     }
 
     /** Sends the request to another server, if that is allowed, or gives it up. */
     private void again(boolean proved, String reason) {
         context.log(
-                "event=failed_try request=%s run=%s server=%s proved=%s runs=%d reason=\"%s\""
+                "event=failed_try request=%s run=%s server=%s proved=%s try=%d reason=\"%s\""
                         .formatted(
                                 facts.id(),
                                 run,
-                                server == null ? "none" : server.id(),
+                                current == null ? "none" : current.server().id(),
                                 proved,
-                                runs,
+                                rule.tries(),
                                 reason));
+        long nowNanos = System.nanoTime();
         boolean allowed =
                 mayTryAgain(proved)
-                        && context.retries(service)
-                                .repeat(context.fixedRetries(), System.nanoTime());
+                        && context.retries(service).repeat(context.fixedRetries(), nowNanos);
         if (allowed) {
+            reported = false;
             place(Optional.empty());
             return;
         }
@@ -476,8 +360,7 @@
             breakOff(reason);
             return;
         }
-        giveUpUnplaced(
-                reason, context.retryAfterMillis((endNanos - System.nanoTime()) / NANOS_PER_MILLI));
+        giveUpUnplaced(reason, context.retryAfterMillis(leftMillis(nowNanos)));
     }
 
     /** Ends a stream that has begun and can't be completed. */
@@ -511,7 +394,8 @@
                                         status,
                                         outcome,
                                         totalMillis)
-                        + " events=%d runs=%d".formatted(framer.events(), runs));
+                        + " events=%d tries=%d"
+                                .formatted(framer.events(), rule == null ? 0 : rule.tries()));
     }
 
     /** The caller's connection is gone. */
@@ -519,75 +403,63 @@
         if (state == State.DONE) {
             return;
         }
-        letGo();
+        letGo(RunEnd.Outcome.CANCELLED);
         finish(0, "caller_left");
     }
 
-    private void letGo() {
+    /** Ends what is under way, wherever it is. */
+    private void letGo(RunEnd.Outcome outcome) {
         if (state == State.PLACING) {
             context.dispatcher().withdraw(run);
         } else if (state == State.SENT) {
-            sending.cancel();
-            context.dispatcher().ended(run, ended(RunEnd.Outcome.CANCELLED));
+            current.cancel();
+            context.dispatcher().ended(run, current.end(outcome));
         }
     }
 
     void callerWritable(boolean writable) {
-        if (sending != null && state == State.SENT) {
-            sending.setReading(writable);
-        }
-    }
-
-    /** Goes on at another server where this one says nothing and the request may be repeated. */
-    private void checkSilence(long nowNanos) {
-        if (state != State.SENT || !mayTryAgain(false)) {
-            return;
+        if (state == State.SENT) {
+            current.sending().setReading(writable);
         }
-        double usualMillis =
-                firstMillis == 0
-                        ? SILENT_TARGETS * route.targetMillis()
-                        : SILENT_GAPS * route.gapMillis();
-        double allowedMillis = Math.max(LEAST_SILENCE_MILLIS, usualMillis);
-        if (nowNanos - lastByteNanos < allowedMillis * NANOS_PER_MILLI) {
-            return;
-        }
-        sending.cancel();
-        context.dispatcher().ended(run, ended(RunEnd.Outcome.TIMED_OUT));
-        mayHaveRun = true;
-        excluded.add(server.id());
-        framer.dropRest();
-        again(false, "silent");
     }
 
-    /** Ends the request when its time is over. */
+    /** Ends the request when its time is over, and leaves a server that is silent. */
     void tick(long nowNanos) {
-        if (state == State.WAITING_FOR_CONFIG) {
-            if (request.ageMillis(nowNanos) > CONFIG_WAIT_MILLIS) {
-                giveUp(HttpResponseStatus.SERVICE_UNAVAILABLE, "no_config", NO_CONFIG_RETRY_MILLIS);
+        switch (state) {
+            case WAITING_FOR_CONFIG -> {
+                if (request.ageMillis(nowNanos) > CONFIG_WAIT_MILLIS) {
+                    giveUp(
+                            HttpResponseStatus.SERVICE_UNAVAILABLE,
+                            "no_config",
+                            NO_CONFIG_RETRY_MILLIS);
+                }
             }
-            return;
-        }
-        if (state == State.DONE) {
-            return;
-        }
-        if (nowNanos < endNanos) {
-            checkSilence(nowNanos);
-            return;
-        }
-        if (state == State.PLACING) {
-            letGo();
-            giveUpUnplaced("time_over", 0);
-            return;
+            case PLACING -> {
+                if (nowNanos >= endNanos) {
+                    letGo(RunEnd.Outcome.CANCELLED);
+                    giveUpUnplaced("time_over", 0);
+                }
+            }
+            case SENT -> {
+                if (nowNanos >= endNanos) {
+                    timeOver();
+                } else if (rule.isSilent(current, nowNanos) && mayTryAgain(false)) {
+                    leaveSilent();
+                }
+            }
+            case DONE -> {}
         }
-        sending.cancel();
-        context.dispatcher()
-                .ended(
-                        run,
-                        ended(
-                                firstMillis > 0
-                                        ? RunEnd.Outcome.CANCELLED
-                                        : RunEnd.Outcome.TIMED_OUT));
-        mayHaveRun = true;
+    }
+
+    private void timeOver() {
+        letGo(current.hasEvents() ? RunEnd.Outcome.CANCELLED : RunEnd.Outcome.TIMED_OUT);
+        rule.ran();
         giveUp(HttpResponseStatus.GATEWAY_TIMEOUT, "time_over", -1);
     }
+
+    /** Goes on at another server. */
+    private void leaveSilent() {
+        current.cancel();
+        broken(current, RunEnd.Outcome.TIMED_OUT, "silent");
+    }
 }
