--- /dev/null
+++ b/src/main/java/org/orioleshed/fleet/Rendezvous.java
@@ -0,0 +1,72 @@
+package org.orioleshed.fleet;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import org.orioleshed.model.HostId;
+
+/** Chooses hosts for an item so that few items move when a host comes or goes. */
+public final class Rendezvous {
+    private Rendezvous() {}
+
+    /** Returns the host among {@code hosts} that scores highest for {@code item}. */
+    public static Optional<HostId> choose(Collection<HostId> hosts, String item) {
+        HostId best = null;
+        long bestScore = 0;
+        for (HostId host : hosts) {
+            long score = score(host, item);
+            boolean wins =
+                    best == null
+                            || score > bestScore
+                            || (score == bestScore && host.compareTo(best) < 0);
+            if (wins) {
+                best = host;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Returns the host among those of {@code world} that take work. */
+    public static Optional<HostId> choose(World world, String item) {
+        return choose(takingWork(world), item);
+    }
+
+    /** Returns {@code hosts} in the order in which they would be chosen, the best first. */
+    public static List<HostId> ranked(Collection<HostId> hosts, String item) {
+        return hosts.stream()
+                .sorted(
+                        Comparator.comparingLong((HostId host) -> score(host, item))
+                                .reversed()
+                                .thenComparing(Comparator.naturalOrder()))
+                .toList();
+    }
+
+    /**
+     * Returns the {@code count} best hosts among those of {@code world} that take work, the best
+     * first.
+     */
+    public static List<HostId> choose(World world, String item, int count) {
+        return ranked(takingWork(world), item).stream().limit(count).toList();
+    }
+
+    private static List<HostId> takingWork(World world) {
+        return world.hosts().values().stream()
+                .filter(EntryHost::takesWork)
+                .map(EntryHost::id)
+                .toList();
+    }
+
+    private static long score(HostId host, String item) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putString(host.value(), StandardCharsets.UTF_8)
+                .putByte((byte) 0)
+                .putString(item, StandardCharsets.UTF_8)
+                .hash()
+                .asLong();
+    }
+}
--- a/src/main/java/org/orioleshed/move/MoverTurn.java
+++ b/src/main/java/org/orioleshed/move/MoverTurn.java
@@ -1,13 +1,11 @@
 package org.orioleshed.move;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -84,12 +82,6 @@
     }
 
     private int rank(String name, List<HostId> ids) {
-        List<HostId> ordered = new ArrayList<>(ids);
-        ordered.sort(Comparator.comparingLong((HostId id) -> weight(name, id)).reversed());
-        return ordered.indexOf(self);
-    }
-
-    private static long weight(String name, HostId host) {
-        return Hashing.murmur3_128().hashString(name + "/" + host, StandardCharsets.UTF_8).asLong();
+        return Rendezvous.ranked(ids, name).indexOf(self);
     }
 }
--- a/src/main/java/org/orioleshed/request/AcceptingSide.java
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -11,6 +11,7 @@
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.fleet.Workspace;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.HostAction;
--- a/src/main/java/org/orioleshed/routing/Homes.java
+++ b/src/main/java/org/orioleshed/routing/Homes.java
@@ -1,15 +1,13 @@
 package org.orioleshed.routing;
 
-import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -63,27 +61,6 @@
         return homes.get(server);
     }
 
-    /**
-     * Returns the host among {@code hosts} that wins rendezvous hashing for {@code name}; empty
-     * when there is none.
-     */
-    static Optional<HostId> winner(Collection<HostId> hosts, String name) {
-        HostId best = null;
-        long bestWeight = 0;
-        for (HostId host : hosts) {
-            long weight = weight(host, name);
-            boolean wins =
-                    best == null
-                            || weight > bestWeight
-                            || (weight == bestWeight && host.compareTo(best) < 0);
-            if (wins) {
-                best = host;
-                bestWeight = weight;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
     private static Homes compute(World world) {
         List<HostId> all = new ArrayList<>();
         Map<FailureDomain, List<HostId>> byDomain = new HashMap<>();
@@ -97,18 +74,9 @@
         Map<ServerId, HostId> homes = new HashMap<>();
         for (BackendServer server : world.servers().values()) {
             List<HostId> near = byDomain.getOrDefault(server.domain(), all);
-            winner(near, server.id().value()).ifPresent(home -> homes.put(server.id(), home));
+            Rendezvous.choose(near, server.id().value())
+                    .ifPresent(home -> homes.put(server.id(), home));
         }
         return new Homes(world.hosts(), world.servers(), homes);
     }
-
-    private static long weight(HostId host, String name) {
-        return Hashing.murmur3_128()
-                .newHasher()
-                .putString(host.value(), StandardCharsets.UTF_8)
-                .putByte((byte) 0)
-                .putString(name, StandardCharsets.UTF_8)
-                .hash()
-                .asLong();
-    }
 }
--- a/src/main/java/org/orioleshed/routing/LoadBoard.java
+++ b/src/main/java/org/orioleshed/routing/LoadBoard.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.EntryHost;
+import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.fleet.Target;
 import org.orioleshed.fleet.World;
 import org.orioleshed.model.FailureDomain;
@@ -111,7 +112,7 @@
     }
 
     private boolean isSpeaker(List<HostId> hosts, FailureDomain domain) {
-        return Homes.winner(hosts, domain.value()).filter(self::equals).isPresent();
+        return Rendezvous.choose(hosts, domain.value()).filter(self::equals).isPresent();
     }
 
     private void sendSums(Moment moment, FailureDomain own, Outbox outbox) {
@@ -124,7 +125,7 @@
         }
         byDomain.forEach(
                 (domain, hosts) ->
-                        Homes.winner(hosts, domain.value())
+                        Rendezvous.choose(hosts, domain.value())
                                 .ifPresent(host -> outbox.send(host, message)));
     }
 
