--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -68,6 +68,7 @@
             case DispatchAction.Grant grant ->
                     start(Dispatch.Kind.GRANT, grant.run())
                             .setServer(grant.server().value())
+                            .setWhy(grant.why())
                             .build()
                             .toByteArray();
             case DispatchAction.Queued queued ->
@@ -150,7 +151,7 @@
             case GRANT ->
                     new DispatchMessage.FromHome(
                             new DispatchAction.Grant(
-                                    run, new ServerId(wire.getServer()), "by=home"));
+                                    run, new ServerId(wire.getServer()), wire.getWhy()));
             case QUEUED -> new DispatchMessage.FromHome(new DispatchAction.Queued(run));
             case REFUSE ->
                     new DispatchMessage.FromHome(
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -48,6 +48,9 @@
     /** A scheduler that begins does not know what was used before. */
     private static final double FIRST_FILL = 0.05;
 
+    /** After a pause of this host's own, answers may wait unread; they come before judgement. */
+    private static final long LATE_TICK_MILLIS = 45;
+
     /** A home that answered this lately is there, whatever others say. */
     private static final long HOME_HEARD_MILLIS = 500;
 
@@ -72,6 +75,7 @@
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private long homeSilentUntilNanos;
     private long homeSilentSinceNanos;
+    private long tickedNanos;
     private long homeHeardNanos;
     private boolean homeSilent;
 
@@ -310,6 +314,11 @@
     }
 
     private void checkHome(long nowNanos) {
+        boolean delayed = nowNanos - tickedNanos > LATE_TICK_MILLIS * NANOS_PER_MILLI;
+        tickedNanos = nowNanos;
+        if (delayed) {
+            return;
+        }
         List<RunKey> overdue = new ArrayList<>();
         for (Map.Entry<RunKey, Pending> entry : pending.entrySet()) {
             if (isOverdue(entry.getValue(), nowNanos)) {
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -190,16 +190,16 @@
         current =
                 new ServerTry(run, server, route.repeat() == Repeat.STREAM, framer, this, nowNanos);
         context.log(
-                "event=placed request=%s run=%s route=%s rank=%d server=%s try=%d waited_ms=%d %s"
-                        .formatted(
-                                facts.id(),
-                                run,
-                                route.id(),
-                                rank(),
-                                server.id(),
-                                rule.tries(),
-                                request.ageMillis(nowNanos),
-                                why));
+                "event=placed request=%s run=%s config=%d route=%s rank=%d server=%s try=%d"
+                                .formatted(
+                                        facts.id(),
+                                        run,
+                                        context.snapshot().configRevision(),
+                                        route.id(),
+                                        rank(),
+                                        server.id(),
+                                        rule.tries())
+                        + " waited_ms=%d %s".formatted(request.ageMillis(nowNanos), why));
         context.pool(server.address())
                 .send(
                         toServer(server, nowNanos),
