Let quotas be full after a common restart, and scale what is left with the share

Cause: since quotas are shared by registered hosts, the windows after all hosts were lost refused what was within limits: the new home's buckets began empty, and growing its share of a quota left its units as they were. While all hosts are down nobody uses quotas, so they fill up. Ruled out: a fuller start at every change of home (four changes in a rolling restart would add up).

--- a/src/main/java/org/orioleshed/dispatch/TokenBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -24,12 +24,17 @@
         this.filledNanos = nowNanos;
     }
 
-    /** Takes a new rate and burst; what it holds beyond the burst is gone. */
+    /**
+     * Takes a new rate and burst. What the bucket holds grows or shrinks with the burst: where two
+     * parts of a quota come together, so does what is left of them.
+     */
     void limit(double newPerSecond, double newBurst, long nowNanos) {
         fill(nowNanos);
+        if (units > 0) {
+            units *= newBurst / burst;
+        }
         perSecond = newPerSecond;
         burst = newBurst;
-        units = Math.min(units, burst);
     }
 
     /**
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -48,6 +48,9 @@
     /** A scheduler that begins does not know what was used before. */
     private static final double FIRST_FILL = 0.05;
 
+    /** While all hosts were down, quotas filled up. */
+    private static final double RESTART_FILL = 0.7;
+
     /** After a pause of this host's own, answers may wait unread; they come before judgement. */
     private static final long LATE_TICK_MILLIS = 45;
 
@@ -414,7 +417,8 @@
         homeSilentUntilNanos = nowNanos;
         if (isHome()) {
             told.clear();
-            asHome = new Scheduler(FIRST_FILL, slack, movePolicy);
+            double fill = fleet.startedTogether() ? RESTART_FILL : FIRST_FILL;
+            asHome = new Scheduler(fill, slack, movePolicy);
             feed(asHome, nowNanos);
             share();
         }
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -23,9 +23,15 @@
     /** A host that vanished may be cut off and go on using quotas; it counts this long. */
     private static final long QUOTA_MEMORY_NANOS = 15_000_000_000L;
 
+    /** A start takes about a second; hosts that are killed together are back within some. */
+    private static final long TOGETHER_MILLIS = 4_000;
+
+    private static final long START_NANOS = 8_000_000_000L;
+
     private static final MembershipOptions OPTIONS =
             new MembershipOptions(300, 150, 2_000, 200, 3, 5_000, 3, 500, 5_000, 30_000);
 
+    private final long startNanos = System.nanoTime();
     private final Member self;
     private final Membership membership;
     private final MembershipCodec codec = new MembershipCodec();
@@ -124,6 +130,19 @@
                 .anyMatch(member -> member.leaving() || member.incarnation() != host.incarnation());
     }
 
+    /**
+     * Returns whether all hosts that are seen started with this one, lately: then none of them used
+     * quotas while they were down.
+     */
+    boolean startedTogether() {
+        return System.nanoTime() - startNanos < START_NANOS
+                && members.stream()
+                        .allMatch(
+                                member ->
+                                        Math.abs(member.incarnation() - self.incarnation())
+                                                < TOGETHER_MILLIS);
+    }
+
     /** Takes the number of hosts, this one included, of which something outside tells. */
     void registered(int count) {
         registered = count;
--- a/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
+++ b/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
@@ -40,6 +40,22 @@
         assertTrue(bucket.take(50, 0, 0));
     }
 
+    @Test
+    public void whatIsLeftGrowsWithTheShareOfTheQuota() {
+        TokenBucket bucket = new TokenBucket(10, 100, 50, 0);
+        bucket.limit(20, 200, 0);
+        assertTrue(bucket.take(100, 0, 0));
+        assertFalse(bucket.take(1, 0, 0));
+    }
+
+    @Test
+    public void aDebtStaysAsItIs() {
+        TokenBucket bucket = new TokenBucket(10, 100, 100, 0);
+        assertTrue(bucket.take(150, 0, 0));
+        bucket.limit(20, 200, 0);
+        assertEquals(bucket.millisUntil(0, 0), 2_500);
+    }
+
     @Test
     public void aLowerLimitHoldsAtOnce() {
         TokenBucket bucket = new TokenBucket(100, 100, 100, 0);
