Watch the store from two hosts of each failure domain; give views and dispatchers their clock

The others hear of revisions from peers at once, ask the first that is ahead, and read the store themselves only at their start. Ruled out: longer waits of each watch (changes cost, not waiting).

--- a/src/main/java/org/orioleshed/catalog/CatalogFollower.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogFollower.java
@@ -39,6 +39,7 @@
     private Payload configValue = Payload.EMPTY;
     private Optional<Catalog> catalog = Optional.empty();
     private long serversRevision;
+    private boolean following = true;
 
     /** A server's entry; {@code server} is empty where the entry names none to use. */
     private record Known(Store.Entry entry, Optional<PoolServer> server, boolean goneSoon) {
@@ -76,6 +77,19 @@
         executor.execute(serverWatch::list);
     }
 
+    /**
+     * Watches the store, or leaves that to peers after one read; may be called from any thread, as
+     * often as wanted.
+     */
+    public void follow(boolean wanted) {
+        executor.execute(
+                () -> {
+                    following = wanted;
+                    configWatch.follow();
+                    serverWatch.follow();
+                });
+    }
+
     /** Takes what a peer knows, where it is later than what is known here. */
     public void adopt(CatalogSnapshot peers) {
         executor.execute(() -> adoptNow(peers));
@@ -228,6 +242,8 @@
         private boolean well = true;
         private long backSinceNanos;
         private int failures;
+        private boolean listing;
+        private Store.Watch watch;
 
         Followed(String prefix) {
             this.prefix = prefix;
@@ -238,11 +254,24 @@
             return this == serverWatch;
         }
 
+        /** Begins or ends the watch as is wanted. */
+        void follow() {
+            if (!following && watch != null) {
+                watch.close();
+                watch = null;
+            }
+            if (following && watch == null && !listing) {
+                list();
+            }
+        }
+
         void list() {
+            listing = true;
             store.list(prefix, CALL_TIMEOUT_MILLIS).thenAcceptAsync(this::listed, executor);
         }
 
         private void listed(Store.Result result) {
+            listing = false;
             if (!(result instanceof Store.Result.Entries entries)) {
                 failed("list=" + result);
                 return;
@@ -255,7 +284,9 @@
             } else {
                 takeOperators(entries.entries());
             }
-            store.watch(prefix, entries.storeRevision() + 1, this);
+            if (following && watch == null) {
+                watch = store.watch(prefix, entries.storeRevision() + 1, this);
+            }
         }
 
         private void takeOperators(List<Store.Entry> entries) {
@@ -288,9 +319,13 @@
                 well = false;
                 log.accept("event=store_lost prefix=%s reason=\"%s\"".formatted(prefix, detail));
             }
+            if (!following && configRevision > 0) {
+                return;
+            }
             long most = Math.min(MAX_RETRY_MILLIS, FIRST_RETRY_MILLIS << failures);
             failures = Math.min(failures + 1, 4);
             long waitMillis = most / 2 + random.nextLong(most / 2 + 1);
+            listing = true;
             executor.schedule(this::list, waitMillis, TimeUnit.MILLISECONDS);
         }
 
@@ -322,7 +357,11 @@
 
         @Override
         public void onBreak(String detail) {
-            executor.execute(() -> failed("watch=" + detail));
+            executor.execute(
+                    () -> {
+                        watch = null;
+                        failed("watch=" + detail);
+                    });
         }
     }
 }
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.catalog.MoveOrder;
@@ -59,6 +60,7 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    private final LongSupplier clock;
     private final HostId self;
     private final PeerPort peers;
     private final FleetView fleet;
@@ -118,7 +120,9 @@
             FleetView fleet,
             Quotas.Slack slack,
             MovePolicy movePolicy,
+            LongSupplier clock,
             Consumer<String> log) {
+        this.clock = clock;
         this.self = self;
         this.slack = slack;
         this.movePolicy = movePolicy;
@@ -131,7 +135,7 @@
 
     /** Asks for a place; the answer may come before this returns. */
     void place(RunKey run, Ask ask, Placee placee) {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         Pending wanted = new Pending(ask, placee, nowNanos);
         pending.put(run, wanted);
         place(run, wanted, ask, nowNanos);
@@ -165,7 +169,7 @@
         if (wanted.atHome) {
             tellHome(event);
         } else {
-            fromOwn(own.on(System.nanoTime(), event));
+            fromOwn(own.on(clock.getAsLong(), event));
         }
     }
 
@@ -183,12 +187,12 @@
 
     private void tellAll(DispatchEvent event) {
         tellHome(event);
-        fromOwn(own.on(System.nanoTime(), event));
+        fromOwn(own.on(clock.getAsLong(), event));
     }
 
     private void tellHome(DispatchEvent event) {
         if (isHome()) {
-            fromHome(asHome.on(System.nanoTime(), event));
+            fromHome(asHome.on(clock.getAsLong(), event));
         } else if (home.isPresent()) {
             toHome(event);
         }
@@ -206,7 +210,7 @@
     /** Takes a message of a peer. */
     void received(HostId from, byte[] body) throws BadMessageException {
         switch (codec.decode(body)) {
-            case DispatchMessage.ToHome to -> fromHome(asHome.on(System.nanoTime(), to.event()));
+            case DispatchMessage.ToHome to -> fromHome(asHome.on(clock.getAsLong(), to.event()));
             case DispatchMessage.FromHome answer -> {
                 if (home.map(it -> it.id().equals(from)).orElse(false)) {
                     homeAnswered();
@@ -221,7 +225,7 @@
             homeSilent = false;
             log.accept("event=home_back home=" + home.orElseThrow().id());
         }
-        homeHeardNanos = System.nanoTime();
+        homeHeardNanos = clock.getAsLong();
         homeSilentUntilNanos = homeHeardNanos;
     }
 
@@ -266,7 +270,7 @@
             return;
         }
         pending.remove(grant.run());
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         Ask ask = wanted.askNow(nowNanos);
         active.put(grant.run(), new Active(ask.paid(), grant.server(), nowNanos));
         if (byHome) {
@@ -280,7 +284,7 @@
     }
 
     void tick() {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         if (isHome()) {
             fromHome(asHome.on(nowNanos, new DispatchEvent.Tick()));
             asHome.moves().forEach(this::record);
@@ -310,7 +314,7 @@
     /** The store holds an outcome of a move. */
     void recorded(MoveOrder order, MoveOutcome outcome) {
         recorded.put(order, outcome);
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         DispatchEvent settled = new DispatchEvent.MoveSettled(order, outcome);
         fromOwn(own.on(nowNanos, settled));
         fromHome(asHome.on(nowNanos, settled));
@@ -389,12 +393,12 @@
             return false;
         }
         boolean younger = candidate.get().incarnation() > home.get().incarnation();
-        boolean answers = System.nanoTime() - homeHeardNanos < HOME_HEARD_MILLIS * NANOS_PER_MILLI;
+        boolean answers = clock.getAsLong() - homeHeardNanos < HOME_HEARD_MILLIS * NANOS_PER_MILLI;
         return younger && answers && !fleet.isLeaving(home.get());
     }
 
     private void share() {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         double known = fleet.known();
         double live = Math.max(1, fleet.live().size());
         double ownPlaces = Math.min(1, 2 / known);
@@ -404,7 +408,7 @@
     }
 
     private void homeMoved() {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         log.accept(
                 "event=home_moved home=%s live=%d known=%d waiting=%d running=%d"
                         .formatted(
@@ -438,13 +442,13 @@
     }
 
     void hostDied(HostId host) {
-        fromHome(asHome.on(System.nanoTime(), new DispatchEvent.HostGone(host)));
+        fromHome(asHome.on(clock.getAsLong(), new DispatchEvent.HostGone(host)));
     }
 
     /** The configuration or the servers changed. */
     void changed(CatalogSnapshot newer) {
         snapshot = newer;
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         fromOwn(feed(own, nowNanos));
         fromHome(feed(asHome, nowNanos));
     }
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.membership.Member;
 import org.orioleshed.membership.Membership;
 import org.orioleshed.membership.MembershipAction;
@@ -23,6 +25,8 @@
     /** A host that vanished may be cut off and go on using quotas; it counts this long. */
     private static final long QUOTA_MEMORY_NANOS = 15_000_000_000L;
 
+    private static final int WATCHERS_PER_DOMAIN = 2;
+
     /** A start takes about a second; hosts that are killed together are back within some. */
     private static final long TOGETHER_MILLIS = 4_000;
 
@@ -31,7 +35,8 @@
     private static final MembershipOptions OPTIONS =
             new MembershipOptions(300, 150, 2_000, 200, 3, 5_000, 3, 500, 5_000, 30_000);
 
-    private final long startNanos = System.nanoTime();
+    private final LongSupplier clock;
+    private final long startNanos;
     private final Member self;
     private final Membership membership;
     private final MembershipCodec codec = new MembershipCodec();
@@ -49,7 +54,19 @@
         void hostDied(HostId host);
     }
 
-    FleetView(Member self, PeerPort peers, RandomGenerator random, Listener listener) {
+    /**
+     * Makes the view of a host that knows itself only.
+     *
+     * @param clock the monotonic clock, in nanoseconds
+     */
+    FleetView(
+            Member self,
+            PeerPort peers,
+            RandomGenerator random,
+            LongSupplier clock,
+            Listener listener) {
+        this.clock = clock;
+        this.startNanos = clock.getAsLong();
         this.self = self;
         this.peers = peers;
         this.listener = listener;
@@ -63,7 +80,7 @@
                         .map(address -> new MembershipEvent.Seed(hostId(address), address))
                         .filter(seed -> !seed.id().equals(self.id()))
                         .toList();
-        apply(membership.on(System.nanoTime(), new MembershipEvent.Seeded(seeds)));
+        apply(membership.on(clock.getAsLong(), new MembershipEvent.Seeded(seeds)));
     }
 
     /** Returns the id of the host at {@code address}: its IP number. */
@@ -72,17 +89,17 @@
     }
 
     void tick() {
-        apply(membership.on(System.nanoTime(), new MembershipEvent.Tick()));
+        apply(membership.on(clock.getAsLong(), new MembershipEvent.Tick()));
     }
 
     void received(HostId from, byte[] body) throws BadMessageException {
         apply(
                 membership.on(
-                        System.nanoTime(), new MembershipEvent.Received(from, codec.decode(body))));
+                        clock.getAsLong(), new MembershipEvent.Received(from, codec.decode(body))));
     }
 
     void leave() {
-        apply(membership.on(System.nanoTime(), new MembershipEvent.LeaveAsked()));
+        apply(membership.on(clock.getAsLong(), new MembershipEvent.LeaveAsked()));
     }
 
     private void apply(List<MembershipAction> actions) {
@@ -94,7 +111,7 @@
                 case MembershipAction.Locate locate -> peers.know(locate.host(), locate.address());
                 case MembershipAction.Died died -> {
                     changed = true;
-                    vanishedNanos.put(died.host(), System.nanoTime());
+                    vanishedNanos.put(died.host(), clock.getAsLong());
                     listener.hostDied(died.host());
                 }
                 case MembershipAction.ViewChanged view -> changed = true;
@@ -116,6 +133,20 @@
         return member.health() == Member.Health.ALIVE && !member.leaving();
     }
 
+    /**
+     * Returns whether this host is one of the two of its failure domain that watch the store for
+     * the others, so that calls on the store do not grow with the fleet.
+     */
+    boolean watchesStore() {
+        List<HostId> near =
+                members.stream()
+                        .filter(member -> member.id().equals(self.id()) || isLive(member))
+                        .filter(member -> member.domain().equals(self.domain()))
+                        .map(Member::id)
+                        .toList();
+        return Rendezvous.ranked(near, "store-watcher").indexOf(self.id()) < WATCHERS_PER_DOMAIN;
+    }
+
     /** Returns the home: the host that has been up longest. */
     Optional<Member> home() {
         return members.stream()
@@ -135,7 +166,7 @@
      * quotas while they were down.
      */
     boolean startedTogether() {
-        return System.nanoTime() - startNanos < START_NANOS
+        return clock.getAsLong() - startNanos < START_NANOS
                 && members.stream()
                         .allMatch(
                                 member ->
@@ -146,12 +177,12 @@
     /** Takes the number of hosts, this one included, of which something outside tells. */
     void registered(int count) {
         registered = count;
-        registeredNanos = System.nanoTime();
+        registeredNanos = clock.getAsLong();
     }
 
     /** Returns how many hosts may be using quotas, as far as can be told. */
     int known() {
-        long nowNanos = System.nanoTime();
+        long nowNanos = clock.getAsLong();
         vanishedNanos.values().removeIf(since -> nowNanos - since > QUOTA_MEMORY_NANOS);
         boolean fresh = nowNanos - registeredNanos < QUOTA_MEMORY_NANOS;
         int seen = Math.max(1, members.size() + vanishedNanos.size());
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -60,6 +60,9 @@
     /** News of a later revision may be ahead of the store's own word by this much. */
     private static final long NEWS_PATIENCE_MILLIS = 120;
 
+    /** A peer's answer comes within this time, unless it is lost. */
+    private static final long FETCH_MILLIS = 250;
+
     /** The balancer goes on sending for two questions after the first without a 200. */
     private static final long STILL_SENT_MILLIS = 3_000;
 
@@ -74,7 +77,7 @@
     private final LogRing log;
     private final RandomGenerator random;
     private final MetricRegistry metrics = new MetricRegistry();
-    private final MetricsText metricsText = new MetricsText(metrics);
+    private MetricsText metricsText;
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -97,6 +100,9 @@
     private volatile boolean alone = true;
     private boolean leaving;
     private long leavingNanos;
+    private long fetchedNanos;
+    private long fetchedConfigRevision;
+    private long fetchedServersRevision;
     private Channel front;
     private long nextRun;
     private int ticks;
@@ -134,10 +140,16 @@
                         0,
                         false,
                         Member.Health.ALIVE);
-        this.fleet = new FleetView(member, peers, random, this);
+        this.fleet = new FleetView(member, peers, random, System::nanoTime, this);
         this.dispatcher =
                 new Dispatcher(
-                        self, peers, fleet, options.quotaSlack(), options.movePolicy(), log::add);
+                        self,
+                        peers,
+                        fleet,
+                        options.quotaSlack(),
+                        options.movePolicy(),
+                        System::nanoTime,
+                        log::add);
         this.serverBootstrap =
                 new Bootstrap()
                         .group(group)
@@ -244,6 +256,9 @@
     }
 
     private StatusServer.Reply metricsPage(String path) {
+        if (metricsText == null) {
+            metricsText = new MetricsText(metrics);
+        }
         return new StatusServer.Reply(HttpResponseStatus.OK, metricsText.write());
     }
 
@@ -275,17 +290,25 @@
             }
             return;
         }
-        if (snapshot.isBehind(news.configRevision(), news.serversRevision())) {
-            var unused =
-                    loop.schedule(
-                            () -> fetchIfBehind(from, news),
-                            NEWS_PATIENCE_MILLIS,
-                            TimeUnit.MILLISECONDS);
+        if (!snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+            return;
         }
+        long patienceMillis = fleet.watchesStore() ? NEWS_PATIENCE_MILLIS : 0;
+        var unused =
+                loop.schedule(
+                        () -> fetchIfBehind(from, news), patienceMillis, TimeUnit.MILLISECONDS);
     }
 
     private void fetchIfBehind(HostId from, News news) {
-        if (snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+        long nowNanos = System.nanoTime();
+        boolean asked =
+                nowNanos - fetchedNanos < FETCH_MILLIS * 1_000_000
+                        && news.configRevision() <= fetchedConfigRevision
+                        && news.serversRevision() <= fetchedServersRevision;
+        if (!asked && snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+            fetchedNanos = nowNanos;
+            fetchedConfigRevision = news.configRevision();
+            fetchedServersRevision = news.serversRevision();
             log.add(
                     "event=news_wanted from=%s config_revision=%d own=%d servers_revision=%d own=%d"
                             .formatted(
@@ -395,6 +418,7 @@
     @Override
     public void fleetChanged() {
         alone = fleet.live().size() <= 1;
+        follower.follow(fleet.watchesStore());
         dispatcher.fleetChanged();
         log.add(
                 "event=fleet live=%d known=%d home=%s"
--- a/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
+++ b/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
@@ -196,6 +196,28 @@
         assertEquals(version(latest), 10);
     }
 
+    @Test
+    public void leavesTheStoreToPeersAndComesBackToIt() {
+        follower.follow(false);
+        awaitWatches(0);
+        store.put("op/config", "5");
+        follower.adopt(peers(1, "9"));
+        assertEquals(version(latest), 1);
+        follower.follow(true);
+        await(it -> version(it) == 5);
+        awaitWatches(2);
+    }
+
+    private void awaitWatches(int count) {
+        long end = System.nanoTime() + 20_000_000_000L;
+        while (store.watches() != count) {
+            if (System.nanoTime() > end) {
+                throw new AssertionError("watches " + store.watches());
+            }
+            Thread.onSpinWait();
+        }
+    }
+
     private static CatalogSnapshot peers(long revision, String config) {
         return new CatalogSnapshot(
                 revision,
