--- a/src/main/java/org/orioleshed/catalog/CatalogSnapshot.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogSnapshot.java
@@ -36,6 +36,11 @@
         orders = List.copyOf(orders);
     }
 
+    /** Returns the configuration once the servers are known, too; empty before. */
+    public Optional<Catalog> usable() {
+        return serversRevision > 0 ? catalog : Optional.empty();
+    }
+
     /** Returns whether {@code other} holds something later. */
     public boolean isBehind(long otherConfigRevision, long otherServersRevision) {
         return otherConfigRevision > configRevision || otherServersRevision > serversRevision;
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -80,7 +80,7 @@
 
     void start() {
         context.started(this);
-        context.snapshot().catalog().ifPresent(this::serve);
+        context.snapshot().usable().ifPresent(this::serve);
     }
 
     /** A configuration is known now. */
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -33,7 +33,7 @@
     private static final long START_NANOS = 8_000_000_000L;
 
     private static final MembershipOptions OPTIONS =
-            new MembershipOptions(300, 150, 2_000, 200, 3, 5_000, 3, 500, 5_000, 30_000);
+            new MembershipOptions(300, 150, 2_000, 100, 3, 5_000, 3, 150, 5_000, 30_000);
 
     private final LongSupplier clock;
     private final long startNanos;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -249,7 +249,7 @@
     }
 
     private StatusServer.Reply ready() {
-        boolean ready = !leaving && snapshot.catalog().isPresent();
+        boolean ready = !leaving && snapshot.usable().isPresent();
         return ready
                 ? new StatusServer.Reply(HttpResponseStatus.OK, "ready\n")
                 : new StatusServer.Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
@@ -328,7 +328,7 @@
     private void take(CatalogSnapshot newer) {
         snapshot = newer;
         dispatcher.changed(newer);
-        newer.catalog()
+        newer.usable()
                 .ifPresent(
                         catalog ->
                                 List.copyOf(exchanges)
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -54,6 +54,17 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
     Fleet(long timeoutMillis, long unitsPerSecond) throws IOException {
+        this(timeoutMillis, unitsPerSecond, false);
+        await(() -> get(options.ready(), "/ready").startsWith("HTTP/1.1 200"));
+    }
+
+    /** Returns a fleet whose gateway does not know the servers yet, and is not ready. */
+    static Fleet withoutServers(long timeoutMillis) throws IOException {
+        return new Fleet(timeoutMillis, 100_000, true);
+    }
+
+    private Fleet(long timeoutMillis, long unitsPerSecond, boolean hideServers) throws IOException {
+        store.hideServers(hideServers);
         store.put("op/config", CONFIG.formatted(timeoutMillis, unitsPerSecond));
         store.put("servers/i-1", first.entry("pool", 8));
         options =
@@ -83,7 +94,6 @@
                         log::add);
         gateway.start(follower);
         follower.start();
-        await(() -> get(options.ready(), "/ready").startsWith("HTTP/1.1 200"));
     }
 
     /** Adds the second worker and waits until the gateway knows it. */
--- a/src/test/java/org/orioleshed/platform/GatewayPathTest.java
+++ b/src/test/java/org/orioleshed/platform/GatewayPathTest.java
@@ -39,6 +39,24 @@
         return answer.isEmpty() ? "none" : answer.substring(9, 12);
     }
 
+    @Test
+    public void aRequestBeforeTheServersAreKnownWaitsForThem() throws IOException {
+        fleet.close();
+        fleet = Fleet.withoutServers(TIMEOUT_MILLIS);
+        AtomicInteger status = new AtomicInteger();
+        Thread caller =
+                Thread.ofVirtual()
+                        .start(() -> status.set(Integer.parseInt(status(quickly("/o/x")))));
+        Fleet.await(() -> log().contains("event=config_in_force"));
+        fleet.store.hideServers(false);
+        Fleet.await(() -> !caller.isAlive());
+        assertEquals(status.get(), 200);
+    }
+
+    private String quickly(String path) {
+        return sendQuietly(request(path, "r1", ""));
+    }
+
     @Test
     public void passesARequestAndItsAnswerUnchanged() throws IOException {
         String answer = fleet.send(request("/o/x?q=1", "r1", "body"));
--- a/src/test/java/org/orioleshed/platform/StoreFake.java
+++ b/src/test/java/org/orioleshed/platform/StoreFake.java
@@ -28,6 +28,7 @@
     private volatile int failWith;
     private volatile boolean watchesSilent;
     private volatile boolean historyGone;
+    private volatile boolean serversHidden;
 
     private record Item(String value, long revision) {}
 
@@ -66,6 +67,11 @@
         watchesSilent = silent;
     }
 
+    /** Reads of the servers are refused, or that ends. */
+    void hideServers(boolean hidden) {
+        serversHidden = hidden;
+    }
+
     /** Watches from before now are told that the history is gone. */
     synchronized void forgetHistory() {
         historyGone = true;
@@ -82,7 +88,10 @@
     private void handle(HttpExchange exchange) throws IOException {
         String path = exchange.getRequestURI().getPath();
         try {
-            if (failWith != 0) {
+            boolean hidden = serversHidden && query(exchange, "prefix").startsWith("servers");
+            if (hidden) {
+                reply(exchange, 503, "{}");
+            } else if (failWith != 0) {
                 reply(exchange, failWith, "{}");
             } else if (path.equals("/kv-range")) {
                 reply(exchange, 200, range(query(exchange, "prefix"), query(exchange, "after")));
@@ -150,7 +159,8 @@
     }
 
     private static String query(HttpExchange exchange, String name) {
-        for (String part : exchange.getRequestURI().getRawQuery().split("&", -1)) {
+        String all = exchange.getRequestURI().getRawQuery();
+        for (String part : (all == null ? "" : all).split("&", -1)) {
             if (part.startsWith(name + "=")) {
                 return URLDecoder.decode(part.substring(name.length() + 1), StandardCharsets.UTF_8);
             }
