--- a/src/main/java/org/orioleshed/catalog/DoorLimits.java
+++ b/src/main/java/org/orioleshed/catalog/CallerLimits.java
@@ -9,13 +9,13 @@
  * @param idleTimeoutMillis how long a connection may stay without a request, in milliseconds;
  *     positive
  */
-public record DoorLimits(
+public record CallerLimits(
         int maxHeaderBytes, int maxBodyBytes, long headerTimeoutMillis, long idleTimeoutMillis) {
     /** What holds until a configuration is known. */
-    public static final DoorLimits DEFAULT = new DoorLimits(16_384, 4 << 20, 3_000, 15_000);
+    public static final CallerLimits DEFAULT = new CallerLimits(16_384, 4 << 20, 3_000, 15_000);
 
     /** Checks the arguments. */
-    public DoorLimits {
+    public CallerLimits {
         if (maxHeaderBytes <= 0
                 || maxBodyBytes <= 0
                 || headerTimeoutMillis <= 0
--- a/src/main/java/org/orioleshed/catalog/Catalog.java
+++ b/src/main/java/org/orioleshed/catalog/Catalog.java
@@ -22,8 +22,8 @@
         Map<String, Map<String, CallRoute>> routes,
         Map<ServiceId, Pool> pools,
         Map<String, WorkspaceId> keys,
-        Map<WorkspaceId, Tenancy> tenancies,
-        DoorLimits limits) {
+        Map<WorkspaceId, WorkspaceConfig> tenancies,
+        CallerLimits limits) {
     /** Copies the maps. */
     public Catalog {
         routes = Map.copyOf(routes);
@@ -63,7 +63,7 @@
     }
 
     /** Returns the workspace that holds {@code key}. */
-    public Optional<Tenancy> holder(String key) {
+    public Optional<WorkspaceConfig> holder(String key) {
         return Optional.ofNullable(keys.get(key)).map(tenancies::get);
     }
 
--- a/src/main/java/org/orioleshed/catalog/Tenancy.java
+++ b/src/main/java/org/orioleshed/catalog/WorkspaceConfig.java
@@ -10,4 +10,4 @@
  * @param priority the rank of its calls, which goes before the route's; empty for the route's
  * @param quota what it may use
  */
-public record Tenancy(WorkspaceId workspace, Optional<Integer> priority, Quota quota) {}
+public record WorkspaceConfig(WorkspaceId workspace, Optional<Integer> priority, Quota quota) {}
--- a/src/main/java/org/orioleshed/control/ControlCore.java
+++ b/src/main/java/org/orioleshed/control/ControlCore.java
@@ -209,7 +209,7 @@
                                 new SettingsEvent.Received(
                                         message.from(), settingsCodec.decode(body)));
                 case MOVE -> moves.receive(nowNanos, message.from(), body);
-                case ROUTING, REQUEST, DISPATCH, NEWS -> {}
+                case ROUTING, REQUEST, DISPATCH, CATALOG -> {}
             }
         } catch (BadMessageException e) {
             logger.atWarning().log(
--- a/src/main/java/org/orioleshed/dispatch/Patience.java
+++ b/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
@@ -7,7 +7,7 @@
  * can't be served before much of its time is gone is told at once when to come back, and the others
  * are not delayed by it.
  */
-final class Patience {
+final class AdmissionRule {
     /** Waiting longer than this part of the caller's time is as bad as being turned away. */
     private static final double MAX_WAIT_PART = 0.5;
 
@@ -16,10 +16,10 @@
 
     private static final long LEAST_RETRY_MILLIS = 100;
 
-    private final PoolBook pool;
+    private final PoolState pool;
     private final int places;
 
-    Patience(PoolBook pool, int places) {
+    AdmissionRule(PoolState pool, int places) {
         this.pool = pool;
         this.places = places;
     }
@@ -29,7 +29,7 @@
         if (places == 0) {
             return Double.POSITIVE_INFINITY;
         }
-        List<Waiter> ahead =
+        List<QueuedRequest> ahead =
                 pool.waiters().stream().filter(waiter -> waiter.ask().rank() <= rank).toList();
         double busy = ahead.stream().mapToDouble(waiter -> pool.busyMillis(waiter.ask())).sum();
         return busy / places;
@@ -44,7 +44,7 @@
     }
 
     /** Returns whether a request that waits should go on waiting. */
-    boolean mayGoOn(Waiter waiter, long nowNanos) {
+    boolean mayGoOn(QueuedRequest waiter, long nowNanos) {
         long waited = waiter.waitedMillis(nowNanos);
         Ask ask = waiter.ask();
         return waited <= MAX_WAIT_PART * ask.deadlineLeftMillis()
--- a/src/main/java/org/orioleshed/dispatch/Ask.java
+++ b/src/main/java/org/orioleshed/dispatch/Ask.java
@@ -62,7 +62,7 @@
     }
 
     /** Returns the same ask without a quota to use, since that is paid elsewhere. */
-    public Ask paid() {
+    public Ask withoutQuota() {
         return with(Optional.empty(), 0, 0);
     }
 
--- a/src/main/java/org/orioleshed/dispatch/CrashWatch.java
+++ b/src/main/java/org/orioleshed/dispatch/CrashTracker.java
@@ -14,7 +14,7 @@
  * nothing; a crash is a broken run after which the server is not there. What merely ran beside the
  * culprit is cleared by its next answer.
  */
-final class CrashWatch {
+final class CrashTracker {
     /** Crashes of different servers, or of one at different times, that hold content. */
     private static final int HOLDING_CRASHES = 3;
 
--- a/src/main/java/org/orioleshed/dispatch/LineFit.java
+++ b/src/main/java/org/orioleshed/dispatch/LinearFit.java
@@ -1,7 +1,7 @@
 package org.orioleshed.dispatch;
 
 /** A straight line through recent points, older ones counting less. */
-final class LineFit {
+final class LinearFit {
     private static final double KEEP = 0.995;
     private static final double LEAST_SPREAD = 1e-6;
 
@@ -19,7 +19,7 @@
      * @param scaleX the size of usual x
      * @param priorWeight how many points the first belief is worth
      */
-    LineFit(double offset, double slope, double scaleX, double priorWeight) {
+    LinearFit(double offset, double slope, double scaleX, double priorWeight) {
         addWeighted(0, offset, priorWeight / 2);
         addWeighted(scaleX, offset + slope * scaleX, priorWeight / 2);
     }
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -33,24 +33,24 @@
     /** Longer than this without a first event, and longer than thrice the expected time. */
     private static final long SILENT_MILLIS = 700;
 
-    private final PoolBook pool;
+    private final PoolState pool;
     private final double share;
     private final long nowNanos;
 
-    Placement(PoolBook pool, double share, long nowNanos) {
+    Placement(PoolState pool, double share, long nowNanos) {
         this.pool = pool;
         this.share = share;
         this.nowNanos = nowNanos;
     }
 
     /** Returns the best server with a free place; empty where none has one. */
-    Optional<ServerBook> choose(Ask ask) {
+    Optional<ServerState> choose(Ask ask) {
         if (pool.move().isEmpty()) {
             return best(ask, server -> true);
         }
         VersionMove move = pool.move().get();
         boolean wantsNew = (move.nextIsNew() && hasVersion(move, true)) || !hasVersion(move, false);
-        Optional<ServerBook> chosen =
+        Optional<ServerState> chosen =
                 best(ask, server -> move.isTarget(server.server().version()) == wantsNew);
         return chosen.isEmpty() && move.mayUseOther(wantsNew)
                 ? best(ask, server -> move.isTarget(server.server().version()) != wantsNew)
@@ -66,10 +66,10 @@
                                         && move.isTarget(server.server().version()) == target);
     }
 
-    private Optional<ServerBook> best(Ask ask, Predicate<ServerBook> allowed) {
-        ServerBook best = null;
+    private Optional<ServerState> best(Ask ask, Predicate<ServerState> allowed) {
+        ServerState best = null;
         double bestScore = Double.POSITIVE_INFINITY;
-        for (ServerBook server : pool.servers().values()) {
+        for (ServerState server : pool.servers().values()) {
             if (!allowed.test(server) || !maySend(server, ask) || !hasRoom(server, ask)) {
                 continue;
             }
@@ -89,24 +89,24 @@
     int usablePlaces() {
         int places = 0;
         boolean someStay = false;
-        for (ServerBook server : pool.servers().values()) {
+        for (ServerState server : pool.servers().values()) {
             places += isUsable(server) ? limit(server) : 0;
             someStay |= !server.server().draining();
         }
         return places == 0 && someStay ? 1 : places;
     }
 
-    private boolean maySend(ServerBook server, Ask ask) {
+    private boolean maySend(ServerState server, Ask ask) {
         return isUsable(server) && !ask.excluded().contains(server.server().id());
     }
 
-    private boolean isUsable(ServerBook server) {
+    private boolean isUsable(ServerState server) {
         return !server.server().draining()
                 && !server.isHeldOff(nowNanos)
                 && !server.isSilent(SILENT_MILLIS, nowNanos);
     }
 
-    private boolean hasRoom(ServerBook server, Ask ask) {
+    private boolean hasRoom(ServerState server, Ask ask) {
         if (server.running() >= limit(server)) {
             return false;
         }
@@ -115,12 +115,12 @@
         return memory == 0 || server.running() == 0 || needed <= memory * MEMORY_PART;
     }
 
-    private int limit(ServerBook server) {
+    private int limit(ServerState server) {
         return Math.max(1, (int) (server.server().slots() * share));
     }
 
     /** Returns the expected time to the first event, and what else counts, in milliseconds. */
-    double score(ServerBook server, Ask ask) {
+    double score(ServerState server, Ask ask) {
         boolean engine = ask.promptTokens() > 0;
         double load = (double) server.running() / limit(server);
         double expected = engine ? engineMillis(server, ask) : plainMillis(server, load);
@@ -130,7 +130,7 @@
         return expected + faults + (near ? 0 : away);
     }
 
-    private double engineMillis(ServerBook server, Ask ask) {
+    private double engineMillis(ServerState server, Ask ask) {
         double first =
                 server.firstFactor()
                         * pool.speed().firstMillis(server.pendingTokens() + ask.promptTokens());
@@ -138,7 +138,7 @@
         return first + stream + FULL_MILLIS * server.running() / limit(server);
     }
 
-    private double plainMillis(ServerBook server, double load) {
+    private double plainMillis(ServerState server, double load) {
         return server.firstFactor() * pool.speed().plainMillis() * (1 + load);
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/PoolSpeed.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolSpeed.java
@@ -12,8 +12,8 @@
     private static final double PLAIN_MILLIS = 30;
     private static final double NEW_PART = 0.02;
 
-    private final LineFit first =
-            new LineFit(FIRST_OFFSET_MILLIS, FIRST_MILLIS_PER_TOKEN, USUAL_TOKENS, PRIOR_POINTS);
+    private final LinearFit first =
+            new LinearFit(FIRST_OFFSET_MILLIS, FIRST_MILLIS_PER_TOKEN, USUAL_TOKENS, PRIOR_POINTS);
     private double eventMillis = EVENT_MILLIS;
     private double plainMillis = PLAIN_MILLIS;
 
--- a/src/main/java/org/orioleshed/dispatch/PoolBook.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -12,16 +12,16 @@
 import org.orioleshed.model.ServerId;
 
 /** One pool: its servers, its speed, and who waits for it. */
-final class PoolBook {
-    private final Map<ServerId, ServerBook> servers = new HashMap<>();
-    private final TreeSet<Waiter> onTime = new TreeSet<>(Waiter.URGENCY);
-    private final TreeSet<Waiter> late = new TreeSet<>(Waiter.URGENCY);
-    private final Map<RunKey, Waiter> waiters = new HashMap<>();
+final class PoolState {
+    private final Map<ServerId, ServerState> servers = new HashMap<>();
+    private final TreeSet<QueuedRequest> onTime = new TreeSet<>(QueuedRequest.URGENCY);
+    private final TreeSet<QueuedRequest> late = new TreeSet<>(QueuedRequest.URGENCY);
+    private final Map<RunKey, QueuedRequest> waiters = new HashMap<>();
     private final PoolSpeed speed = new PoolSpeed();
     private Pool declared;
     private VersionMove move;
 
-    Map<ServerId, ServerBook> servers() {
+    Map<ServerId, ServerState> servers() {
         return servers;
     }
 
@@ -50,18 +50,18 @@
         return waiters.size();
     }
 
-    Collection<Waiter> waiters() {
+    Collection<QueuedRequest> waiters() {
         return waiters.values();
     }
 
-    void add(Waiter waiter) {
+    void add(QueuedRequest waiter) {
         waiters.put(waiter.run(), waiter);
         onTime.add(waiter);
     }
 
     /** Removes a waiter; empty when it does not wait. */
-    Optional<Waiter> remove(RunKey run) {
-        Waiter waiter = waiters.remove(run);
+    Optional<QueuedRequest> remove(RunKey run) {
+        QueuedRequest waiter = waiters.remove(run);
         if (waiter == null) {
             return Optional.empty();
         }
@@ -72,10 +72,10 @@
 
     /** Puts those who can't be answered in time any more behind their rank's others. */
     void sortLate(long nowNanos) {
-        Iterator<Waiter> all = onTime.iterator();
-        List<Waiter> moved = new ArrayList<>();
+        Iterator<QueuedRequest> all = onTime.iterator();
+        List<QueuedRequest> moved = new ArrayList<>();
         while (all.hasNext()) {
-            Waiter waiter = all.next();
+            QueuedRequest waiter = all.next();
             if (waiter.targetNanos() < nowNanos) {
                 all.remove();
                 moved.add(waiter);
@@ -85,12 +85,12 @@
     }
 
     /** Returns all waiters, the next one first. */
-    List<Waiter> inOrder() {
-        List<Waiter> result = new ArrayList<>(waiters.size());
-        Iterator<Waiter> first = onTime.iterator();
-        Iterator<Waiter> second = late.iterator();
-        Waiter a = next(first);
-        Waiter b = next(second);
+    List<QueuedRequest> inOrder() {
+        List<QueuedRequest> result = new ArrayList<>(waiters.size());
+        Iterator<QueuedRequest> first = onTime.iterator();
+        Iterator<QueuedRequest> second = late.iterator();
+        QueuedRequest a = next(first);
+        QueuedRequest b = next(second);
         while (a != null || b != null) {
             if (b == null || (a != null && a.ask().rank() <= b.ask().rank())) {
                 result.add(a);
@@ -103,7 +103,7 @@
         return result;
     }
 
-    private static Waiter next(Iterator<Waiter> from) {
+    private static QueuedRequest next(Iterator<QueuedRequest> from) {
         return from.hasNext() ? from.next() : null;
     }
 
--- a/src/main/java/org/orioleshed/dispatch/Waiter.java
+++ b/src/main/java/org/orioleshed/dispatch/QueuedRequest.java
@@ -10,14 +10,14 @@
  * @param sinceNanos when it came
  * @param order grows with each request
  */
-record Waiter(RunKey run, Ask ask, long sinceNanos, long order) {
+record QueuedRequest(RunKey run, Ask ask, long sinceNanos, long order) {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** The more urgent rank first, then the earlier target, then the earlier arrival. */
-    static final Comparator<Waiter> URGENCY =
-            Comparator.comparingInt((Waiter waiter) -> waiter.ask().rank())
-                    .thenComparingLong(Waiter::targetNanos)
-                    .thenComparingLong(Waiter::order);
+    static final Comparator<QueuedRequest> URGENCY =
+            Comparator.comparingInt((QueuedRequest waiter) -> waiter.ask().rank())
+                    .thenComparingLong(QueuedRequest::targetNanos)
+                    .thenComparingLong(QueuedRequest::order);
 
     long targetNanos() {
         return sinceNanos + ask.targetLeftMillis() * NANOS_PER_MILLI;
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -33,9 +33,9 @@
     /** A run of which nothing was heard for this long after its deadline is forgotten. */
     private static final long FORGET_MILLIS = 1_500;
 
-    private final Map<ServiceId, PoolBook> pools = new HashMap<>();
-    private final Map<RunKey, ServerBook> runs = new HashMap<>();
-    private final CrashWatch crashes = new CrashWatch();
+    private final Map<ServiceId, PoolState> pools = new HashMap<>();
+    private final Map<RunKey, ServerState> runs = new HashMap<>();
+    private final CrashTracker crashes = new CrashTracker();
     private final Quotas quotas;
     private final MovePolicy movePolicy;
     private List<DispatchAction> actions = new ArrayList<>();
@@ -78,7 +78,7 @@
 
     /** Returns how many requests wait, over all pools. */
     public int waiting() {
-        return pools.values().stream().mapToInt(PoolBook::waiting).sum();
+        return pools.values().stream().mapToInt(PoolState::waiting).sum();
     }
 
     /** Returns how many runs are known, over all pools. */
@@ -86,12 +86,12 @@
         return runs.size();
     }
 
-    private PoolBook pool(ServiceId service) {
-        return pools.computeIfAbsent(service, key -> new PoolBook());
+    private PoolState pool(ServiceId service) {
+        return pools.computeIfAbsent(service, key -> new PoolState());
     }
 
     private void ask(RunKey run, Ask ask) {
-        PoolBook pool = pool(ask.service());
+        PoolState pool = pool(ask.service());
         if (runs.containsKey(run) || pool.waiters().stream().anyMatch(w -> w.run().equals(run))) {
             return;
         }
@@ -111,26 +111,26 @@
         if (isNext(pool, ask) && grant(pool, placement, run, ask)) {
             return;
         }
-        Patience patience = new Patience(pool, placement.usablePlaces());
-        if (!patience.mayWait(ask)) {
-            turnAway(run, ask, Reason.OVERLOAD, patience.waitMillis(ask.rank()));
+        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces());
+        if (!admission.mayWait(ask)) {
+            turnAway(run, ask, Reason.OVERLOAD, admission.waitMillis(ask.rank()));
             return;
         }
-        pool.add(new Waiter(run, ask, nowNanos, order++));
+        pool.add(new QueuedRequest(run, ask, nowNanos, order++));
         actions.add(new DispatchAction.Queued(run));
     }
 
     /** Returns whether nobody of the same or a more urgent rank waits. */
-    private static boolean isNext(PoolBook pool, Ask ask) {
+    private static boolean isNext(PoolState pool, Ask ask) {
         return pool.waiters().stream().noneMatch(waiter -> waiter.ask().rank() <= ask.rank());
     }
 
-    private boolean grant(PoolBook pool, Placement placement, RunKey run, Ask ask) {
-        Optional<ServerBook> chosen = placement.choose(ask);
+    private boolean grant(PoolState pool, Placement placement, RunKey run, Ask ask) {
+        Optional<ServerState> chosen = placement.choose(ask);
         if (chosen.isEmpty()) {
             return false;
         }
-        ServerBook server = chosen.get();
+        ServerState server = chosen.get();
         String why =
                 "running=%d pending_tokens=%d score_ms=%.0f faults=%.2f waiting=%d"
                         .formatted(
@@ -144,7 +144,7 @@
         return true;
     }
 
-    private void start(ServerBook server, RunKey run, Ask ask) {
+    private void start(ServerState server, RunKey run, Ask ask) {
         boolean engine = ask.promptTokens() > 0;
         long reading = engine ? server.pendingTokens() + ask.promptTokens() : 0;
         server.start(run, new Running(ask, nowNanos, reading, true));
@@ -159,13 +159,13 @@
     }
 
     private void refuse(RunKey run, Ask ask, Reason reason, double betterMillis) {
-        long retryAfterMillis = Patience.retryAfterMillis(ask, betterMillis);
+        long retryAfterMillis = AdmissionRule.retryAfterMillis(ask, betterMillis);
         actions.add(new DispatchAction.Refuse(run, reason, retryAfterMillis));
     }
 
     private void withdraw(RunKey run) {
-        for (PoolBook pool : pools.values()) {
-            Optional<Waiter> waiter = pool.remove(run);
+        for (PoolState pool : pools.values()) {
+            Optional<QueuedRequest> waiter = pool.remove(run);
             if (waiter.isPresent()) {
                 quotas.giveBack(waiter.get().ask());
                 return;
@@ -175,9 +175,9 @@
     }
 
     private void placed(DispatchEvent.Placed placed) {
-        PoolBook pool = pool(placed.ask().service());
+        PoolState pool = pool(placed.ask().service());
         pool.remove(placed.run());
-        ServerBook server = pool.servers().get(placed.server());
+        ServerState server = pool.servers().get(placed.server());
         if (server == null || runs.containsKey(placed.run())) {
             return;
         }
@@ -186,18 +186,18 @@
     }
 
     private void first(RunKey run, long firstMillis) {
-        ServerBook server = runs.get(run);
+        ServerState server = runs.get(run);
         if (server != null) {
             server.first(run, firstMillis, pool(server.server().service()).speed(), nowNanos);
         }
     }
 
     private void end(RunKey run, RunEnd end) {
-        ServerBook server = runs.remove(run);
+        ServerState server = runs.remove(run);
         if (server == null) {
             return;
         }
-        PoolBook pool = pool(server.server().service());
+        PoolState pool = pool(server.server().service());
         watchCrashes(server, run, end.outcome());
         double slowness = server.slowness(run, end, pool.speed());
         pool.move()
@@ -206,7 +206,7 @@
         serve(pool);
     }
 
-    private void watchCrashes(ServerBook server, RunKey run, RunEnd.Outcome outcome) {
+    private void watchCrashes(ServerState server, RunKey run, RunEnd.Outcome outcome) {
         Running running = server.runs().get(run);
         if (running == null) {
             return;
@@ -227,8 +227,8 @@
         for (RunKey run : gone) {
             end(run, new RunEnd(RunEnd.Outcome.CANCELLED, 0, 0, 0));
         }
-        for (PoolBook pool : pools.values()) {
-            List<Waiter> waiters =
+        for (PoolState pool : pools.values()) {
+            List<QueuedRequest> waiters =
                     pool.waiters().stream()
                             .filter(waiter -> waiter.run().origin().equals(host))
                             .toList();
@@ -242,7 +242,7 @@
             present.add(server.id());
             put(server);
         }
-        for (PoolBook pool : pools.values()) {
+        for (PoolState pool : pools.values()) {
             Set<ServerId> gone = new HashSet<>(pool.servers().keySet());
             gone.removeAll(present);
             gone.forEach(server -> crashes.missed(server, nowNanos));
@@ -252,8 +252,8 @@
     }
 
     private void put(PoolServer server) {
-        PoolBook pool = pool(server.service());
-        ServerBook known = pool.servers().get(server.id());
+        PoolState pool = pool(server.service());
+        ServerState known = pool.servers().get(server.id());
         if (known != null && known.server().sameStart(server)) {
             known.update(server);
             return;
@@ -262,7 +262,7 @@
             crashes.missed(server.id(), nowNanos);
         }
         pools.values().forEach(other -> other.servers().remove(server.id()));
-        pool.servers().put(server.id(), new ServerBook(server, nowNanos));
+        pool.servers().put(server.id(), new ServerState(server, nowNanos));
     }
 
     private void limit(DispatchEvent.LimitsChanged changed) {
@@ -276,7 +276,7 @@
     }
 
     private void order(DispatchEvent.MoveOrdered ordered) {
-        PoolBook pool = pool(ordered.order().service());
+        PoolState pool = pool(ordered.order().service());
         boolean known = pool.move().map(move -> move.order().equals(ordered.order())).orElse(false);
         if (!known) {
             MovePolicy allowed = ordered.evidenceHere() ? movePolicy : new MovePolicy(0, 0);
@@ -302,14 +302,14 @@
     /** A move, its outcome so far, and the evidence for it. */
     public record MoveView(MoveOrder order, MoveOutcome outcome, String evidence) {}
 
-    private void decideMove(PoolBook pool) {
+    private void decideMove(PoolState pool) {
         if (pool.move().isEmpty()) {
             return;
         }
         VersionMove move = pool.move().get();
         int oldRuns = 0;
         boolean newServers = false;
-        for (ServerBook server : pool.servers().values()) {
+        for (ServerState server : pool.servers().values()) {
             boolean target = move.isTarget(server.server().version());
             oldRuns += target ? 0 : server.running();
             newServers |= target && !server.server().draining();
@@ -320,7 +320,7 @@
     private void tick() {
         forgetOverdue();
         pools.values().forEach(this::decideMove);
-        for (PoolBook pool : pools.values()) {
+        for (PoolState pool : pools.values()) {
             if (pool.waiting() > 0) {
                 pool.sortLate(nowNanos);
                 giveUp(pool);
@@ -343,29 +343,29 @@
         return nowNanos - run.sentNanos() > allowed * NANOS_PER_MILLI;
     }
 
-    private void giveUp(PoolBook pool) {
+    private void giveUp(PoolState pool) {
         Placement placement = new Placement(pool, placeShare, nowNanos);
-        Patience patience = new Patience(pool, placement.usablePlaces());
-        List<Waiter> tooLate =
+        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces());
+        List<QueuedRequest> tooLate =
                 pool.waiters().stream()
-                        .filter(waiter -> !patience.mayGoOn(waiter, nowNanos))
+                        .filter(waiter -> !admission.mayGoOn(waiter, nowNanos))
                         .toList();
-        for (Waiter waiter : tooLate) {
+        for (QueuedRequest waiter : tooLate) {
             pool.remove(waiter.run());
             Ask left = waiter.ask().again(waiter.waitedMillis(nowNanos));
             quotas.giveBack(waiter.ask());
-            refuse(waiter.run(), left, Reason.OVERLOAD, patience.waitMillis(left.rank()));
+            refuse(waiter.run(), left, Reason.OVERLOAD, admission.waitMillis(left.rank()));
         }
     }
 
     /** Gives free places to those who wait. */
-    private void serve(PoolBook pool) {
+    private void serve(PoolState pool) {
         if (pool.waiting() == 0) {
             return;
         }
         Placement placement = new Placement(pool, placeShare, nowNanos);
         int skipped = 0;
-        for (Waiter waiter : pool.inOrder()) {
+        for (QueuedRequest waiter : pool.inOrder()) {
             if (grant(pool, placement, waiter.run(), waiter.ask())) {
                 pool.remove(waiter.run());
             } else {
--- a/src/main/java/org/orioleshed/dispatch/ServerBook.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -5,7 +5,7 @@
 import org.orioleshed.catalog.PoolServer;
 
 /** What a scheduler knows of one start of a server: its runs, speed and faults. */
-final class ServerBook {
+final class ServerState {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** A server's own speed follows its last ten answers or so. */
@@ -33,7 +33,7 @@
     private long pendingTokens;
     private long heldTokens;
 
-    ServerBook(PoolServer server, long nowNanos) {
+    ServerState(PoolServer server, long nowNanos) {
         this.server = server;
         this.lastSignNanos = nowNanos;
         this.faultNanos = nowNanos;
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -215,7 +215,7 @@
         switch (kind) {
             case ROUTING, REQUEST -> mail.open(from, kind, body).ifPresent(duty::add);
             case MEMBERSHIP, SETTINGS, MOVE -> control.peerReceived(from, kind, body);
-            case DISPATCH, NEWS -> {}
+            case DISPATCH, CATALOG -> {}
         }
     }
 
--- a/src/main/java/org/orioleshed/entry/PeerMail.java
+++ b/src/main/java/org/orioleshed/entry/PeerMail.java
@@ -49,7 +49,7 @@
                         Optional.of(new HostEvent.RoutingReceived(from, routing.decode(body)));
                 case REQUEST ->
                         Optional.of(new HostEvent.RequestReceived(from, requests.decode(body)));
-                case MEMBERSHIP, SETTINGS, MOVE, DISPATCH, NEWS -> Optional.empty();
+                case MEMBERSHIP, SETTINGS, MOVE, DISPATCH, CATALOG -> Optional.empty();
             };
         } catch (BadMessageException e) {
             metrics.counter("peers.bad").inc();
--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -28,7 +28,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import org.orioleshed.catalog.DoorLimits;
+import org.orioleshed.catalog.CallerLimits;
 import org.orioleshed.model.Payload;
 
 /**
@@ -38,7 +38,7 @@
     /** Parts of later requests that are read while one is answered; more are left in the socket. */
     private static final int MAX_PARTS_AHEAD = 64;
 
-    private final Door door;
+    private final RequestAcceptor acceptor;
     private final Deque<HttpObject> ahead = new ArrayDeque<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
     private Channel channel;
@@ -52,20 +52,20 @@
     private boolean chunkedAnswer;
     private boolean headOnly;
 
-    CallerConnection(Door door) {
-        this.door = door;
+    CallerConnection(RequestAcceptor acceptor) {
+        this.acceptor = acceptor;
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         idleSinceNanos = System.nanoTime();
-        door.opened(this);
+        acceptor.opened(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        door.closed(this);
+        acceptor.closed(this);
         ahead.forEach(ReferenceCountUtil::release);
         ahead.clear();
         if (exchange != null) {
@@ -85,7 +85,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            door.failed("caller", cause);
+            acceptor.failed("caller", cause);
         }
         context.close();
     }
@@ -139,7 +139,7 @@
             refuse(HttpResponseStatus.BAD_REQUEST, "framing");
             return;
         }
-        if (HttpUtil.getContentLength(request, 0L) > door.limits().maxBodyBytes()) {
+        if (HttpUtil.getContentLength(request, 0L) > acceptor.limits().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_length");
             return;
         }
@@ -171,7 +171,7 @@
     }
 
     private void add(ByteBuf bytes, boolean last) {
-        if (body.size() + bytes.readableBytes() > door.limits().maxBodyBytes()) {
+        if (body.size() + bytes.readableBytes() > acceptor.limits().maxBodyBytes()) {
             refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_bytes");
             return;
         }
@@ -189,7 +189,7 @@
                             Payload.of(body.toByteArray()),
                             headNanos);
             body.reset();
-            exchange = door.exchange(this, request);
+            exchange = acceptor.exchange(this, request);
             exchange.start();
         }
     }
@@ -200,13 +200,13 @@
         head = null;
         keepAlive = false;
         chunkedAnswer = true;
-        door.refused(status.code(), reason);
+        acceptor.refused(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         answer(status, headers, new byte[0]);
     }
 
     /** Closes a connection that was idle, or slow to send a request, for too long. */
-    void checkIdle(long nowNanos, DoorLimits limits) {
+    void checkIdle(long nowNanos, CallerLimits limits) {
         if (exchange != null || refused) {
             return;
         }
@@ -277,7 +277,7 @@
     }
 
     private boolean prepare(HttpHeaders headers) {
-        boolean keep = keepAlive && !closing && !door.isLeaving();
+        boolean keep = keepAlive && !closing && !acceptor.isLeaving();
         if (!keep) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/main/java/org/orioleshed/gateway/News.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogUpdate.java
@@ -15,14 +15,14 @@
  * @param config the whole configuration, where it was wanted
  * @param entries the servers' entries, where they were wanted
  */
-record News(
+record CatalogUpdate(
         long configRevision,
         long serversRevision,
         boolean wanted,
         Optional<Payload> config,
         Optional<List<Store.Entry>> entries) {
-    static News revisions(CatalogSnapshot own, boolean wanted) {
-        return new News(
+    static CatalogUpdate revisions(CatalogSnapshot own, boolean wanted) {
+        return new CatalogUpdate(
                 own.configRevision(),
                 own.serversRevision(),
                 wanted,
@@ -31,10 +31,10 @@
     }
 
     /** Returns what {@code own} holds beyond what the asking host has. */
-    static News answer(CatalogSnapshot own, News asked) {
+    static CatalogUpdate answer(CatalogSnapshot own, CatalogUpdate asked) {
         boolean newerConfig = own.configRevision() > asked.configRevision();
         boolean newerServers = own.serversRevision() > asked.serversRevision();
-        return new News(
+        return new CatalogUpdate(
                 own.configRevision(),
                 own.serversRevision(),
                 false,
--- a/src/main/java/org/orioleshed/gateway/NewsCodec.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogUpdateCodec.java
@@ -10,24 +10,24 @@
 import org.orioleshed.store.Store;
 import org.orioleshed.wire.DispatchWire;
 
-/** Writes news as protobuf. */
-final class NewsCodec implements MessageCodec<News> {
+/** Writes update as protobuf. */
+final class CatalogUpdateCodec implements MessageCodec<CatalogUpdate> {
     @Override
-    public byte[] encode(News news) {
-        DispatchWire.News.Builder wire =
-                DispatchWire.News.newBuilder()
-                        .setConfigRevision(news.configRevision())
-                        .setServersRevision(news.serversRevision())
-                        .setWanted(news.wanted())
-                        .setHasServers(news.entries().isPresent());
-        news.config().ifPresent(config -> wire.setConfig(ByteString.copyFrom(config.toBytes())));
-        news.entries()
+    public byte[] encode(CatalogUpdate update) {
+        DispatchWire.CatalogUpdate.Builder wire =
+                DispatchWire.CatalogUpdate.newBuilder()
+                        .setConfigRevision(update.configRevision())
+                        .setServersRevision(update.serversRevision())
+                        .setWanted(update.wanted())
+                        .setHasServers(update.entries().isPresent());
+        update.config().ifPresent(config -> wire.setConfig(ByteString.copyFrom(config.toBytes())));
+        update.entries()
                 .ifPresent(entries -> entries.forEach(entry -> wire.addServers(write(entry))));
         return wire.build().toByteArray();
     }
 
-    private static DispatchWire.News.Item write(Store.Entry entry) {
-        return DispatchWire.News.Item.newBuilder()
+    private static DispatchWire.CatalogUpdate.Item write(Store.Entry entry) {
+        return DispatchWire.CatalogUpdate.Item.newBuilder()
                 .setKey(entry.key())
                 .setValue(ByteString.copyFrom(entry.value().toBytes()))
                 .setRevision(entry.revision())
@@ -35,11 +35,11 @@
     }
 
     @Override
-    public News decode(byte[] bytes) throws BadMessageException {
+    public CatalogUpdate decode(byte[] bytes) throws BadMessageException {
         try {
-            DispatchWire.News wire = DispatchWire.News.parseFrom(bytes);
+            DispatchWire.CatalogUpdate wire = DispatchWire.CatalogUpdate.parseFrom(bytes);
             Payload config = Payload.of(wire.getConfig().toByteArray());
-            return new News(
+            return new CatalogUpdate(
                     wire.getConfigRevision(),
                     wire.getServersRevision(),
                     wire.getWanted(),
@@ -48,11 +48,11 @@
                             ? Optional.of(read(wire.getServersList()))
                             : Optional.empty());
         } catch (InvalidProtocolBufferException e) {
-            throw new BadMessageException("no news", e);
+            throw new BadMessageException("no update", e);
         }
     }
 
-    private static List<Store.Entry> read(List<DispatchWire.News.Item> items) {
+    private static List<Store.Entry> read(List<DispatchWire.CatalogUpdate.Item> items) {
         return items.stream()
                 .map(
                         item ->
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -85,7 +85,7 @@
     private boolean homeSilent;
 
     /** Who wants a place. */
-    interface Placee {
+    interface PlacementListener {
         /** Send the request to the server. */
         void granted(RunKey run, ServerId server, String why);
 
@@ -95,13 +95,13 @@
 
     private static final class Pending {
         private final Ask ask;
-        private final Placee placee;
+        private final PlacementListener placee;
         private final long sinceNanos;
         private long askedNanos;
         private boolean atHome;
         private boolean queued;
 
-        Pending(Ask ask, Placee placee, long sinceNanos) {
+        Pending(Ask ask, PlacementListener placee, long sinceNanos) {
             this.ask = ask;
             this.placee = placee;
             this.sinceNanos = sinceNanos;
@@ -134,7 +134,7 @@
     }
 
     /** Asks for a place; the answer may come before this returns. */
-    void place(RunKey run, Ask ask, Placee placee) {
+    void place(RunKey run, Ask ask, PlacementListener placee) {
         long nowNanos = clock.getAsLong();
         Pending wanted = new Pending(ask, placee, nowNanos);
         pending.put(run, wanted);
@@ -272,9 +272,9 @@
         pending.remove(grant.run());
         long nowNanos = clock.getAsLong();
         Ask ask = wanted.askNow(nowNanos);
-        active.put(grant.run(), new Active(ask.paid(), grant.server(), nowNanos));
+        active.put(grant.run(), new Active(ask.withoutQuota(), grant.server(), nowNanos));
         if (byHome) {
-            Ask paid = ask.paid();
+            Ask paid = ask.withoutQuota();
             fromOwn(own.on(nowNanos, new DispatchEvent.Placed(grant.run(), paid, grant.server())));
         } else {
             tellHome(new DispatchEvent.Placed(grant.run(), ask, grant.server()));
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -20,7 +20,7 @@
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.Quota;
 import org.orioleshed.catalog.Repeat;
-import org.orioleshed.catalog.Tenancy;
+import org.orioleshed.catalog.WorkspaceConfig;
 import org.orioleshed.dispatch.Ask;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.RunEnd;
@@ -34,7 +34,7 @@
  * One caller's request, from its arrival to the end of its answer. Knows of each try how far it
  * came, and sends the request again only where that can't run it twice.
  */
-final class Exchange implements Dispatcher.Placee, ServerTry.Listener {
+final class Exchange implements Dispatcher.PlacementListener, ServerTry.Listener {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** A host that starts reads its configuration within this time, unless the store is away. */
@@ -61,7 +61,7 @@
     private final Set<ServerId> excluded = new HashSet<>();
     private final EventFramer framer = new EventFramer();
     private State state = State.WAITING_FOR_CONFIG;
-    private Optional<Tenancy> tenancy = Optional.empty();
+    private Optional<WorkspaceConfig> tenancy = Optional.empty();
     private CallRoute route;
     private RepeatRule rule;
     private ServiceId service;
@@ -111,7 +111,7 @@
             waitMillis = Math.min(waitMillis, facts.deadlineMillis());
         }
         endNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
-        place(tenancy.map(Tenancy::workspace));
+        place(tenancy.map(WorkspaceConfig::workspace));
     }
 
     private String hostName() {
@@ -139,7 +139,7 @@
                 leftMillis(nowNanos),
                 model ? Math.max(1, facts.promptTokens()) : 0,
                 model ? facts.likelyTokens() : 0,
-                tenancy.map(Tenancy::quota).orElse(Quota.NONE).units(facts.statedTokens()),
+                tenancy.map(WorkspaceConfig::quota).orElse(Quota.NONE).units(facts.statedTokens()),
                 content(),
                 excluded);
     }
@@ -160,7 +160,7 @@
     }
 
     private int rank() {
-        return Ask.rank(tenancy.flatMap(Tenancy::priority).orElse(0), route.priority());
+        return Ask.rank(tenancy.flatMap(WorkspaceConfig::priority).orElse(0), route.priority());
     }
 
     @Override
@@ -213,7 +213,7 @@
         CallDialect.ServerOrder order =
                 new CallDialect.ServerOrder(
                         server.id(),
-                        tenancy.map(Tenancy::workspace),
+                        tenancy.map(WorkspaceConfig::workspace),
                         Math.max(1, leftMillis(nowNanos)),
                         streaming ? framer.lastId() : Optional.empty());
         HttpHeaders headers = context.dialect().toServer(request.headers(), order);
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -29,9 +29,9 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.random.RandomGenerator;
+import org.orioleshed.catalog.CallerLimits;
 import org.orioleshed.catalog.CatalogFollower;
 import org.orioleshed.catalog.CatalogSnapshot;
-import org.orioleshed.catalog.DoorLimits;
 import org.orioleshed.catalog.MoveOrder;
 import org.orioleshed.catalog.MoveOutcome;
 import org.orioleshed.dispatch.RunKey;
@@ -45,7 +45,7 @@
 import org.orioleshed.peer.PeerNetwork;
 
 /** One entry host's data path. Owns the data thread, on which all of its state lives. */
-public final class Gateway implements Door, GatewayContext, FleetView.Listener {
+public final class Gateway implements RequestAcceptor, GatewayContext, FleetView.Listener {
     private static final int TICK_MILLIS = 20;
     private static final int SLOW_TICKS = 5;
 
@@ -55,10 +55,10 @@
     private static final int BACKLOG = 1_024;
 
     /** Revisions are told to one peer at this interval, beside each change. */
-    private static final int NEWS_TICKS = 25;
+    private static final int UPDATE_TICKS = 25;
 
-    /** News of a later revision may be ahead of the store's own word by this much. */
-    private static final long NEWS_PATIENCE_MILLIS = 120;
+    /** CatalogUpdate of a later revision may be ahead of the store's own word by this much. */
+    private static final long UPDATE_PATIENCE_MILLIS = 120;
 
     /** A peer's answer comes within this time, unless it is lost. */
     private static final long FETCH_MILLIS = 250;
@@ -85,7 +85,7 @@
     private final PeerNetwork peers;
     private final FleetView fleet;
     private final Dispatcher dispatcher;
-    private final NewsCodec newsCodec = new NewsCodec();
+    private final CatalogUpdateCodec updateCodec = new CatalogUpdateCodec();
     private final Bootstrap serverBootstrap;
     private final Map<InetSocketAddress, ServerPool> pools = new HashMap<>();
     private final Map<ServiceId, RetryWindow> retryWindows = new HashMap<>();
@@ -267,7 +267,7 @@
             switch (kind) {
                 case MEMBERSHIP -> fleet.received(from, body);
                 case DISPATCH -> dispatcher.received(from, body);
-                case NEWS -> hear(from, newsCodec.decode(body));
+                case CATALOG -> hear(from, updateCodec.decode(body));
                 case ROUTING, REQUEST, SETTINGS, MOVE -> {}
             }
         } catch (RuntimeException e) {
@@ -279,50 +279,50 @@
         }
     }
 
-    private void hear(HostId from, News news) {
-        if (news.hasContent()) {
-            follower.adopt(news.toSnapshot());
+    private void hear(HostId from, CatalogUpdate update) {
+        if (update.hasContent()) {
+            follower.adopt(update.toSnapshot());
             return;
         }
-        if (news.wanted()) {
-            if (News.answer(snapshot, news).hasContent()) {
-                send(from, News.answer(snapshot, news));
+        if (update.wanted()) {
+            if (CatalogUpdate.answer(snapshot, update).hasContent()) {
+                send(from, CatalogUpdate.answer(snapshot, update));
             }
             return;
         }
-        if (!snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+        if (!snapshot.isBehind(update.configRevision(), update.serversRevision())) {
             return;
         }
-        long patienceMillis = fleet.watchesStore() ? NEWS_PATIENCE_MILLIS : 0;
+        long patienceMillis = fleet.watchesStore() ? UPDATE_PATIENCE_MILLIS : 0;
         var unused =
                 loop.schedule(
-                        () -> fetchIfBehind(from, news), patienceMillis, TimeUnit.MILLISECONDS);
+                        () -> fetchIfBehind(from, update), patienceMillis, TimeUnit.MILLISECONDS);
     }
 
-    private void fetchIfBehind(HostId from, News news) {
+    private void fetchIfBehind(HostId from, CatalogUpdate update) {
         long nowNanos = System.nanoTime();
         boolean asked =
                 nowNanos - fetchedNanos < FETCH_MILLIS * 1_000_000
-                        && news.configRevision() <= fetchedConfigRevision
-                        && news.serversRevision() <= fetchedServersRevision;
-        if (!asked && snapshot.isBehind(news.configRevision(), news.serversRevision())) {
+                        && update.configRevision() <= fetchedConfigRevision
+                        && update.serversRevision() <= fetchedServersRevision;
+        if (!asked && snapshot.isBehind(update.configRevision(), update.serversRevision())) {
             fetchedNanos = nowNanos;
-            fetchedConfigRevision = news.configRevision();
-            fetchedServersRevision = news.serversRevision();
+            fetchedConfigRevision = update.configRevision();
+            fetchedServersRevision = update.serversRevision();
             log.add(
-                    "event=news_wanted from=%s config_revision=%d own=%d servers_revision=%d own=%d"
+                    "event=catalog_behind from=%s config_revision=%d own=%d servers_revision=%d own=%d"
                             .formatted(
                                     from,
-                                    news.configRevision(),
+                                    update.configRevision(),
                                     snapshot.configRevision(),
-                                    news.serversRevision(),
+                                    update.serversRevision(),
                                     snapshot.serversRevision()));
-            send(from, News.revisions(snapshot, true));
+            send(from, CatalogUpdate.revisions(snapshot, true));
         }
     }
 
-    private void send(HostId to, News news) {
-        peers.send(to, MessageKind.NEWS, newsCodec.encode(news));
+    private void send(HostId to, CatalogUpdate update) {
+        peers.send(to, MessageKind.CATALOG, updateCodec.encode(update));
     }
 
     private void take(CatalogSnapshot newer) {
@@ -338,7 +338,7 @@
 
     private void tellRevisions(HostId to) {
         if (!to.equals(self)) {
-            send(to, News.revisions(snapshot, false));
+            send(to, CatalogUpdate.revisions(snapshot, false));
         }
     }
 
@@ -361,7 +361,7 @@
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeOld(nowNanos));
         }
-        if (ticks % NEWS_TICKS == 0) {
+        if (ticks % UPDATE_TICKS == 0) {
             tellOne();
         }
         if (leaving) {
@@ -442,8 +442,8 @@
     }
 
     @Override
-    public DoorLimits limits() {
-        return snapshot.catalog().map(catalog -> catalog.limits()).orElse(DoorLimits.DEFAULT);
+    public CallerLimits limits() {
+        return snapshot.catalog().map(catalog -> catalog.limits()).orElse(CallerLimits.DEFAULT);
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/Door.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -1,15 +1,15 @@
 package org.orioleshed.gateway;
 
-import org.orioleshed.catalog.DoorLimits;
+import org.orioleshed.catalog.CallerLimits;
 
 /** What callers' connections need of the gateway. */
-interface Door {
+interface RequestAcceptor {
     void opened(CallerConnection connection);
 
     void closed(CallerConnection connection);
 
     /** Returns what callers may send at present. */
-    DoorLimits limits();
+    CallerLimits limits();
 
     /** Returns whether this host is about to stop. */
     boolean isLeaving();
--- a/src/main/java/org/orioleshed/peer/FrameKinds.java
+++ b/src/main/java/org/orioleshed/peer/FrameKinds.java
@@ -14,7 +14,7 @@
             case SETTINGS -> Frame.Kind.SETTINGS;
             case MOVE -> Frame.Kind.MOVE;
             case DISPATCH -> Frame.Kind.DISPATCH;
-            case NEWS -> Frame.Kind.NEWS;
+            case CATALOG -> Frame.Kind.CATALOG;
         };
     }
 
@@ -27,7 +27,7 @@
             case SETTINGS -> MessageKind.SETTINGS;
             case MOVE -> MessageKind.MOVE;
             case DISPATCH -> MessageKind.DISPATCH;
-            case NEWS -> MessageKind.NEWS;
+            case CATALOG -> MessageKind.CATALOG;
             case HELLO, ALIVE, UNKNOWN, UNRECOGNIZED -> null;
         };
     }
--- a/src/main/java/org/orioleshed/peer/MessageKind.java
+++ b/src/main/java/org/orioleshed/peer/MessageKind.java
@@ -14,6 +14,6 @@
     MOVE,
     /** {@link org.orioleshed.dispatch.DispatchMessage}. */
     DISPATCH,
-    /** {@link org.orioleshed.gateway.News}. */
-    NEWS
+    /** {@link org.orioleshed.gateway.CatalogUpdate}. */
+    CATALOG
 }
--- a/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
+++ b/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
@@ -51,7 +51,7 @@
             try {
                 long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
                 return new Catalog(
-                        version, Map.of(), Map.of(), Map.of(), Map.of(), DoorLimits.DEFAULT);
+                        version, Map.of(), Map.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
             } catch (NumberFormatException e) {
                 throw new BadCatalogException("no number", e);
             }
--- a/src/test/java/org/orioleshed/gateway/TwoHosts.java
+++ b/src/test/java/org/orioleshed/gateway/TwoHosts.java
@@ -44,7 +44,7 @@
     private record Letter(HostId from, HostId to, MessageKind kind, Payload body) {}
 
     /** One host, which notes what its requests get. */
-    final class Host implements PeerPort, FleetView.Listener, Dispatcher.Placee {
+    final class Host implements PeerPort, FleetView.Listener, Dispatcher.PlacementListener {
         final HostId id;
         final InetSocketAddress address;
         final FleetView fleet;
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -1,8 +1,5 @@
 package org.orioleshed.platform;
 
-import io.netty.channel.EventLoop;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -11,12 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
-import org.orioleshed.catalog.CatalogFollower;
 import org.orioleshed.dispatch.MovePolicy;
 import org.orioleshed.dispatch.Quotas;
-import org.orioleshed.gateway.Gateway;
 import org.orioleshed.gateway.GatewayOptions;
 import org.orioleshed.gateway.LogRing;
 import org.orioleshed.model.FailureDomain;
@@ -50,8 +44,6 @@
     final ByteArrayOutputStream logged = new ByteArrayOutputStream();
     private final LogRing log = new LogRing(logged);
     private final GatewayOptions options;
-    private final EventLoop loop =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
 
     Fleet(long timeoutMillis, long unitsPerSecond) throws IOException {
         this(timeoutMillis, unitsPerSecond, false);
@@ -82,18 +74,7 @@
                         Quotas.Slack.NONE,
                         MovePolicy.DEFAULT,
                         2_000);
-        Gateway gateway =
-                new Gateway(options, new PlatformDialect(), log, new SplittableRandom(1), 1);
-        CatalogFollower follower =
-                new CatalogFollower(
-                        new PlatformStore(new StoreCalls(loop, store.address())),
-                        new ManifestDecoder(),
-                        loop,
-                        new SplittableRandom(1),
-                        gateway::changed,
-                        log::add);
-        gateway.start(follower);
-        follower.start();
+        new PlatformNode(options, store.address(), log, 1).start();
     }
 
     /** Adds the second worker and waits until the gateway knows it. */
