--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -170,7 +170,7 @@
         return metrics;
     }
 
-    /** Returns what takes each new state of the configuration and the servers, on any thread. */
+    /** Takes a new state of the configuration and the servers; may be called from any thread. */
     public void changed(CatalogSnapshot newer) {
         loop.execute(() -> take(newer));
     }
