Look a waiting run up by its key; drop a method nobody calls

Found at the last read: each ask walked through all waiting requests although they lie in a map by run. Behaviour stays; 609 tests pass.

--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -50,6 +50,10 @@
         return waiters.size();
     }
 
+    boolean isWaiting(RunKey run) {
+        return waiters.containsKey(run);
+    }
+
     Collection<QueuedRequest> waiters() {
         return waiters.values();
     }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -92,7 +92,7 @@
 
     private void ask(RunKey run, Ask ask) {
         PoolState pool = pool(ask.service());
-        if (runs.containsKey(run) || pool.waiters().stream().anyMatch(w -> w.run().equals(run))) {
+        if (runs.containsKey(run) || pool.isWaiting(run)) {
             return;
         }
         if (crashes.isHeld(ask.content(), nowNanos)) {
--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -228,10 +228,6 @@
         }
     }
 
-    boolean isBusy() {
-        return exchange != null || head != null;
-    }
-
     /** Writes a whole answer. */
     void answer(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
         boolean keep = prepare(headers);
