Spread what changed of the configuration and the servers, not all of it; take it out of Gateway

Cause, found by reading: after each change each host told all others its revisions (n x n messages: 7,500 at 87 hosts, for each of the 160 changes of a release), and who was behind got the whole list of servers. Servers that vanished around an outage of the store were dropped at the hosts that watch, without a new revision, so hosts that hear from peers kept them until the next change. Orders to move between versions did not spread by peers. Gateway.fleetChanged could run before the follower was set.

Change: CatalogState is what a host believes, without I/O; CatalogSpread is who tells whom. A host that watches, or hears first, tells its failure domain only; the answer holds the entries changed since and the keys removed since, or all where that is not known any more. Peers hear that the store is freshly back, and hold what is missing themselves. A host that just read the store is not "ahead" for that. Orders go the same way. The follower is made before the gateway and started with it.

Tests: CatalogStateTest (the held removal, orders, the difference and older news fail on the earlier code by construction: it had no such path).

--- a/src/main/java/org/orioleshed/gateway/CatalogUpdate.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogUpdate.java
@@ -1,60 +1,50 @@
 package org.orioleshed.gateway;
 
-import java.util.List;
 import java.util.Optional;
 import org.orioleshed.catalog.CatalogSnapshot;
-import org.orioleshed.model.Payload;
-import org.orioleshed.store.Store;
+import org.orioleshed.catalog.EntryChange;
+import org.orioleshed.catalog.EntryView;
 
-/**
- * What hosts tell each other of the configuration and the servers in force.
- *
- * @param configRevision the revision of the configuration that the sender has in force
- * @param serversRevision the revision up to which it knows the servers
- * @param wanted whether the receiver should answer with what it knows beyond these
- * @param config the whole configuration, where it was wanted
- * @param entries the servers' entries, where they were wanted
- */
-record CatalogUpdate(
-        long configRevision,
-        long serversRevision,
-        boolean wanted,
-        Optional<Payload> config,
-        Optional<List<Store.Entry>> entries) {
-    static CatalogUpdate revisions(CatalogSnapshot own, boolean wanted) {
-        return new CatalogUpdate(
-                own.configRevision(),
-                own.serversRevision(),
-                wanted,
-                Optional.empty(),
-                Optional.empty());
+/** What hosts tell each other of the configuration and the servers in force. */
+sealed interface CatalogUpdate {
+    /**
+     * What the sender has in force.
+     *
+     * @param operators the revision of the last change of what operators wrote
+     * @param servers the revision of the last change of the servers
+     */
+    record Revisions(long operators, long servers) implements CatalogUpdate {
+        static Revisions of(CatalogSnapshot own) {
+            return new Revisions(own.operators().changed(), own.entries().changed());
+        }
     }
 
-    /** Returns what {@code own} holds beyond what the asking host has. */
-    static CatalogUpdate answer(CatalogSnapshot own, CatalogUpdate asked) {
-        boolean newerConfig = own.configRevision() > asked.configRevision();
-        boolean newerServers = own.serversRevision() > asked.serversRevision();
-        return new CatalogUpdate(
-                own.configRevision(),
-                own.serversRevision(),
-                false,
-                newerConfig ? Optional.of(own.config()) : Optional.empty(),
-                newerServers ? Optional.of(own.entries()) : Optional.empty());
-    }
+    /**
+     * The receiver should answer with what it knows beyond these revisions.
+     *
+     * @param operators the revision up to which the sender knows what operators wrote
+     * @param servers the revision up to which it knows the servers
+     */
+    record Wanted(long operators, long servers) implements CatalogUpdate {
+        static Wanted by(CatalogSnapshot own) {
+            return new Wanted(own.operators().revision(), own.entries().revision());
+        }
+
+        /** Returns what {@code own} holds beyond what is wanted; nothing where it is behind. */
+        Content answer(CatalogSnapshot own) {
+            return new Content(beyond(own.operators(), operators), beyond(own.entries(), servers));
+        }
 
-    boolean hasContent() {
-        return config.isPresent() || entries.isPresent();
+        private static Optional<EntryChange> beyond(EntryView own, long known) {
+            return own.changed() > known ? Optional.of(own.after(known)) : Optional.empty();
+        }
     }
 
-    /** Returns the content as a snapshot in which what is missing has revision 0. */
-    CatalogSnapshot toSnapshot() {
-        return new CatalogSnapshot(
-                config.isPresent() ? configRevision : 0,
-                config.orElse(Payload.EMPTY),
-                Optional.empty(),
-                entries.isPresent() ? serversRevision : 0,
-                entries.orElse(List.of()),
-                List.of(),
-                List.of());
+    /** What the receiver lacks; empty where it lacks nothing. */
+    record Content(Optional<EntryChange> operators, Optional<EntryChange> servers)
+            implements CatalogUpdate {
+        boolean isEmpty() {
+            return operators.isEmpty() && servers.isEmpty();
+        }
     }
 }
--- a/src/main/java/org/orioleshed/gateway/CatalogUpdateCodec.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogUpdateCodec.java
@@ -4,28 +4,45 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.Optional;
+import org.orioleshed.catalog.EntryChange;
 import org.orioleshed.model.Payload;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageCodec;
 import org.orioleshed.store.Store;
 import org.orioleshed.wire.DispatchWire;
 
-/** Writes update as protobuf. */
+/** Writes updates as protobuf. */
 final class CatalogUpdateCodec implements MessageCodec<CatalogUpdate> {
     @Override
     public byte[] encode(CatalogUpdate update) {
-        DispatchWire.CatalogUpdate.Builder wire =
-                DispatchWire.CatalogUpdate.newBuilder()
-                        .setConfigRevision(update.configRevision())
-                        .setServersRevision(update.serversRevision())
-                        .setWanted(update.wanted())
-                        .setHasServers(update.entries().isPresent());
-        update.config().ifPresent(config -> wire.setConfig(ByteString.copyFrom(config.toBytes())));
-        update.entries()
-                .ifPresent(entries -> entries.forEach(entry -> wire.addServers(write(entry))));
+        DispatchWire.CatalogUpdate.Builder wire = DispatchWire.CatalogUpdate.newBuilder();
+        switch (update) {
+            case CatalogUpdate.Revisions told ->
+                    wire.setOperatorsRevision(told.operators()).setServersRevision(told.servers());
+            case CatalogUpdate.Wanted wanted ->
+                    wire.setOperatorsRevision(wanted.operators())
+                            .setServersRevision(wanted.servers())
+                            .setWanted(true);
+            case CatalogUpdate.Content content -> {
+                content.operators().ifPresent(change -> wire.setOperators(write(change)));
+                content.servers().ifPresent(change -> wire.setServers(write(change)));
+            }
+        }
         return wire.build().toByteArray();
     }
 
+    private static DispatchWire.CatalogUpdate.Change write(EntryChange change) {
+        DispatchWire.CatalogUpdate.Change.Builder wire =
+                DispatchWire.CatalogUpdate.Change.newBuilder()
+                        .setSince(change.since())
+                        .setRevision(change.revision())
+                        .setChanged(change.changed())
+                        .setSettled(change.settled());
+        change.entries().forEach(entry -> wire.addItems(write(entry)));
+        change.removed().forEach(removal -> wire.addRemoved(write(removal)));
+        return wire.build();
+    }
+
     private static DispatchWire.CatalogUpdate.Item write(Store.Entry entry) {
         return DispatchWire.CatalogUpdate.Item.newBuilder()
                 .setKey(entry.key())
@@ -34,32 +51,55 @@
                 .build();
     }
 
+    private static DispatchWire.CatalogUpdate.Item write(EntryChange.Removal removal) {
+        return DispatchWire.CatalogUpdate.Item.newBuilder()
+                .setKey(removal.key())
+                .setRevision(removal.revision())
+                .build();
+    }
+
     @Override
     public CatalogUpdate decode(byte[] bytes) throws BadMessageException {
         try {
-            DispatchWire.CatalogUpdate wire = DispatchWire.CatalogUpdate.parseFrom(bytes);
-            Payload config = Payload.of(wire.getConfig().toByteArray());
-            return new CatalogUpdate(
-                    wire.getConfigRevision(),
-                    wire.getServersRevision(),
-                    wire.getWanted(),
-                    config.size() == 0 ? Optional.empty() : Optional.of(config),
-                    wire.getHasServers()
-                            ? Optional.of(read(wire.getServersList()))
-                            : Optional.empty());
-        } catch (InvalidProtocolBufferException e) {
+            return read(DispatchWire.CatalogUpdate.parseFrom(bytes));
+        } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             throw new BadMessageException("no update", e);
         }
     }
 
-    private static List<Store.Entry> read(List<DispatchWire.CatalogUpdate.Item> items) {
-        return items.stream()
-                .map(
-                        item ->
-                                new Store.Entry(
-                                        item.getKey(),
-                                        Payload.of(item.getValue().toByteArray()),
-                                        item.getRevision()))
-                .toList();
+    private static CatalogUpdate read(DispatchWire.CatalogUpdate wire) {
+        if (wire.hasOperators() || wire.hasServers()) {
+            return new CatalogUpdate.Content(
+                    wire.hasOperators() ? Optional.of(read(wire.getOperators())) : Optional.empty(),
+                    wire.hasServers() ? Optional.of(read(wire.getServers())) : Optional.empty());
+        }
+        long operators = wire.getOperatorsRevision();
+        long servers = wire.getServersRevision();
+        return wire.getWanted()
+                ? new CatalogUpdate.Wanted(operators, servers)
+                : new CatalogUpdate.Revisions(operators, servers);
+    }
+
+    private static EntryChange read(DispatchWire.CatalogUpdate.Change wire) {
+        List<Store.Entry> entries =
+                wire.getItemsList().stream()
+                        .map(
+                                item ->
+                                        new Store.Entry(
+                                                item.getKey(),
+                                                Payload.of(item.getValue().toByteArray()),
+                                                item.getRevision()))
+                        .toList();
+        List<EntryChange.Removal> removed =
+                wire.getRemovedList().stream()
+                        .map(item -> new EntryChange.Removal(item.getKey(), item.getRevision()))
+                        .toList();
+        return new EntryChange(
+                wire.getSince(),
+                wire.getRevision(),
+                wire.getChanged(),
+                wire.getSettled(),
+                entries,
+                removed);
     }
 }
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -54,15 +54,6 @@
 
     private static final int BACKLOG = 1_024;
 
-    /** Revisions are told to one peer at this interval, beside each change. */
-    private static final int UPDATE_TICKS = 25;
-
-    /** CatalogUpdate of a later revision may be ahead of the store's own word by this much. */
-    private static final long UPDATE_PATIENCE_MILLIS = 120;
-
-    /** A peer's answer comes within this time, unless it is lost. */
-    private static final long FETCH_MILLIS = 250;
-
     /** The balancer goes on sending for two questions after the first without a 200. */
     private static final long STILL_SENT_MILLIS = 3_000;
 
@@ -85,7 +76,7 @@
     private final PeerNetwork peers;
     private final FleetView fleet;
     private final Dispatcher dispatcher;
-    private final CatalogUpdateCodec updateCodec = new CatalogUpdateCodec();
+    private final CatalogSpread spread;
     private final Bootstrap serverBootstrap;
     private final Map<InetSocketAddress, ServerPool> pools = new HashMap<>();
     private final Map<ServiceId, RetryWindow> retryWindows = new HashMap<>();
@@ -95,27 +86,31 @@
     private final Histogram answerMillis;
     private final Counter acceptedRequests;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private CatalogFollower follower;
+    private final CatalogFollower follower;
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private volatile boolean alone = true;
     private boolean leaving;
     private long leavingNanos;
-    private long fetchedNanos;
-    private long fetchedConfigRevision;
-    private long fetchedServersRevision;
     private Channel front;
     private long nextRun;
     private int ticks;
 
-    /** Opens all addresses but that for callers. */
+    /**
+     * Opens the address for peers.
+     *
+     * @param follower keeps the configuration and the servers; is started with the gateway
+     * @param incarnation grows with each start of the host
+     */
     public Gateway(
             GatewayOptions options,
             CallDialect dialect,
+            CatalogFollower follower,
             LogRing log,
             RandomGenerator random,
             long incarnation) {
         this.options = options;
         this.dialect = dialect;
+        this.follower = follower;
         this.log = log;
         this.random = random;
         this.self = FleetView.hostId(options.peer());
@@ -150,6 +145,15 @@
                         options.movePolicy(),
                         System::nanoTime,
                         log::add);
+        this.spread =
+                new CatalogSpread(
+                        member,
+                        peers,
+                        fleet,
+                        content -> follower.adopt(content.operators(), content.servers()),
+                        System::nanoTime,
+                        random,
+                        log::add);
         this.serverBootstrap =
                 new Bootstrap()
                         .group(group)
@@ -170,18 +174,8 @@
         return metrics;
     }
 
-    /** Takes a new state of the configuration and the servers; may be called from any thread. */
-    public void changed(CatalogSnapshot newer) {
-        loop.execute(() -> take(newer));
-    }
-
-    /**
-     * Opens the address for callers and begins to serve.
-     *
-     * @param newFollower what keeps the configuration; takes what peers know
-     */
-    public void start(CatalogFollower newFollower) {
-        follower = newFollower;
+    /** Opens the address for callers and begins to serve. */
+    public void start() {
         listen(options.ready(), new StatusServer(path -> ready()));
         listen(options.metrics(), new StatusServer(this::metricsPage));
         front = listen(options.callers(), frontHandler());
@@ -191,6 +185,7 @@
                     fleet.seed(options.seeds());
                     fleetChanged();
                 });
+        follower.start(newer -> loop.execute(() -> take(newer)));
         var unused =
                 loop.scheduleWithFixedDelay(
                         this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
@@ -267,7 +262,7 @@
             switch (kind) {
                 case MEMBERSHIP -> fleet.received(from, body);
                 case DISPATCH -> dispatcher.received(from, body);
-                case CATALOG -> hear(from, updateCodec.decode(body));
+                case CATALOG -> spread.received(from, body);
                 case ROUTING, REQUEST, SETTINGS, MOVE -> {}
             }
         } catch (RuntimeException e) {
@@ -279,52 +274,6 @@
         }
     }
 
-    private void hear(HostId from, CatalogUpdate update) {
-        if (update.hasContent()) {
-            follower.adopt(update.toSnapshot());
-            return;
-        }
-        if (update.wanted()) {
-            if (CatalogUpdate.answer(snapshot, update).hasContent()) {
-                send(from, CatalogUpdate.answer(snapshot, update));
-            }
-            return;
-        }
-        if (!snapshot.isBehind(update.configRevision(), update.serversRevision())) {
-            return;
-        }
-        long patienceMillis = fleet.watchesStore() ? UPDATE_PATIENCE_MILLIS : 0;
-        var unused =
-                loop.schedule(
-                        () -> fetchIfBehind(from, update), patienceMillis, TimeUnit.MILLISECONDS);
-    }
-
-    private void fetchIfBehind(HostId from, CatalogUpdate update) {
-        long nowNanos = System.nanoTime();
-        boolean asked =
-                nowNanos - fetchedNanos < FETCH_MILLIS * 1_000_000
-                        && update.configRevision() <= fetchedConfigRevision
-                        && update.serversRevision() <= fetchedServersRevision;
-        if (!asked && snapshot.isBehind(update.configRevision(), update.serversRevision())) {
-            fetchedNanos = nowNanos;
-            fetchedConfigRevision = update.configRevision();
-            fetchedServersRevision = update.serversRevision();
-            log.add(
-                    "event=catalog_behind from=%s config_revision=%d own=%d servers_revision=%d own=%d"
-                            .formatted(
-                                    from,
-                                    update.configRevision(),
-                                    snapshot.configRevision(),
-                                    update.serversRevision(),
-                                    snapshot.serversRevision()));
-            send(from, CatalogUpdate.revisions(snapshot, true));
-        }
-    }
-
-    private void send(HostId to, CatalogUpdate update) {
-        peers.send(to, MessageKind.CATALOG, updateCodec.encode(update));
-    }
-
     private void take(CatalogSnapshot newer) {
         snapshot = newer;
         dispatcher.changed(newer);
@@ -333,13 +282,7 @@
                         catalog ->
                                 List.copyOf(exchanges)
                                         .forEach(exchange -> exchange.configured(catalog)));
-        fleet.live().forEach(member -> tellRevisions(member.id()));
-    }
-
-    private void tellRevisions(HostId to) {
-        if (!to.equals(self)) {
-            send(to, CatalogUpdate.revisions(snapshot, false));
-        }
+        spread.changed(newer);
     }
 
     private void tick() {
@@ -356,26 +299,17 @@
         ticks++;
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
+        spread.tick();
         if (ticks % SLOW_TICKS == 0) {
             fleet.tick();
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeOld(nowNanos));
         }
-        if (ticks % UPDATE_TICKS == 0) {
-            tellOne();
-        }
         if (leaving) {
             leave(nowNanos);
         }
     }
 
-    private void tellOne() {
-        List<Member> live = fleet.live();
-        if (!live.isEmpty()) {
-            tellRevisions(live.get(random.nextInt(live.size())).id());
-        }
-    }
-
     /** Stops gracefully: finishes what runs, within the grace period; returns at the end. */
     public void stop() {
         loop.execute(this::beginToLeave);
--- a/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
+++ b/src/test/java/org/orioleshed/catalog/CatalogFollowerTest.java
@@ -2,20 +2,14 @@
 
 import static org.testng.Assert.assertEquals;
 
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Predicate;
-import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.ServerId;
-import org.orioleshed.model.ServiceId;
-import org.orioleshed.model.VersionId;
 import org.orioleshed.store.MemoryStore;
 import org.orioleshed.store.Store;
 import org.testng.annotations.AfterMethod;
@@ -29,72 +23,6 @@
     private volatile CatalogSnapshot latest;
     private CatalogFollower follower;
 
-    /** A configuration is its version in digits; a server is anything but "bad". */
-    private static final class Plain implements CatalogDecoder {
-        @Override
-        public String configKey() {
-            return "op/config";
-        }
-
-        @Override
-        public String operatorPrefix() {
-            return "op/";
-        }
-
-        @Override
-        public String serversPrefix() {
-            return "servers/";
-        }
-
-        @Override
-        public Catalog config(byte[] value) throws BadCatalogException {
-            try {
-                long version = Long.parseLong(new String(value, StandardCharsets.UTF_8));
-                return new Catalog(
-                        version, Map.of(), Map.of(), Map.of(), Map.of(), CallerLimits.DEFAULT);
-            } catch (NumberFormatException e) {
-                throw new BadCatalogException("no number", e);
-            }
-        }
-
-        @Override
-        public PoolServer server(String key, byte[] value) throws BadCatalogException {
-            if (new String(value, StandardCharsets.UTF_8).equals("bad")) {
-                throw new BadCatalogException("bad");
-            }
-            return new PoolServer(
-                    new ServerId(key),
-                    new ServiceId("s"),
-                    new InetSocketAddress("10.0.0.1", 1),
-                    new FailureDomain("d"),
-                    new VersionId("v"),
-                    1,
-                    false,
-                    0);
-        }
-
-        @Override
-        public Optional<MoveOrder> order(String key, byte[] value, long revision) {
-            return Optional.of(
-                    new MoveOrder(new ServiceId("s"), new VersionId("v2"), 1_000, revision));
-        }
-
-        @Override
-        public String outcomeKey(ServiceId service) {
-            return "outcome";
-        }
-
-        @Override
-        public byte[] encodeOutcome(MoveOrder order, MoveOutcome outcome) {
-            return new byte[0];
-        }
-
-        @Override
-        public Optional<MoveOutcome> outcome(MoveOrder order, byte[] value) {
-            return Optional.empty();
-        }
-    }
-
     @BeforeMethod
     public void open() {
         executor = Executors.newSingleThreadScheduledExecutor();
@@ -102,15 +30,10 @@
         latest = CatalogSnapshot.NOTHING;
         follower =
                 new CatalogFollower(
-                        store,
-                        new Plain(),
-                        executor,
-                        new SplittableRandom(1),
-                        snapshot -> latest = snapshot,
-                        line -> {});
+                        store, new PlainDecoder(1), executor, new SplittableRandom(1), line -> {});
         store.put("op/config", "1");
         store.put("servers/a", "x");
-        follower.start();
+        follower.start(snapshot -> latest = snapshot);
         await(it -> version(it) == 1 && it.servers().size() == 1);
     }
 
@@ -146,7 +69,7 @@
     public void anEntryThatCannotBeReadNamesNoServerAndTheOthersHold() {
         store.put("servers/b", "bad");
         store.put("servers/c", "x");
-        await(it -> it.entries().size() == 3);
+        await(it -> it.entries().entries().size() == 3);
         assertEquals(latest.servers().size(), 2);
     }
 
@@ -185,14 +108,17 @@
     @Test
     public void takesWhatPeersKnowLaterAndNothingOlder() {
         store.setAway(true);
-        follower.adopt(peers(1_000, "9"));
+        adopt(1_000, "9");
         await(it -> version(it) == 9);
-        follower.adopt(peers(5, "2"));
-        follower.adopt(peers(2_000, "10"));
+        adopt(5, "2");
+        adopt(2_000, "10");
         await(it -> version(it) == 10);
         store.setAway(false);
         store.put("servers/c", "x");
-        await(it -> it.entries().stream().anyMatch(entry -> entry.key().equals("servers/c")));
+        await(
+                it ->
+                        it.entries().entries().stream()
+                                .anyMatch(entry -> entry.key().equals("servers/c")));
         assertEquals(version(latest), 10);
     }
 
@@ -201,7 +127,7 @@
         follower.follow(false);
         awaitWatches(0);
         store.put("op/config", "5");
-        follower.adopt(peers(1, "9"));
+        adopt(1, "9");
         assertEquals(version(latest), 1);
         follower.follow(true);
         await(it -> version(it) == 5);
@@ -218,14 +144,10 @@
         }
     }
 
-    private static CatalogSnapshot peers(long revision, String config) {
-        return new CatalogSnapshot(
-                revision,
-                Payload.of(config),
-                Optional.empty(),
-                0,
-                List.<Store.Entry>of(),
-                List.of(),
-                List.of());
+    private void adopt(long revision, String config) {
+        Store.Entry entry = new Store.Entry("op/config", Payload.of(config), revision);
+        EntryChange change =
+                new EntryChange(0, revision, revision, true, List.of(entry), List.of());
+        follower.adopt(Optional.of(change), Optional.empty());
     }
 }
--- /dev/null
+++ b/src/test/java/org/orioleshed/catalog/CatalogStateTest.java
@@ -0,0 +1,155 @@
+package org.orioleshed.catalog;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.orioleshed.model.Payload;
+import org.orioleshed.store.Store;
+import org.testng.annotations.Test;
+
+/** Tests of {@link CatalogState}: what one host believes, and what another gets from it. */
+public class CatalogStateTest {
+    private static final long SECOND = 1_000_000_000L;
+
+    private final CatalogState first = state();
+    private final CatalogState second = state();
+
+    private static CatalogState state() {
+        return new CatalogState(new PlainDecoder(1), line -> {});
+    }
+
+    private static Store.Entry entry(String key, long revision) {
+        return new Store.Entry("servers/" + key, Payload.of("open"), revision);
+    }
+
+    private static Set<String> servers(CatalogState state) {
+        return state.snapshot(true).servers().stream()
+                .map(server -> server.id().value().replace("servers/", ""))
+                .collect(Collectors.toSet());
+    }
+
+    /** Brings one host up to what another knows. */
+    private static EntryChange tell(CatalogState from, CatalogState to, boolean settled) {
+        long known = to.snapshot(true).entries().revision();
+        EntryChange change = from.snapshot(settled).entries().after(known);
+        assertTrue(to.adopt(Optional.empty(), Optional.of(change), SECOND));
+        return change;
+    }
+
+    @Test
+    public void whoIsALittleBehindGetsTheDifferenceOnly() {
+        CatalogState ahead = state();
+        CatalogState behind = state();
+        List<Store.Entry> all = List.of(entry("a", 1), entry("b", 2), entry("c", 3));
+        ahead.list(all, 3, true, 0, "store");
+        behind.list(all, 3, true, 0, "store");
+        ahead.put(entry("d", 4), "store");
+        ahead.remove("servers/a", 5, true, 0, "store");
+        EntryChange change = tell(ahead, behind, true);
+        assertFalse(change.isWhole());
+        assertEquals(change.entries(), List.of(entry("d", 4)));
+        assertEquals(servers(behind), Set.of("b", "c", "d"));
+    }
+
+    @Test
+    public void whoIsFarBehindGetsAll() {
+        CatalogState ahead = state();
+        CatalogState behind = state();
+        behind.list(List.of(entry("gone", 1)), 1, true, 0, "store");
+        ahead.list(List.of(entry("a", 2)), 3, true, 0, "store");
+        ahead.put(entry("b", 4), "store");
+        assertTrue(tell(ahead, behind, true).isWhole());
+        assertEquals(servers(behind), Set.of("a", "b"));
+    }
+
+    @Test
+    public void removalsBeyondThoseKeptAreMadeUpForByAll() {
+        CatalogState ahead = state();
+        CatalogState behind = state();
+        List<Store.Entry> many = new ArrayList<>();
+        for (int i = 1; i <= 300; i++) {
+            many.add(entry("m" + i, i));
+        }
+        ahead.list(many, 300, true, 0, "store");
+        behind.list(many, 300, true, 0, "store");
+        for (int i = 1; i <= 300; i++) {
+            ahead.remove("servers/m" + i, 300 + i, true, 0, "store");
+        }
+        tell(ahead, behind, true);
+        assertEquals(servers(behind), Set.of());
+    }
+
+    @Test
+    public void aServerThatIsMissingAfterAnOutageIsHeldAndThenGoneAtPeersToo() {
+        CatalogState ahead = state();
+        CatalogState behind = state();
+        ahead.list(List.of(entry("a", 1)), 1, true, 0, "store");
+        tell(ahead, behind, true);
+        ahead.list(List.of(entry("b", 3)), 3, false, SECOND, "store");
+        tell(ahead, behind, false);
+        assertEquals(servers(ahead), Set.of("a", "b"));
+        assertEquals(servers(behind), Set.of("a", "b"));
+        assertTrue(ahead.expire(SECOND + CatalogState.BACK_NANOS));
+        assertTrue(behind.expire(SECOND + CatalogState.BACK_NANOS));
+        assertEquals(servers(ahead), Set.of("b"));
+        assertEquals(servers(behind), Set.of("b"));
+    }
+
+    @Test
+    public void aServerThatIsBackIsNotDroppedByAnEarlierAbsence() {
+        CatalogState state = state();
+        state.list(List.of(entry("a", 1)), 1, true, 0, "store");
+        state.list(List.of(), 2, false, 0, "store");
+        state.put(entry("a", 3), "store");
+        state.list(List.of(), 4, false, SECOND, "store");
+        assertFalse(state.expire(CatalogState.BACK_NANOS));
+        assertEquals(servers(state), Set.of("a"));
+        assertTrue(state.expire(SECOND + CatalogState.BACK_NANOS));
+    }
+
+    @Test
+    public void olderNewsBringsNoServerBack() {
+        first.list(List.of(entry("a", 1), entry("b", 2)), 2, true, 0, "store");
+        first.remove("servers/a", 5, true, 0, "store");
+        first.put(entry("a", 1), "store");
+        first.list(List.of(entry("a", 1), entry("b", 2)), 4, true, 0, "store");
+        EntryChange late = new EntryChange(0, 3, 3, true, List.of(entry("a", 1)), List.of());
+        assertFalse(first.adopt(Optional.empty(), Optional.of(late), 0));
+        assertEquals(servers(first), Set.of("b"));
+    }
+
+    @Test
+    public void aDifferenceThatBeginsBeyondWhatIsKnownIsNotTaken() {
+        second.list(List.of(entry("a", 1)), 1, true, 0, "store");
+        EntryChange gap = new EntryChange(7, 8, 8, true, List.of(entry("b", 8)), List.of());
+        assertFalse(second.adopt(Optional.empty(), Optional.of(gap), 0));
+        assertEquals(servers(second), Set.of("a"));
+    }
+
+    @Test
+    public void ordersToMoveSpreadByPeers() {
+        CatalogState ahead = state();
+        CatalogState behind = state();
+        assertTrue(ahead.operator(new Store.Entry("op/config", Payload.of("1"), 1), "store"));
+        assertTrue(ahead.operator(new Store.Entry("op/rollout/s", Payload.of("x"), 2), "store"));
+        EntryChange change = ahead.snapshot(true).operators().after(0);
+        assertTrue(behind.adopt(Optional.of(change), Optional.empty(), 0));
+        assertEquals(behind.snapshot(true).orders().size(), 1);
+        assertEquals(behind.snapshot(true).configRevision(), 1);
+    }
+
+    @Test
+    public void aHostThatJustReadTheStoreIsNotAheadOfThoseThatSawEachChange() {
+        CatalogState watcher = state();
+        CatalogState fresh = state();
+        watcher.list(List.of(entry("a", 1)), 1, true, 0, "store");
+        fresh.list(List.of(entry("a", 1)), 50, true, 0, "store");
+        assertFalse(watcher.snapshot(true).isBehind(0, fresh.snapshot(true).entries().changed()));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/catalog/PlainDecoder.java
@@ -0,0 +1,106 @@
+package org.orioleshed.catalog;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+import org.orioleshed.model.VersionId;
+import org.orioleshed.model.WorkspaceId;
+
+/**
+ * A configuration is its version, and, after a stroke, the quota a second of one workspace; a
+ * server is "draining", "bad", or anything else.
+ */
+public final class PlainDecoder implements CatalogDecoder {
+    /** The only pool. */
+    public static final ServiceId SERVICE = new ServiceId("s");
+
+    /** The only workspace. */
+    public static final WorkspaceId WORKSPACE = new WorkspaceId("w");
+
+    private final int slots;
+
+    /** Makes one whose servers run {@code slots} requests at once. */
+    public PlainDecoder(int slots) {
+        this.slots = slots;
+    }
+
+    @Override
+    public String configKey() {
+        return "op/config";
+    }
+
+    @Override
+    public String operatorPrefix() {
+        return "op/";
+    }
+
+    @Override
+    public String serversPrefix() {
+        return "servers/";
+    }
+
+    @Override
+    public Catalog config(byte[] value) throws BadCatalogException {
+        String text = new String(value, StandardCharsets.UTF_8);
+        int stroke = text.indexOf('/');
+        try {
+            return stroke < 0
+                    ? catalog(Long.parseLong(text), Map.of())
+                    : catalog(
+                            Long.parseLong(text.substring(0, stroke)),
+                            workspaces(Double.parseDouble(text.substring(stroke + 1))));
+        } catch (NumberFormatException e) {
+            throw new BadCatalogException("no number", e);
+        }
+    }
+
+    private static Catalog catalog(long version, Map<WorkspaceId, WorkspaceConfig> workspaces) {
+        return new Catalog(version, Map.of(), Map.of(), Map.of(), workspaces, CallerLimits.DEFAULT);
+    }
+
+    private static Map<WorkspaceId, WorkspaceConfig> workspaces(double perSecond) {
+        Quota quota = new Quota(perSecond, perSecond, true, 1);
+        return Map.of(WORKSPACE, new WorkspaceConfig(WORKSPACE, Optional.empty(), quota));
+    }
+
+    @Override
+    public PoolServer server(String key, byte[] value) throws BadCatalogException {
+        String text = new String(value, StandardCharsets.UTF_8);
+        if (text.equals("bad")) {
+            throw new BadCatalogException("bad");
+        }
+        return new PoolServer(
+                new ServerId(key),
+                SERVICE,
+                new InetSocketAddress("10.0.0.1", 1),
+                new FailureDomain("d"),
+                new VersionId("v"),
+                slots,
+                text.equals("draining"),
+                0);
+    }
+
+    @Override
+    public Optional<MoveOrder> order(String key, byte[] value, long revision) {
+        return Optional.of(new MoveOrder(SERVICE, new VersionId("v2"), 1_000, revision));
+    }
+
+    @Override
+    public String outcomeKey(ServiceId service) {
+        return "outcome";
+    }
+
+    @Override
+    public byte[] encodeOutcome(MoveOrder order, MoveOutcome outcome) {
+        return new byte[0];
+    }
+
+    @Override
+    public Optional<MoveOutcome> outcome(MoveOrder order, byte[] value) {
+        return Optional.empty();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -0,0 +1,287 @@
+package org.orioleshed.gateway;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.orioleshed.catalog.CatalogSnapshot;
+import org.orioleshed.catalog.CatalogState;
+import org.orioleshed.catalog.PlainDecoder;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.Ask;
+import org.orioleshed.dispatch.DispatchAction;
+import org.orioleshed.dispatch.MovePolicy;
+import org.orioleshed.dispatch.Quotas;
+import org.orioleshed.dispatch.RunEnd;
+import org.orioleshed.dispatch.RunKey;
+import org.orioleshed.membership.Member;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.WorkspaceId;
+import org.orioleshed.peer.BadMessageException;
+import org.orioleshed.peer.MessageKind;
+import org.orioleshed.peer.PeerPort;
+import org.orioleshed.store.Store;
+
+/** One host of {@link SteppedHosts}: all its decisions, and a note of what its requests get. */
+final class SteppedHost implements PeerPort, FleetView.Listener, Dispatcher.PlacementListener {
+    /**
+     * Of what the operators tolerate, as in the settings of the platform; the rest is for what
+     * hosts can't know.
+     */
+    private static final Quotas.Slack SLACK = new Quotas.Slack(0.04, 400);
+
+    private static final RunEnd DONE = new RunEnd(RunEnd.Outcome.ANSWERED, 5, 50, 200);
+
+    final HostId id;
+    final InetSocketAddress address;
+    final FailureDomain domain;
+    final FleetView fleet;
+    final Dispatcher dispatcher;
+    final CatalogState catalog;
+    final CatalogSpread spread;
+    final List<String> told = new ArrayList<>();
+    final List<Sent> sent = new ArrayList<>();
+    final Set<Long> open = new HashSet<>();
+    boolean dead;
+    boolean storeAway;
+    private final SteppedHosts all;
+    private final Map<RunKey, Long> endNanos = new HashMap<>();
+    private final Map<RunKey, Long> units = new HashMap<>();
+    private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
+    private boolean wasAway;
+    private boolean listed;
+    private long watched;
+    private long runMillis;
+
+    /** A request that went to a server. */
+    record Sent(RunKey run, ServerId server, String by, long units, long atNanos) {}
+
+    SteppedHost(
+            SteppedHosts all,
+            InetSocketAddress address,
+            FailureDomain domain,
+            long incarnation,
+            SplittableRandom random) {
+        this.all = all;
+        this.address = address;
+        this.domain = domain;
+        id = FleetView.hostId(address);
+        Member member = new Member(id, domain, address, incarnation, 0, false, Member.Health.ALIVE);
+        fleet = new FleetView(member, this, random.split(), all::nowNanos, this);
+        catalog = new CatalogState(all.decoder(), line -> {});
+        dispatcher =
+                new Dispatcher(
+                        id, this, fleet, SLACK, MovePolicy.DEFAULT, all::nowNanos, line -> {});
+        spread =
+                new CatalogSpread(
+                        member,
+                        this,
+                        fleet,
+                        content -> adopt(content),
+                        all::nowNanos,
+                        random,
+                        line -> {});
+    }
+
+    /** Begins to serve. */
+    void begin() {
+        fleet.registered(all.hosts.size());
+        fleet.seed(all.addresses());
+        fleetChanged();
+    }
+
+    /** Has each request run for so long from now on; 0 for until it is ended by hand. */
+    void runFor(long millis) {
+        runMillis = millis;
+    }
+
+    void step(boolean fleetToo) {
+        readStore();
+        dispatcher.tick();
+        spread.tick();
+        if (fleetToo) {
+            fleet.tick();
+        }
+        List<RunKey> over =
+                endNanos.entrySet().stream()
+                        .filter(entry -> entry.getValue() <= all.nowNanos())
+                        .map(Map.Entry::getKey)
+                        .toList();
+        over.forEach(run -> end(run, DONE));
+    }
+
+    private void end(RunKey run, RunEnd end) {
+        endNanos.remove(run);
+        dispatcher.ended(run, end);
+    }
+
+    private void readStore() {
+        boolean changed = catalog.expire(all.nowNanos());
+        if (storeAway) {
+            wasAway = true;
+        } else if (!listed || wasAway) {
+            boolean settled = !wasAway;
+            listed = true;
+            wasAway = false;
+            watched = all.storeRevision();
+            changed = true;
+            list(settled);
+        } else if (fleet.watchesStore()) {
+            for (SteppedHosts.Event event : all.changedAfter(watched)) {
+                watched = event.revision();
+                changed = true;
+                take(event);
+            }
+        }
+        if (changed) {
+            publish();
+        }
+    }
+
+    private void list(boolean settled) {
+        List<Store.Entry> servers = new ArrayList<>();
+        for (Store.Entry entry : all.entries()) {
+            if (entry.key().startsWith("op/")) {
+                var unused = catalog.operator(entry, "store");
+            } else {
+                servers.add(entry);
+            }
+        }
+        catalog.list(servers, all.storeRevision(), settled, all.nowNanos(), "store");
+    }
+
+    private void take(SteppedHosts.Event event) {
+        if (event.value().isEmpty()) {
+            catalog.remove(event.key(), event.revision(), true, all.nowNanos(), "store");
+            return;
+        }
+        Store.Entry entry = new Store.Entry(event.key(), event.value().get(), event.revision());
+        if (event.key().startsWith("op/")) {
+            var unused = catalog.operator(entry, "store");
+        } else {
+            catalog.put(entry, "store");
+        }
+    }
+
+    private void adopt(CatalogUpdate.Content content) {
+        if (catalog.adopt(content.operators(), content.servers(), all.nowNanos())) {
+            publish();
+        }
+    }
+
+    private void publish() {
+        CatalogSnapshot newer = catalog.snapshot(true);
+        if (newer.configRevision() < snapshot.configRevision()
+                || newer.entries().revision() < snapshot.entries().revision()) {
+            throw new AssertionError("revisions fell: " + snapshot + " " + newer);
+        }
+        snapshot = newer;
+        dispatcher.changed(newer);
+        spread.changed(newer);
+    }
+
+    CatalogSnapshot snapshot() {
+        return snapshot;
+    }
+
+    void received(HostId from, MessageKind kind, byte[] body) throws BadMessageException {
+        switch (kind) {
+            case MEMBERSHIP -> fleet.received(from, body);
+            case DISPATCH -> dispatcher.received(from, body);
+            case CATALOG -> spread.received(from, body);
+            case ROUTING, REQUEST, SETTINGS, MOVE -> throw new BadMessageException("not of ours");
+        }
+    }
+
+    @Override
+    public void know(HostId host, InetSocketAddress where) {}
+
+    @Override
+    public boolean send(HostId to, MessageKind kind, byte[] body) {
+        all.post(id, to, kind, body);
+        return true;
+    }
+
+    @Override
+    public void fleetChanged() {
+        dispatcher.fleetChanged();
+    }
+
+    @Override
+    public void hostDied(HostId host) {
+        dispatcher.hostDied(host);
+    }
+
+    @Override
+    public void granted(RunKey run, ServerId server, String why) {
+        String by = why.split(" ", 2)[0];
+        told.add(run.number() + " " + server.value().replace("servers/", "") + " " + by);
+        if (!open.remove(run.number())) {
+            throw new AssertionError("granted twice: " + run);
+        }
+        Optional<PoolServer> known = dispatcher.server(server);
+        boolean usable = known.isPresent() && !known.get().draining();
+        if (!usable) {
+            if (!by.equals("by=home")) {
+                throw new AssertionError("a leaving server was chosen here: " + server);
+            }
+            dispatcher.ended(run, new RunEnd(RunEnd.Outcome.MISDIRECTED, 0, 0, 0));
+            return;
+        }
+        sent.add(new Sent(run, server, by, units.get(run), all.nowNanos()));
+        dispatcher.first(run, 20);
+        if (runMillis > 0) {
+            endNanos.put(run, all.nowNanos() + runMillis * 1_000_000);
+        }
+    }
+
+    @Override
+    public void refused(RunKey run, DispatchAction.Reason reason, long retryAfterMillis) {
+        told.add(run.number() + " " + reason);
+        if (!open.remove(run.number())) {
+            throw new AssertionError("answered twice: " + run);
+        }
+    }
+
+    void ask(long number) {
+        ask(number, Optional.empty(), 0);
+    }
+
+    /** Asks for a place for a request that uses a workspace's quota. */
+    void ask(long number, Optional<WorkspaceId> workspace, long ofQuota) {
+        Ask ask =
+                new Ask(
+                        PlainDecoder.SERVICE,
+                        new RouteId("r"),
+                        workspace,
+                        domain,
+                        0,
+                        600,
+                        10_000,
+                        100,
+                        100,
+                        ofQuota,
+                        number,
+                        Set.of());
+        open.add(number);
+        units.put(key(number), ofQuota);
+        dispatcher.place(key(number), ask, this);
+    }
+
+    void withdraw(long number) {
+        open.remove(number);
+        dispatcher.withdraw(key(number));
+    }
+
+    RunKey key(long number) {
+        return new RunKey(id, number);
+    }
+}
