Who waits at the home asks again: a lost grant is given again

Ruled out: the silent-home rule (the home does answer others).

Change: who was told that it waits asks again every 500 ms; a home that has placed or queued the run answers the same again, and one that has forgotten it takes it anew. Queued is noted only from where the request waits.

Tests: DispatcherTest.aGrantThatIsLostIsGivenAgain and .whoWaitsAtAHomeThatHeldItsHostForDead… fail on the commit before.

--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -92,7 +92,7 @@
 
     private void ask(RunKey run, Ask ask) {
         PoolState pool = pool(ask.service());
-        if (runs.containsKey(run) || pool.isWaiting(run)) {
+        if (repeats(run, pool)) {
             return;
         }
         if (crashes.isHeld(ask.content(), nowNanos)) {
@@ -120,6 +120,20 @@
         actions.add(new DispatchAction.Queued(run));
     }
 
+    /** Answers once more who asks once more, since the first answer may be lost. */
+    private boolean repeats(RunKey run, PoolState pool) {
+        ServerState server = runs.get(run);
+        if (server != null) {
+            actions.add(new DispatchAction.Grant(run, server.server().id(), "again"));
+            return true;
+        }
+        if (pool.isWaiting(run)) {
+            actions.add(new DispatchAction.Queued(run));
+            return true;
+        }
+        return false;
+    }
+
     /** Returns whether nobody of the same or a more urgent rank waits. */
     private static boolean isNext(PoolState pool, Ask ask) {
         return pool.waiters().stream().noneMatch(waiter -> waiter.ask().rank() <= ask.rank());
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -43,6 +43,9 @@
     /** A home that did not answer is asked again after this time. */
     private static final long HOME_PAUSE_MILLIS = 400;
 
+    /** Who waits at the home asks again at this interval: its grant may be lost. */
+    private static final long ASK_AGAIN_MILLIS = 500;
+
     /** What waits at a home that does not answer others is placed here after this time. */
     private static final long SILENT_HOME_MILLIS = 300;
 
@@ -248,7 +251,7 @@
         Pending wanted = pending.get(action.run());
         switch (action) {
             case DispatchAction.Queued queued -> {
-                if (wanted != null) {
+                if (wanted != null && wanted.atHome == byHome) {
                     wanted.queued = true;
                 }
             }
@@ -292,9 +295,22 @@
         fromOwn(own.on(nowNanos, new DispatchEvent.Tick()));
         if (!isHome()) {
             checkHome(nowNanos);
+            askAgain(nowNanos);
         }
     }
 
+    private void askAgain(long nowNanos) {
+        pending.forEach(
+                (run, wanted) -> {
+                    long sinceNanos = nowNanos - wanted.askedNanos;
+                    boolean due = sinceNanos > ASK_AGAIN_MILLIS * NANOS_PER_MILLI;
+                    if (home.isPresent() && wanted.atHome && wanted.queued && due) {
+                        wanted.askedNanos = nowNanos;
+                        var unused = toHome(new DispatchEvent.Asked(run, wanted.askNow(nowNanos)));
+                    }
+                });
+    }
+
     /** Has the state of a move recorded where it is new. */
     private void record(Scheduler.MoveView move) {
         if (move.outcome() == told.put(move.order(), move.outcome())) {
--- a/src/test/java/org/orioleshed/gateway/DispatcherTest.java
+++ b/src/test/java/org/orioleshed/gateway/DispatcherTest.java
@@ -75,6 +75,32 @@
         assertTrue(two.get(1).told.getFirst().startsWith("2 x"), two.get(1).told.toString());
     }
 
+    @Test
+    public void aGrantThatIsLostIsGivenAgain() {
+        SteppedHosts two = SteppedHosts.two(1);
+        two.get(0).ask(1);
+        two.get(1).ask(2);
+        two.deliver();
+        two.weather(1, 0, 0);
+        two.get(0).dispatcher.ended(two.get(0).key(1), DONE);
+        two.deliver();
+        two.weather(0, 0, 0);
+        two.run(600);
+        assertEquals(two.get(1).told, List.of("2 x by=home"));
+    }
+
+    @Test
+    public void whoWaitsAtAHomeThatHeldItsHostForDeadIsServedAfterAll() {
+        SteppedHosts two = SteppedHosts.two(1);
+        two.get(0).ask(1);
+        two.get(1).ask(2);
+        two.deliver();
+        two.get(0).dispatcher.hostDied(two.get(1).id);
+        two.get(0).dispatcher.ended(two.get(0).key(1), DONE);
+        two.run(600);
+        assertEquals(two.get(1).told, List.of("2 x by=home"));
+    }
+
     @Test
     public void aRequestThatWasWithdrawnHoldsNoPlace() {
         SteppedHosts two = SteppedHosts.two(1);
