--- a/src/main/java/org/orioleshed/load/LoadMain.java
+++ b/src/main/java/org/orioleshed/load/LoadMain.java
@@ -13,6 +13,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import org.knowm.xchart.CategoryChart;
+import org.orioleshed.trial.PolicyTrials;
 
 /** The program {@code orioleshed-load}. */
 @Cli(
@@ -27,6 +29,7 @@
             LoadMain.CompareCommand.class,
             LoadMain.PlotCommand.class,
             LoadMain.PathCommand.class,
+            LoadMain.PoliciesCommand.class,
             Help.class
         })
 public final class LoadMain {
@@ -202,6 +205,30 @@
         }
     }
 
+    /** Compares ways to queue, place and refuse. */
+    @Command(
+            name = "policies",
+            description = "Compares ways to queue, place and refuse on a model of engines")
+    public static final class PoliciesCommand implements Runnable {
+        @Option(name = "--seeds", description = "How many seeds each is played with")
+        int seeds = 5;
+
+        @Option(name = "--out", description = "A file for a chart, SVG")
+        String out;
+
+        @Override
+        public void run() {
+            try {
+                CategoryChart chart = PolicyTrials.run(seeds, System.out);
+                if (out != null) {
+                    Plot.write(chart, Path.of(out));
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
     /** Measures the time that an entry host adds. */
     @Command(name = "path", description = "Measures the time to the first byte that a host adds")
     public static final class PathCommand implements Runnable {
--- a/src/main/java/org/orioleshed/load/Plot.java
+++ b/src/main/java/org/orioleshed/load/Plot.java
@@ -32,6 +32,11 @@
                         .yAxisTitle(field)
                         .build();
         values(reports, field).forEach((name, row) -> chart.addSeries(name, Report.TIERS, row));
+        write(chart, file);
+    }
+
+    /** Draws a chart. */
+    static void write(CategoryChart chart, Path file) throws IOException {
         VectorGraphics2D graphics = new VectorGraphics2D();
         chart.paint(graphics, WIDTH, HEIGHT);
         CommandSequence commands = graphics.getCommands();
--- /dev/null
+++ b/src/main/java/org/orioleshed/trial/TrialRequest.java
@@ -0,0 +1,37 @@
+package org.orioleshed.trial;
+
+/** One request of a caller, its attempts included. */
+final class TrialRequest {
+    final long number;
+    final RequestKind kind;
+    final long cameNanos;
+    int engine = -1;
+    int attempts;
+    long sentNanos;
+    long firstNanos;
+    boolean done;
+    boolean refused;
+
+    TrialRequest(long number, RequestKind kind, long cameNanos) {
+        this.number = number;
+        this.kind = kind;
+        this.cameNanos = cameNanos;
+    }
+
+    long endNanos() {
+        return cameNanos + kind.deadlineMillis() * ModelEngine.NANOS_PER_MILLI;
+    }
+
+    long leftMillis(long nowNanos) {
+        return (endNanos() - nowNanos) / ModelEngine.NANOS_PER_MILLI;
+    }
+
+    long aimLeftMillis(long nowNanos) {
+        long sinceMillis = (nowNanos - cameNanos) / ModelEngine.NANOS_PER_MILLI;
+        return kind.aimMillis() - sinceMillis;
+    }
+
+    boolean isInTime() {
+        return firstNanos - cameNanos <= kind.aimMillis() * ModelEngine.NANOS_PER_MILLI;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/trial/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Ways to queue, place and refuse requests, compared on a model of engines without clock or
+ * sockets.
+ */
+package org.orioleshed.trial;
