Dispatcher: what is in force is told to schedulers by CatalogFeed, servers are found by id

Leftovers: the fingerprint of a request is taken once, not at each placement; Pool without the fields that nobody reads; the count of log lines dropped is on the metrics address.

--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -0,0 +1,70 @@
+package org.orioleshed.gateway;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.catalog.Catalog;
+import org.orioleshed.catalog.CatalogSnapshot;
+import org.orioleshed.catalog.MoveOrder;
+import org.orioleshed.catalog.MoveOutcome;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.catalog.Quota;
+import org.orioleshed.dispatch.DispatchAction;
+import org.orioleshed.dispatch.DispatchEvent;
+import org.orioleshed.dispatch.Scheduler;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.WorkspaceId;
+
+/** Tells schedulers what is in force. */
+final class CatalogFeed {
+    private final Map<MoveOrder, Long> ordersSeenNanos = new HashMap<>();
+    private final Map<MoveOrder, MoveOutcome> recorded = new HashMap<>();
+    private final Map<ServerId, PoolServer> servers = new HashMap<>();
+    private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
+
+    /** Something newer is in force. */
+    void changed(CatalogSnapshot newer, long nowNanos) {
+        snapshot = newer;
+        servers.clear();
+        newer.servers().forEach(server -> servers.put(server.id(), server));
+        newer.orders().forEach(order -> ordersSeenNanos.putIfAbsent(order, nowNanos));
+    }
+
+    /** The store holds an outcome of a move. */
+    void recorded(MoveOrder order, MoveOutcome outcome) {
+        recorded.put(order, outcome);
+    }
+
+    /** Returns the server with an id, where it is known. */
+    Optional<PoolServer> server(ServerId id) {
+        return Optional.ofNullable(servers.get(id));
+    }
+
+    /**
+     * Tells a scheduler all that is in force, and returns what it does about it.
+     *
+     * @param evidenceHere whether it sees the answers of all servers
+     */
+    List<DispatchAction> to(Scheduler scheduler, boolean evidenceHere, long nowNanos) {
+        List<DispatchEvent> events = new ArrayList<>();
+        snapshot.catalog().ifPresent(catalog -> events.add(limits(catalog)));
+        for (MoveOrder order : snapshot.orders()) {
+            long seenNanos = ordersSeenNanos.get(order);
+            events.add(new DispatchEvent.MoveOrdered(order, seenNanos, evidenceHere));
+        }
+        recorded.forEach(
+                (order, outcome) -> events.add(new DispatchEvent.MoveSettled(order, outcome)));
+        events.add(new DispatchEvent.ServersChanged(snapshot.servers()));
+        List<DispatchAction> actions = new ArrayList<>();
+        events.forEach(event -> actions.addAll(scheduler.on(nowNanos, event)));
+        return actions;
+    }
+
+    private static DispatchEvent limits(Catalog catalog) {
+        Map<WorkspaceId, Quota> quotas = new HashMap<>();
+        catalog.tenancies().forEach((id, tenancy) -> quotas.put(id, tenancy.quota()));
+        return new DispatchEvent.LimitsChanged(catalog.pools(), quotas);
+    }
+}
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -8,12 +8,10 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.catalog.MoveOrder;
 import org.orioleshed.catalog.MoveOutcome;
 import org.orioleshed.catalog.PoolServer;
-import org.orioleshed.catalog.Quota;
 import org.orioleshed.dispatch.Ask;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.DispatchCodec;
@@ -27,7 +25,6 @@
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
-import org.orioleshed.model.WorkspaceId;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerPort;
@@ -74,14 +71,12 @@
     private final Followers followers = new Followers();
     private final Quotas.Slack slack;
     private final MovePolicy movePolicy;
-    private final Map<MoveOrder, Long> ordersSeenNanos = new HashMap<>();
-    private final Map<MoveOrder, MoveOutcome> recorded = new HashMap<>();
+    private final CatalogFeed feed = new CatalogFeed();
     private final Map<MoveOrder, MoveOutcome> told = new HashMap<>();
     private final Scheduler own;
     private Scheduler asHome;
     private Optional<Member> home = Optional.empty();
     private BiConsumer<MoveOrder, MoveOutcome> recorder = (order, outcome) -> {};
-    private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private long homeSilentUntilNanos;
     private long homeSilentSinceNanos;
     private long tickedNanos;
@@ -360,7 +355,7 @@
 
     /** The store holds an outcome of a move. */
     void recorded(MoveOrder order, MoveOutcome outcome) {
-        recorded.put(order, outcome);
+        feed.recorded(order, outcome);
         long nowNanos = clock.getAsLong();
         DispatchEvent settled = new DispatchEvent.MoveSettled(order, outcome);
         fromOwn(own.on(nowNanos, settled));
@@ -480,7 +475,7 @@
             told.clear();
             double fill = fleet.startedTogether() ? RESTART_FILL : FIRST_FILL;
             asHome = newHome(fill);
-            feed(asHome, nowNanos);
+            var unused = feed.to(asHome, true, nowNanos);
             share();
         }
         active.forEach(
@@ -505,43 +500,15 @@
 
     /** The configuration or the servers changed. */
     void changed(CatalogSnapshot newer) {
-        snapshot = newer;
         long nowNanos = clock.getAsLong();
-        fromOwn(feed(own, nowNanos));
-        fromHome(feed(asHome, nowNanos));
-    }
-
-    private List<DispatchAction> feed(Scheduler scheduler, long nowNanos) {
-        List<DispatchAction> actions = new ArrayList<>();
-        snapshot.catalog()
-                .ifPresent(catalog -> actions.addAll(scheduler.on(nowNanos, limits(catalog))));
-        for (MoveOrder order : snapshot.orders()) {
-            long seenNanos = ordersSeenNanos.computeIfAbsent(order, key -> nowNanos);
-            boolean evidenceHere = scheduler != own;
-            actions.addAll(
-                    scheduler.on(
-                            nowNanos,
-                            new DispatchEvent.MoveOrdered(order, seenNanos, evidenceHere)));
-        }
-        recorded.forEach(
-                (order, outcome) ->
-                        actions.addAll(
-                                scheduler.on(
-                                        nowNanos, new DispatchEvent.MoveSettled(order, outcome))));
-        actions.addAll(
-                scheduler.on(nowNanos, new DispatchEvent.ServersChanged(snapshot.servers())));
-        return actions;
-    }
-
-    private static DispatchEvent limits(Catalog catalog) {
-        Map<WorkspaceId, Quota> quotas = new HashMap<>();
-        catalog.tenancies().forEach((id, tenancy) -> quotas.put(id, tenancy.quota()));
-        return new DispatchEvent.LimitsChanged(catalog.pools(), quotas);
+        feed.changed(newer, nowNanos);
+        fromOwn(feed.to(own, false, nowNanos));
+        fromHome(feed.to(asHome, true, nowNanos));
     }
 
     /** Returns the server with an id, where it is known. */
     Optional<PoolServer> server(ServerId id) {
-        return snapshot.servers().stream().filter(server -> server.id().equals(id)).findFirst();
+        return feed.server(id);
     }
 
     /** Returns one word on who is the home, for the log. */
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -66,6 +66,7 @@
     private RepeatRule rule;
     private ServiceId service;
     private long endNanos;
+    private long content;
     private RunKey run;
     private ServerTry current;
     private boolean streaming;
@@ -111,6 +112,7 @@
             waitMillis = Math.min(waitMillis, facts.deadlineMillis());
         }
         endNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
+        content = fingerprint();
         place(tenancy.map(WorkspaceConfig::workspace));
     }
 
@@ -140,7 +142,7 @@
                 model ? Math.max(1, facts.promptTokens()) : 0,
                 model ? facts.likelyTokens() : 0,
                 tenancy.map(WorkspaceConfig::quota).orElse(Quota.NONE).units(facts.statedTokens()),
-                content(),
+                content,
                 excluded);
     }
 
@@ -149,7 +151,7 @@
     }
 
     /** Returns a fingerprint of what is asked and by whom. */
-    private long content() {
+    private long fingerprint() {
         return Hashing.murmur3_128()
                 .newHasher()
                 .putUnencodedChars(request.uri())
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -118,6 +118,7 @@
         this.firstEventMillis = histogram("first_event_millis");
         this.answerMillis = histogram("answer_millis");
         this.acceptedRequests = metrics.counter("requests");
+        metrics.gauge("log_lines_dropped", () -> log::dropped);
         this.peers =
                 new PeerNetwork(
                         self,
--- a/src/main/java/org/orioleshed/trial/HomePolicy.java
+++ b/src/main/java/org/orioleshed/trial/HomePolicy.java
@@ -37,7 +37,7 @@
 
     HomePolicy(Floor floor, ModelEngine.Spec spec) {
         this.floor = floor;
-        Pool pool = new Pool(SERVICE, "/", 1, true, spec.memoryTokens(), spec.eventTokens());
+        Pool pool = new Pool(SERVICE, true, spec.memoryTokens(), spec.eventTokens());
         apply(0, new DispatchEvent.LimitsChanged(Map.of(SERVICE, pool), Map.of()));
         List<PoolServer> servers = new ArrayList<>();
         for (int engine = 0; engine < floor.engines(); engine++) {
--- a/src/test/java/org/orioleshed/dispatch/Pools.java
+++ b/src/test/java/org/orioleshed/dispatch/Pools.java
@@ -37,12 +37,12 @@
     }
 
     Pools pool(long memoryTokens) {
-        Pool pool = new Pool(SERVICE, "/health", 100, true, memoryTokens, 7);
+        Pool pool = new Pool(SERVICE, true, memoryTokens, 7);
         return tell(new DispatchEvent.LimitsChanged(Map.of(SERVICE, pool), Map.of()));
     }
 
     Pools quota(double perSecond, double burst) {
-        Pool pool = new Pool(SERVICE, "/health", 100, true, 1_000_000, 7);
+        Pool pool = new Pool(SERVICE, true, 1_000_000, 7);
         Quota quota = new Quota(perSecond, burst, true, 200);
         return tell(
                 new DispatchEvent.LimitsChanged(Map.of(SERVICE, pool), Map.of(WORKSPACE, quota)));
