--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -22,7 +22,6 @@
 import org.orioleshed.dispatch.RunEnd;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.Scheduler;
-import org.orioleshed.membership.Member;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.peer.BadMessageException;
@@ -37,15 +36,9 @@
     /** The home answers each ask at once; a few round trips and a busy moment fit in this. */
     private static final long HOME_ANSWER_MILLIS = 60;
 
-    /** A home that did not answer is asked again after this time. */
-    private static final long HOME_PAUSE_MILLIS = 400;
-
     /** Who waits at the home asks again at this interval: its grant may be lost. */
     private static final long ASK_AGAIN_MILLIS = 500;
 
-    /** What waits at a home that does not answer others is placed here after this time. */
-    private static final long SILENT_HOME_MILLIS = 300;
-
     /** A scheduler that begins does not know what was used before. */
     private static final double FIRST_FILL = 0.05;
 
@@ -55,9 +48,6 @@
     /** After a pause of this host's own, answers may wait unread; they come before judgement. */
     private static final long LATE_TICK_MILLIS = 45;
 
-    /** A home that answered this lately is there, whatever others say. */
-    private static final long HOME_HEARD_MILLIS = 500;
-
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final LongSupplier clock;
@@ -75,15 +65,10 @@
     private final Map<MoveOrder, MoveOutcome> told = new HashMap<>();
     private final Scheduler own;
     private Scheduler asHome;
-    private Optional<Member> home = Optional.empty();
+    private final HomeLink home;
     private BiConsumer<MoveOrder, MoveOutcome> recorder = (order, outcome) -> {};
-    private long homeSilentUntilNanos;
-    private long homeSilentSinceNanos;
     private long tickedNanos;
-    private long homeHeardNanos;
-    private long followedNanos;
     private double quotaShare;
-    private boolean homeSilent;
 
     /** Who wants a place. */
     interface PlacementListener {
@@ -131,6 +116,7 @@
         this.asHome = newHome(FIRST_FILL);
         this.peers = peers;
         this.fleet = fleet;
+        this.home = new HomeLink(self, fleet, log);
         this.log = log;
     }
 
@@ -149,15 +135,15 @@
     private void place(RunKey run, Pending wanted, Ask ask, long nowNanos) {
         wanted.askedNanos = nowNanos;
         wanted.queued = false;
-        if (isHome()) {
+        if (home.isSelf()) {
             wanted.atHome = true;
             fromHome(asHome.on(nowNanos, new DispatchEvent.Asked(run, ask)));
             return;
         }
-        if (home.isPresent() && nowNanos >= homeSilentUntilNanos) {
+        if (home.mayBeAsked(nowNanos)) {
             wanted.atHome = true;
             if (toHome(new DispatchEvent.Asked(run, ask))) {
-                followedNanos = nowNanos;
+                home.asked(nowNanos);
                 return;
             }
         }
@@ -197,20 +183,16 @@
     }
 
     private void tellHome(DispatchEvent event) {
-        if (isHome()) {
+        if (home.isSelf()) {
             fromHome(asHome.on(clock.getAsLong(), event));
-        } else if (home.isPresent()) {
+        } else if (home.id().isPresent()) {
             toHome(event);
         }
     }
 
     private boolean toHome(DispatchEvent event) {
         byte[] bytes = codec.encode(new DispatchMessage.ToHome(event));
-        return peers.send(home.orElseThrow().id(), MessageKind.DISPATCH, bytes);
-    }
-
-    private boolean isHome() {
-        return home.map(it -> it.id().equals(self)).orElse(false);
+        return peers.send(home.id().orElseThrow(), MessageKind.DISPATCH, bytes);
     }
 
     /** Takes a message of a peer. */
@@ -224,9 +206,7 @@
             }
             case DispatchMessage.Follows follows -> followedBy(from);
             case DispatchMessage.FromHome answer -> {
-                if (home.map(it -> it.id().equals(from)).orElse(false)) {
-                    homeAnswered();
-                }
+                home.answered(from, clock.getAsLong());
                 deliver(answer.action(), true);
             }
         }
@@ -237,15 +217,6 @@
         shareAsHome();
     }
 
-    private void homeAnswered() {
-        if (homeSilent) {
-            homeSilent = false;
-            log.accept("event=home_back home=" + home.orElseThrow().id());
-        }
-        homeHeardNanos = clock.getAsLong();
-        homeSilentUntilNanos = homeHeardNanos;
-    }
-
     private void fromHome(List<DispatchAction> actions) {
         for (DispatchAction action : actions) {
             if (action.run().origin().equals(self)) {
@@ -296,19 +267,19 @@
         } else {
             tellHome(new DispatchEvent.Placed(grant.run(), ask, grant.server()));
         }
-        String by = byHome ? (isHome() ? "self" : "home") : "own";
+        String by = byHome ? (home.isSelf() ? "self" : "home") : "own";
         wanted.placee.granted(grant.run(), grant.server(), "by=" + by + " " + grant.why());
     }
 
     void tick() {
         long nowNanos = clock.getAsLong();
         shareAsHome();
-        if (isHome()) {
+        if (home.isSelf()) {
             fromHome(asHome.on(nowNanos, new DispatchEvent.Tick()));
             asHome.moves().forEach(this::record);
         }
         fromOwn(own.on(nowNanos, new DispatchEvent.Tick()));
-        if (!isHome()) {
+        if (!home.isSelf()) {
             checkHome(nowNanos);
             follow(nowNanos);
             askAgain(nowNanos);
@@ -320,7 +291,7 @@
                 (run, wanted) -> {
                     long sinceNanos = nowNanos - wanted.askedNanos;
                     boolean due = sinceNanos > ASK_AGAIN_MILLIS * NANOS_PER_MILLI;
-                    if (home.isPresent() && wanted.atHome && wanted.queued && due) {
+                    if (home.mayBeAsked(nowNanos) && wanted.atHome && wanted.queued && due) {
                         wanted.askedNanos = nowNanos;
                         var unused = toHome(new DispatchEvent.Asked(run, wanted.askNow(nowNanos)));
                     }
@@ -329,11 +300,10 @@
 
     /** Tells the home that this host looks to it, unless it just did so by asking. */
     private void follow(long nowNanos) {
-        boolean told = nowNanos - followedNanos < Followers.TELL_NANOS;
-        if (home.isPresent() && !told && nowNanos >= homeSilentUntilNanos) {
-            followedNanos = nowNanos;
+        if (home.isTellDue(nowNanos)) {
+            home.asked(nowNanos);
             byte[] bytes = codec.encode(new DispatchMessage.Follows());
-            peers.send(home.get().id(), MessageKind.DISPATCH, bytes);
+            peers.send(home.id().orElseThrow(), MessageKind.DISPATCH, bytes);
         }
     }
 
@@ -374,8 +344,8 @@
                 overdue.add(entry.getKey());
             }
         }
-        if (!overdue.isEmpty()) {
-            noteSilence(nowNanos);
+        if (!overdue.isEmpty() && home.noteSilence(nowNanos)) {
+            fleetChanged();
         }
         for (RunKey run : overdue) {
             Pending wanted = pending.get(run);
@@ -397,48 +367,20 @@
             return false;
         }
         if (wanted.queued) {
-            return homeSilent
-                    && nowNanos - homeSilentSinceNanos > SILENT_HOME_MILLIS * NANOS_PER_MILLI;
+            return home.isLost(nowNanos);
         }
         return nowNanos - wanted.askedNanos > HOME_ANSWER_MILLIS * NANOS_PER_MILLI;
     }
 
-    private void noteSilence(long nowNanos) {
-        homeSilentUntilNanos = nowNanos + HOME_PAUSE_MILLIS * NANOS_PER_MILLI;
-        if (!homeSilent) {
-            homeSilent = true;
-            homeSilentSinceNanos = nowNanos;
-            log.accept("event=home_silent home=" + homeName());
-            fleetChanged();
-        }
-    }
-
     /** The membership view changed. */
     void fleetChanged() {
-        Optional<Member> next = keepsHome(fleet.home()) ? home : fleet.home();
-        boolean moved =
-                !next.map(Member::id).equals(home.map(Member::id))
-                        || !next.map(Member::incarnation).equals(home.map(Member::incarnation));
-        home = next;
+        boolean moved = home.choose(clock.getAsLong());
         share();
         if (moved) {
             homeMoved();
         }
     }
 
-    /**
-     * Returns whether the present home stays although the view no longer names it: a rumour that it
-     * is gone counts for less than its answers, unless a host that has been up longer is back.
-     */
-    private boolean keepsHome(Optional<Member> candidate) {
-        if (home.isEmpty() || candidate.isEmpty() || isHome() || homeSilent) {
-            return false;
-        }
-        boolean younger = candidate.get().incarnation() > home.get().incarnation();
-        boolean answers = clock.getAsLong() - homeHeardNanos < HOME_HEARD_MILLIS * NANOS_PER_MILLI;
-        return younger && answers && !fleet.isLeaving(home.get());
-    }
-
     private void share() {
         long nowNanos = clock.getAsLong();
         double known = fleet.known();
@@ -463,15 +405,12 @@
         log.accept(
                 "event=home_moved home=%s live=%d known=%d waiting=%d running=%d"
                         .formatted(
-                                home.map(it -> it.id().value()).orElse("none"),
+                                home.name(),
                                 fleet.live().size(),
                                 fleet.known(),
                                 pending.size(),
                                 active.size()));
-        homeSilent = false;
-        homeSilentUntilNanos = nowNanos;
-        followedNanos = nowNanos - Followers.TELL_NANOS;
-        if (isHome()) {
+        if (home.isSelf()) {
             told.clear();
             double fill = fleet.startedTogether() ? RESTART_FILL : FIRST_FILL;
             asHome = newHome(fill);
@@ -513,6 +452,6 @@
 
     /** Returns one word on who is the home, for the log. */
     String homeName() {
-        return home.map(it -> it.id().value()).orElse("none");
+        return home.name();
     }
 }
