--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/PlatformStoreTest.java
@@ -0,0 +1,95 @@
+package org.orioleshed.platform;
+
+import static org.testng.Assert.assertTrue;
+
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.orioleshed.model.Payload;
+import org.orioleshed.store.Store;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link PlatformStore} against a stand-in of the store. */
+public class PlatformStoreTest {
+    private static final long WAIT_SECONDS = 20;
+    private static final int CHANGES = 30;
+
+    /** The stand-in looks for changes more often than this. */
+    private static final long GAP_MILLIS = 12;
+
+    /** No more than one call in this time is wanted. */
+    private static final long REST_NANOS = 200_000_000L;
+
+    private final BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+    private EventLoopGroup group;
+    private StoreFake fake;
+    private PlatformStore store;
+
+    @BeforeMethod
+    public void open() throws Exception {
+        seen.clear();
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        fake = new StoreFake();
+        store = new PlatformStore(new StoreCalls(group.next(), fake.address()));
+    }
+
+    @AfterMethod
+    public void close() {
+        store.close();
+        fake.close();
+        var unused = group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+
+    private final class Watcher implements Store.Watcher {
+        @Override
+        public void onChange(String key, Optional<Payload> value, long revision) {
+            seen.add(key);
+        }
+
+        @Override
+        public void onBreak(String detail) {
+            seen.add("broken");
+        }
+    }
+
+    private void awaitSeen(String key) throws InterruptedException {
+        String next = "";
+        while (!key.equals(next)) {
+            next = seen.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+            assertTrue(next != null, "never saw " + key);
+        }
+    }
+
+    @Test
+    public void changesThatComeTogetherCostFewCalls() throws InterruptedException {
+        store.watch("servers/", 1, new Watcher());
+        fake.put("servers/first", "x");
+        awaitSeen("servers/first");
+        long beginNanos = System.nanoTime();
+        for (int i = 0; i < CHANGES; i++) {
+            fake.put("servers/" + i, "x");
+            Thread.sleep(GAP_MILLIS);
+        }
+        awaitSeen("servers/" + (CHANGES - 1));
+        long rests = (System.nanoTime() - beginNanos) / REST_NANOS;
+        assertTrue(fake.watchCalls() <= 3 + rests, "calls " + fake.watchCalls());
+    }
+
+    @Test
+    public void aWatchThatIsClosedAsksNoMore() throws InterruptedException {
+        Store.Watch watch = store.watch("servers/", 1, new Watcher());
+        fake.put("servers/first", "x");
+        awaitSeen("servers/first");
+        watch.close();
+        fake.put("servers/second", "x");
+        store.watch("servers/", 1, new Watcher());
+        awaitSeen("servers/second");
+        assertTrue(seen.isEmpty(), seen.toString());
+    }
+}
--- a/src/test/java/org/orioleshed/platform/StoreFake.java
+++ b/src/test/java/org/orioleshed/platform/StoreFake.java
@@ -13,6 +13,7 @@
 import java.util.SortedMap;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A small stand-in of the platform's store: ranges and watches, and what can go wrong with them.
@@ -29,6 +30,7 @@
     private volatile boolean watchesSilent;
     private volatile boolean historyGone;
     private volatile boolean serversHidden;
+    private final AtomicInteger watches = new AtomicInteger();
 
     private record Item(String value, long revision) {}
 
@@ -59,6 +61,11 @@
         changes.add(new Change(key, json, revision));
     }
 
+    /** Returns how many watch calls came. */
+    int watchCalls() {
+        return watches.get();
+    }
+
     void failWith(int status) {
         failWith = status;
     }
@@ -126,6 +133,7 @@
     }
 
     private void watch(HttpExchange exchange) throws IOException, InterruptedException {
+        watches.incrementAndGet();
         String prefix = query(exchange, "prefix");
         long after = Long.parseLong(query(exchange, "after"));
         if (historyGone) {
