--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -1,19 +1,15 @@
 package org.orioleshed.request;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.EntryHost;
-import org.orioleshed.fleet.EvenDraws;
-import org.orioleshed.fleet.VersionSplit;
 import org.orioleshed.fleet.World;
 import org.orioleshed.host.Decision;
 import org.orioleshed.host.HostAction;
@@ -64,7 +60,8 @@
 
     private final RequestLimits limits;
     private final RandomGenerator random;
-    private final EvenDraws versionDraws;
+    private final ServerChoices servers;
+    private final CallerStreams streams;
     private final Placement placement;
     private final PoisonWatch poison;
     private final RetryBudget retries;
@@ -73,7 +70,6 @@
     private final Wakes<Execution> wakes = new Wakes<>();
     private final Consumer<HostAction> out;
     private final Closed onClosed;
-    private final Map<RequestId, Execution> byCaller = new HashMap<>();
     private final Map<RequestId, Execution> byRequest = new LinkedHashMap<>();
     private World world = World.EMPTY;
     private boolean draining;
@@ -92,7 +88,8 @@
             Closed onClosed) {
         this.limits = limits;
         this.random = random;
-        this.versionDraws = new EvenDraws(random);
+        this.servers = new ServerChoices(random, placement, poison, limits.offersAtOnce());
+        this.streams = new CallerStreams(limits, out);
         this.placement = placement;
         this.poison = poison;
         this.out = out;
@@ -109,9 +106,9 @@
      */
     void start(long nowNanos, Request request, Consumer<Execution> onOpened) {
         Execution execution = new Execution(request, new Waiting(nowNanos));
-        execution.version = world.version(request.route(), versionDraws.next(request.route()));
+        execution.version = servers.draw(request.route());
         byRequest.put(request.id(), execution);
-        addCaller(execution, request);
+        streams.add(execution, request);
         onOpened.accept(execution);
         if (execution.state instanceof Relaying || execution.awaitsOrphan) {
             execution.asked.clear();
@@ -125,10 +122,7 @@
 
     /** Lets a resend of the key share a running execution. */
     void join(Execution execution, Request request) {
-        addCaller(execution, request);
-        for (Piece piece : execution.transcript.pieces()) {
-            write(request.id(), piece);
-        }
+        streams.add(execution, request);
         wakes.schedule(execution);
     }
 
@@ -194,9 +188,7 @@
     private void relayAnswer(
             long nowNanos, Execution execution, Outcome.Answered answered, List<Piece> pieces) {
         for (Piece piece : pieces) {
-            for (Piece fresh : execution.transcript.add(piece, Integer.MAX_VALUE / 2)) {
-                execution.callers.forEach(caller -> write(caller.request.id(), fresh));
-            }
+            streams.add(execution, piece, Integer.MAX_VALUE / 2);
         }
         if (execution.transcript.tokens() == answered.tokens()) {
             end(nowNanos, execution, answered);
@@ -227,11 +219,12 @@
     }
 
     boolean knowsCaller(RequestId caller) {
-        return byCaller.containsKey(caller);
+        return streams.knows(caller);
     }
 
     void onWorld(long nowNanos, World changed) {
         world = changed;
+        servers.onWorld(changed);
         for (Execution execution : List.copyOf(byRequest.values())) {
             switch (execution.state) {
                 case Offering offering ->
@@ -268,7 +261,7 @@
     }
 
     void onCallerGone(long nowNanos, RequestId caller) {
-        Execution execution = byCaller.remove(caller);
+        Execution execution = streams.remove(caller);
         if (execution == null) {
             return;
         }
@@ -280,16 +273,7 @@
     }
 
     void onCallerTook(RequestId caller, int tokens) {
-        Execution execution = byCaller.get(caller);
-        if (execution == null) {
-            return;
-        }
-        for (Caller one : execution.callers) {
-            if (one.request.id().equals(caller)) {
-                one.taken = Math.min(execution.transcript.tokens(), one.taken + tokens);
-            }
-        }
-        giveCredit(execution);
+        streams.took(caller, tokens);
     }
 
     void onGranted(long nowNanos, HostId from, RoutingMessage.Granted granted) {
@@ -423,9 +407,7 @@
             return;
         }
         Piece piece = new Piece(tokens.firstToken(), tokens.count(), tokens.text());
-        for (Piece fresh : execution.transcript.add(piece, limits.creditTokens())) {
-            execution.callers.forEach(caller -> write(caller.request.id(), fresh));
-        }
+        streams.add(execution, piece, limits.creditTokens());
         if (execution.state instanceof Running running) {
             running.silentAtNanos = nowNanos + nanos(limits.silenceMillis());
             running.heard = true;
@@ -522,7 +504,8 @@
                     cancelAtEngine(nowNanos, execution, running, "refused-second-body");
             case RunEnd.EngineError error -> {
                 String detail = error.detail();
-                boolean retry = error.retryable() || leavesNewVersion(execution, running.server);
+                boolean retry =
+                        error.retryable() || servers.leavesNewVersion(execution, running.server);
                 Outcome failure =
                         error.retryable()
                                 ? new Outcome.Failed(FailReason.BACKEND_ERROR, detail)
@@ -564,10 +547,7 @@
     private void failed(
             long nowNanos, Execution execution, ServerId server, boolean retry, Outcome failure) {
         execution.failures++;
-        boolean changes = leavesNewVersion(execution, server);
-        if (changes) {
-            execution.version = Optional.of(world.splits().get(execution.request.route()).from());
-        }
+        boolean changes = servers.leaveNewVersion(execution, server);
         boolean allowed = retry && execution.failures < limits.maxFailures() && retries.take();
         if (!allowed) {
             end(nowNanos, execution, failure);
@@ -577,16 +557,6 @@
         backOff(nowNanos, execution, execution.failures);
     }
 
-    /** Returns whether a failure on {@code server}, before any token, sends the request back. */
-    private boolean leavesNewVersion(Execution execution, ServerId server) {
-        VersionSplit split = world.splits().get(execution.request.route());
-        BackendServer failed = world.servers().get(server);
-        return split != null
-                && failed != null
-                && execution.transcript.tokens() == 0
-                && failed.version().equals(split.to());
-    }
-
     private void checkHome(long nowNanos, Execution execution, Running running) {
         EntryHost home = world.hosts().get(running.home);
         boolean alive =
@@ -668,8 +638,7 @@
     private void endLateCallers(long nowNanos, Execution execution) {
         for (Caller caller : execution.lateCallers(nowNanos)) {
             Outcome outcome = lateOutcome(execution);
-            out.accept(new HostAction.Answer(caller.request.id(), outcome));
-            byCaller.remove(caller.request.id());
+            streams.answer(caller.request.id(), outcome);
             dismiss(nowNanos, execution, caller.request.id(), outcome);
         }
     }
@@ -691,15 +660,11 @@
             close(nowNanos, execution, outcome);
             return;
         }
-        giveCredit(execution);
+        streams.giveCredit(execution);
     }
 
     private void end(long nowNanos, Execution execution, Outcome outcome) {
-        for (Caller caller : execution.callers) {
-            out.accept(new HostAction.Answer(caller.request.id(), outcome));
-            byCaller.remove(caller.request.id());
-        }
-        execution.callers.clear();
+        streams.answerAll(execution, outcome);
         close(nowNanos, execution, outcome);
     }
 
@@ -730,7 +695,7 @@
             waitUntil(execution, nowNanos + nanos(SUSPECT_WAIT_MILLIS));
             return;
         }
-        List<Choice> choices = choices(nowNanos, execution);
+        List<Choice> choices = servers.choose(nowNanos, execution);
         if (choices.isEmpty()) {
             waitForServer(nowNanos, execution);
             return;
@@ -738,32 +703,6 @@
         offers.begin(nowNanos, execution, choices);
     }
 
-    /** Returns where to offer: the version drawn, else the version that a move leaves, else any. */
-    private List<Choice> choices(long nowNanos, Execution execution) {
-        Request request = execution.request;
-        int known = execution.transcript.tokens();
-        VersionSplit split = world.splits().get(request.route());
-        if (split != null && poison.isSuspect(nowNanos, request.fingerprint())) {
-            execution.version = Optional.of(split.from());
-        }
-        List<Choice> choices = first(nowNanos, request, execution.version, known);
-        if (choices.isEmpty() && split != null) {
-            execution.version = Optional.of(split.from());
-            choices = first(nowNanos, request, execution.version, known);
-        }
-        if (choices.isEmpty() && known > 0) {
-            execution.version = Optional.empty();
-            choices = first(nowNanos, request, execution.version, known);
-        }
-        return choices;
-    }
-
-    private List<Choice> first(
-            long nowNanos, Request request, Optional<VersionId> version, int known) {
-        return placement.choices(
-                nowNanos, request, version, known, Set.of(), limits.offersAtOnce());
-    }
-
     private boolean sameContentRuns(Execution execution) {
         for (Execution other : byRequest.values()) {
             if (other != execution
@@ -803,32 +742,6 @@
         execution.state = new Waiting(untilNanos);
     }
 
-    private void giveCredit(Execution execution) {
-        if (!(execution.state instanceof Running running)) {
-            return;
-        }
-        int limit = execution.takenTokens() + limits.creditTokens();
-        int more = limit - execution.creditLimit;
-        if (more < Math.max(1, limits.creditTokens() / 4)) {
-            return;
-        }
-        execution.creditLimit = limit;
-        out.accept(
-                new HostAction.SendRouting(
-                        running.home, new RoutingMessage.Credit(running.run, more)));
-    }
-
-    private void addCaller(Execution execution, Request request) {
-        execution.callers.add(new Caller(request));
-        byCaller.put(request.id(), execution);
-    }
-
-    private void write(RequestId caller, Piece piece) {
-        out.accept(
-                new HostAction.WriteTokens(
-                        caller, piece.firstToken(), piece.count(), piece.text()));
-    }
-
     private void log(String kind, Execution execution, ServerId server, String reason) {
         out.accept(
                 new HostAction.Log(
