Admission looks at what more urgent requests keep taking, and late ones must find room beside those in time

Change: RankLoad knows what places each rank took in the last second; the wait is the work ahead over the places that more urgent ranks leave. A request that would be late must find room beside those of its own rank that are in time, when it comes and while it waits; else it is told at once when to come back.

Ruled out: too short a Retry-After (the first refusal came late, not the second); slow servers (pass-core and engines answered).

Tests: SchedulerTest.patientOnesAreToldAtOnce… and .whoWillBeLate… replay the loads.

--- a/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
+++ b/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
@@ -1,5 +1,6 @@
 package org.orioleshed.dispatch;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
@@ -16,38 +17,86 @@
 
     private static final long LEAST_RETRY_MILLIS = 100;
 
+    /** A part of the places is thought to come free for each rank, however urgent others are. */
+    private static final double LEAST_PART = 0.1;
+
     private final PoolState pool;
     private final int places;
+    private final long nowNanos;
 
-    AdmissionRule(PoolState pool, int places) {
+    AdmissionRule(PoolState pool, int places, long nowNanos) {
         this.pool = pool;
         this.places = places;
+        this.nowNanos = nowNanos;
     }
 
-    /** Returns how long a request of {@code rank} waits for those ahead, in milliseconds. */
+    /**
+     * Returns how long a request of {@code rank} waits for those ahead, in milliseconds. More
+     * urgent ones go on coming as they did in the last second, and take places first.
+     */
     double waitMillis(int rank) {
+        return waitMillis(ahead(rank), rank);
+    }
+
+    private double ahead(int rank) {
+        return pool.waiters().stream()
+                .map(QueuedRequest::ask)
+                .filter(ask -> ask.rank() <= rank)
+                .mapToDouble(pool::busyMillis)
+                .sum();
+    }
+
+    /** Returns how long it takes to do work in the places that ranks before another leave. */
+    private double waitMillis(double aheadMillis, int before) {
         if (places == 0) {
             return Double.POSITIVE_INFINITY;
         }
-        List<QueuedRequest> ahead =
-                pool.waiters().stream().filter(waiter -> waiter.ask().rank() <= rank).toList();
-        double busy = ahead.stream().mapToDouble(waiter -> pool.busyMillis(waiter.ask())).sum();
-        return busy / places;
+        double left = places - pool.load().placesBefore(before, nowNanos);
+        return aheadMillis / Math.max(left, LEAST_PART * places);
+    }
+
+    /**
+     * Returns how long a request waits that will be late, in milliseconds: those of its own rank
+     * that can still be in time go on coming, and go before it.
+     */
+    private double lateWaitMillis(int rank) {
+        return waitMillis(ahead(rank), rank + 1);
     }
 
     /** Returns whether a new request may wait. */
     boolean mayWait(Ask ask) {
         double wait = waitMillis(ask.rank());
+        if (wait > ask.targetLeftMillis()) {
+            wait = lateWaitMillis(ask.rank());
+        }
         double needed = wait + pool.busyMillis(ask);
         return wait <= MAX_WAIT_PART * ask.deadlineLeftMillis()
                 && needed <= ask.deadlineLeftMillis();
     }
 
-    /** Returns whether a request that waits should go on waiting. */
-    boolean mayGoOn(QueuedRequest waiter, long nowNanos) {
-        long waited = waiter.waitedMillis(nowNanos);
+    /**
+     * Returns the requests that should not go on waiting: their time is up, or they are late and
+     * those before them leave no room.
+     */
+    List<QueuedRequest> hopeless() {
+        List<QueuedRequest> result = new ArrayList<>();
+        double ahead = 0;
+        for (QueuedRequest waiter : pool.inOrder()) {
+            if (mayGoOn(waiter, ahead)) {
+                ahead += pool.busyMillis(waiter.ask());
+            } else {
+                result.add(waiter);
+            }
+        }
+        return result;
+    }
+
+    private boolean mayGoOn(QueuedRequest waiter, double ahead) {
         Ask ask = waiter.ask();
-        return waited <= MAX_WAIT_PART * ask.deadlineLeftMillis()
+        long waited = waiter.waitedMillis(nowNanos);
+        boolean late = waiter.targetNanos() < nowNanos;
+        double more = late ? waitMillis(ahead, ask.rank() + 1) : 0;
+        return waited + more <= MAX_WAIT_PART * ask.deadlineLeftMillis()
                 && waited + pool.busyMillis(ask) <= ask.deadlineLeftMillis();
     }
 
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -18,6 +18,7 @@
     private final TreeSet<QueuedRequest> late = new TreeSet<>(QueuedRequest.URGENCY);
     private final Map<RunKey, QueuedRequest> waiters = new HashMap<>();
     private final PoolSpeed speed = new PoolSpeed();
+    private final RankLoad load = new RankLoad();
     private Pool declared;
     private VersionMove move;
 
@@ -29,6 +30,10 @@
         return speed;
     }
 
+    RankLoad load() {
+        return load;
+    }
+
     void declare(Pool pool) {
         declared = pool;
     }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -113,7 +113,7 @@
         if (isNext(pool, ask) && grant(pool, placement, run, ask)) {
             return;
         }
-        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces());
+        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces(), nowNanos);
         if (!admission.mayWait(ask)) {
             turnAway(run, ask, Reason.OVERLOAD, admission.waitMillis(ask.rank()));
             return;
@@ -165,7 +165,9 @@
         long reading = engine ? server.pendingTokens() + ask.promptTokens() : 0;
         server.start(run, new Running(ask, nowNanos, reading, true));
         runs.put(run, server);
-        pool(ask.service()).move().ifPresent(move -> move.sent(server.server().version()));
+        PoolState pool = pool(ask.service());
+        pool.load().add(ask.rank(), pool.busyMillis(ask), nowNanos);
+        pool.move().ifPresent(move -> move.sent(server.server().version()));
     }
 
     /** Refuses what had taken of its quota. */
@@ -363,12 +365,8 @@
 
     private void giveUp(PoolState pool) {
         Placement placement = new Placement(pool, placeShare, nowNanos);
-        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces());
-        List<QueuedRequest> tooLate =
-                pool.waiters().stream()
-                        .filter(waiter -> !admission.mayGoOn(waiter, nowNanos))
-                        .toList();
-        for (QueuedRequest waiter : tooLate) {
+        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces(), nowNanos);
+        for (QueuedRequest waiter : admission.hopeless()) {
             pool.remove(waiter.run());
             Ask left = waiter.ask().again(waiter.waitedMillis(nowNanos));
             quotas.giveBack(waiter.ask());
--- a/src/main/java/org/orioleshed/trial/PolicyTrial.java
+++ b/src/main/java/org/orioleshed/trial/PolicyTrial.java
@@ -165,6 +165,7 @@
             return;
         }
         request.refused = true;
+        request.gaveUpNanos = nowNanos;
         if (request.engine >= 0) {
             engines.get(request.engine).cancel(request);
         }
@@ -176,6 +177,7 @@
         long backNanos = nowNanos + retryAfterMillis * ModelEngine.NANOS_PER_MILLI;
         if (request.attempts >= RETRIES || backNanos >= request.endNanos()) {
             request.refused = true;
+            request.gaveUpNanos = nowNanos;
             return;
         }
         request.attempts++;
--- a/src/main/java/org/orioleshed/trial/PolicyTrials.java
+++ b/src/main/java/org/orioleshed/trial/PolicyTrials.java
@@ -71,17 +71,24 @@
 
     private static void print(List<TrialReport> reports, PrintStream out) {
         out.printf(
-                "%-13s%-14s%8s  %-26s%-26s%s%n",
-                "pattern", "policy", "worth", "worth by kind", "first p95 ms", "unserved");
+                "%-13s%-14s%8s  %-20s%-18s%-20s%s%n",
+                "pattern",
+                "policy",
+                "worth",
+                "worth by kind",
+                "first p95 ms",
+                "unserved",
+                "kept for ms");
         for (TrialReport report : reports) {
             out.printf(
-                    "%-13s%-14s%8.3f  %-26s%-26s%s%n",
+                    "%-13s%-14s%8.3f  %-20s%-18s%-20s%s%n",
                     report.pattern().id(),
                     report.policy(),
                     report.worth(),
                     row(report.byKind(), "%.3f"),
                     row(report.firstMillis(), "%.0f"),
-                    row(report.unserved(), "%.3f"));
+                    row(report.unserved(), "%.3f"),
+                    row(report.heldMillis(), "%.0f"));
         }
     }
 
--- a/src/main/java/org/orioleshed/trial/TrialReport.java
+++ b/src/main/java/org/orioleshed/trial/TrialReport.java
@@ -15,6 +15,7 @@
  * @param firstMillis the time to the first event at the 95th percentile for each kind, in
  *     milliseconds, the median over the seeds
  * @param unserved the part of each kind that got no whole answer
+ * @param heldMillis how long those were kept, on average, in milliseconds
  */
 record TrialReport(
         LoadPattern pattern,
@@ -22,7 +23,8 @@
         double worth,
         Map<String, Double> byKind,
         Map<String, Double> firstMillis,
-        Map<String, Double> unserved) {
+        Map<String, Double> unserved,
+        Map<String, Double> heldMillis) {
     private static final double PERCENTILE = 0.95;
 
     /** Sums up what was played with several seeds. */
@@ -30,15 +32,17 @@
         Map<String, Double> byKind = new LinkedHashMap<>();
         Map<String, Double> first = new LinkedHashMap<>();
         Map<String, Double> unserved = new LinkedHashMap<>();
+        Map<String, Double> held = new LinkedHashMap<>();
         for (RequestKind kind : LoadPattern.KINDS) {
             List<List<TrialRequest>> ofKind =
                     played.stream().map(requests -> only(requests, kind)).toList();
             byKind.put(kind.name(), median(ofKind.stream().map(TrialReport::worth).toList()));
             first.put(kind.name(), median(ofKind.stream().map(TrialReport::first).toList()));
             unserved.put(kind.name(), median(ofKind.stream().map(TrialReport::unserved).toList()));
+            held.put(kind.name(), median(ofKind.stream().map(TrialReport::held).toList()));
         }
         double worth = median(played.stream().map(TrialReport::worth).toList());
-        return new TrialReport(pattern, policy, worth, byKind, first, unserved);
+        return new TrialReport(pattern, policy, worth, byKind, first, unserved, held);
     }
 
     private static List<TrialRequest> only(List<TrialRequest> requests, RequestKind kind) {
@@ -74,6 +78,14 @@
         return millis.isEmpty() ? 0 : millis.get((int) (PERCENTILE * (millis.size() - 1)));
     }
 
+    private static double held(List<TrialRequest> requests) {
+        return requests.stream()
+                .filter(request -> !request.done)
+                .mapToDouble(request -> (request.gaveUpNanos - request.cameNanos) / 1e6)
+                .average()
+                .orElse(0);
+    }
+
     private static double unserved(List<TrialRequest> requests) {
         long count = requests.stream().filter(request -> !request.done).count();
         return requests.isEmpty() ? 0 : (double) count / requests.size();
--- a/src/main/java/org/orioleshed/trial/TrialRequest.java
+++ b/src/main/java/org/orioleshed/trial/TrialRequest.java
@@ -11,6 +11,7 @@
     long firstNanos;
     boolean done;
     boolean refused;
+    long gaveUpNanos;
 
     TrialRequest(long number, RequestKind kind, long cameNanos) {
         this.number = number;
--- a/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -249,6 +249,36 @@
         assertEquals(pools.serverOf(9), "a");
     }
 
+    /** Returns a server with two places that urgent requests have kept busy for a while. */
+    private static Pools keptBusy() {
+        Pools pools = new Pools().server("a", 2);
+        for (int run = 100; run < 110; run += 2) {
+            pools.ask(run, 0).ask(run + 1, 0).after(400);
+            pools.end(run, Outcome.ANSWERED).end(run + 1, Outcome.ANSWERED);
+        }
+        return pools.ask(200, 0).ask(201, 0);
+    }
+
+    @Test
+    public void patientOnesAreToldAtOnceWhereUrgentOnesKeepComing() {
+        Pools pools = keptBusy();
+        pools.ask(1, Pools.ask(2, 1_000, 2_500, 1_000, 100));
+        pools.ask(2, Pools.ask(2, 1_000, 2_500, 1_000, 100));
+        pools.ask(3, Pools.ask(2, 1_000, 2_500, 1_000, 100));
+        assertNull(pools.refusalOf(1));
+        assertEquals(pools.refusalOf(3).reason(), Reason.OVERLOAD);
+    }
+
+    @Test
+    public void whoWillBeLateMustFindRoomBesideThoseInTime() {
+        Pools pools = keptBusy();
+        for (int run = 1; run <= 12; run++) {
+            pools.ask(run, 0);
+        }
+        assertNull(pools.refusalOf(1));
+        assertEquals(pools.refusalOf(12).reason(), Reason.OVERLOAD);
+    }
+
     @Test
     public void runsOfADeadHostFreeTheirPlaces() {
         Pools pools = new Pools().server("a", 1).ask(1, 0);
