Read once more: the model engine steps once at a time; the work ahead is summed once; one mark for a request that is over

Found when reading the whole change: - trial.ModelEngine: after its only run was cancelled within a step, a new run began a second train of steps beside the first (a fault of the model, in the favour of ways that never refuse). ModelEngineTest.anEngineWhoseOnlyRun… fails on the commit before.

--- a/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
+++ b/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
@@ -55,19 +55,13 @@
         return aheadMillis / Math.max(left, LEAST_PART * places);
     }
 
-    /**
-     * Returns how long a request waits that will be late, in milliseconds: those of its own rank
-     * that can still be in time go on coming, and go before it.
-     */
-    private double lateWaitMillis(int rank) {
-        return waitMillis(ahead(rank), rank + 1);
-    }
-
     /** Returns whether a new request may wait. */
     boolean mayWait(Ask ask) {
-        double wait = waitMillis(ask.rank());
+        double ahead = ahead(ask.rank());
+        double wait = waitMillis(ahead, ask.rank());
         if (wait > ask.targetLeftMillis()) {
-            wait = lateWaitMillis(ask.rank());
+            // Those of its own rank that can still be in time go on coming, and go before it.
+            wait = waitMillis(ahead, ask.rank() + 1);
         }
         double needed = wait + pool.busyMillis(ask);
         return wait <= MAX_WAIT_PART * ask.deadlineLeftMillis()
--- a/src/main/java/org/orioleshed/trial/ModelEngine.java
+++ b/src/main/java/org/orioleshed/trial/ModelEngine.java
@@ -25,6 +25,7 @@
     private final Map<Run, Integer> plannedReads = new HashMap<>();
     private final List<Run> plannedSteps = new ArrayList<>();
     private double slowness = 1;
+    private boolean stepping;
 
     /**
      * What an engine can do.
@@ -104,7 +105,7 @@
     /** Takes a run; returns whether the engine was idle and its first step is to be begun. */
     boolean submit(TrialRequest request) {
         waiting.add(new Run(request));
-        return running.isEmpty() && waiting.size() == 1;
+        return !stepping;
     }
 
     /** Ends a run whose caller has left. */
@@ -133,6 +134,7 @@
                 room -= chunk;
             }
         }
+        stepping = !running.isEmpty();
         return stepNanos(CHUNK_TOKENS - room);
     }
 
@@ -165,6 +167,7 @@
 
     /** Ends the step that was planned. */
     void end() {
+        stepping = false;
         plannedReads.forEach((run, tokens) -> run.toRead -= tokens);
         plannedReads.clear();
         List<Run> stepped = List.copyOf(plannedSteps);
--- a/src/main/java/org/orioleshed/trial/PolicyTrial.java
+++ b/src/main/java/org/orioleshed/trial/PolicyTrial.java
@@ -120,7 +120,7 @@
     private void submit(TrialRequest request, int number) {
         underWay[number]--;
         ModelEngine engine = engines.get(number);
-        if (!isOver(request) && engine.submit(request)) {
+        if (!request.isOver() && engine.submit(request)) {
             begin(engine);
         }
     }
@@ -156,15 +156,10 @@
                 });
     }
 
-    private static boolean isOver(TrialRequest request) {
-        return request.done || request.refused;
-    }
-
     private void leave(TrialRequest request) {
-        if (isOver(request)) {
+        if (request.isOver()) {
             return;
         }
-        request.refused = true;
         request.gaveUpNanos = nowNanos;
         if (request.engine >= 0) {
             engines.get(request.engine).cancel(request);
@@ -176,7 +171,6 @@
     public void refuse(TrialRequest request, long retryAfterMillis) {
         long backNanos = nowNanos + retryAfterMillis * ModelEngine.NANOS_PER_MILLI;
         if (request.attempts >= RETRIES || backNanos >= request.endNanos()) {
-            request.refused = true;
             request.gaveUpNanos = nowNanos;
             return;
         }
--- a/src/main/java/org/orioleshed/trial/TrialRequest.java
+++ b/src/main/java/org/orioleshed/trial/TrialRequest.java
@@ -10,7 +10,8 @@
     long sentNanos;
     long firstNanos;
     boolean done;
-    boolean refused;
+
+    /** When it was refused for good, or its caller left; 0 while neither happened. */
     long gaveUpNanos;
 
     TrialRequest(long number, RequestKind kind, long cameNanos) {
@@ -19,6 +20,10 @@
         this.cameNanos = cameNanos;
     }
 
+    boolean isOver() {
+        return done || gaveUpNanos > 0;
+    }
+
     long endNanos() {
         return cameNanos + kind.deadlineMillis() * ModelEngine.NANOS_PER_MILLI;
     }
--- a/src/test/java/org/orioleshed/trial/ModelEngineTest.java
+++ b/src/test/java/org/orioleshed/trial/ModelEngineTest.java
@@ -1,6 +1,7 @@
 package org.orioleshed.trial;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -106,4 +107,14 @@
         work(engine);
         assertEquals(told, List.of("2 event 1", "2 ended 2"));
     }
+
+    @Test
+    public void anEngineWhoseOnlyRunIsCancelledEndsItsStepBeforeTheNext() {
+        ModelEngine engine = engine(1, 10_000);
+        TrialRequest gone = request(1, LONG);
+        assertTrue(engine.submit(gone));
+        engine.begin();
+        engine.cancel(gone);
+        assertFalse(engine.submit(request(2, SHORT)));
+    }
 }
