Log what a leaving host takes, and what its end cuts

The lines of the incident can't tell whether the request came on a kept connection, how much it asked for, how much time the host had left, nor which requests the end of the process cut. No decision changes.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -45,6 +45,7 @@
     private HttpRequest head;
     private long headNanos;
     private long idleSinceNanos;
+    private int requests;
     private Exchange exchange;
     private boolean keepAlive = true;
     private boolean closing;
@@ -187,7 +188,8 @@
                             whole.uri(),
                             whole.headers(),
                             Payload.of(body.toByteArray()),
-                            headNanos);
+                            headNanos,
+                            ++requests);
             body.reset();
             exchange = acceptor.exchange(this, request);
             exchange.start();
--- a/src/main/java/org/orioleshed/gateway/CallerRequest.java
+++ b/src/main/java/org/orioleshed/gateway/CallerRequest.java
@@ -12,9 +12,15 @@
  * @param headers its header fields, as sent
  * @param body its body, without transfer coding
  * @param arrivedNanos when its head was read, on the monotonic clock
+ * @param number its number on the connection, 1 first
  */
 record CallerRequest(
-        HttpMethod method, String uri, HttpHeaders headers, Payload body, long arrivedNanos) {
+        HttpMethod method,
+        String uri,
+        HttpHeaders headers,
+        Payload body,
+        long arrivedNanos,
+        int number) {
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     /** Returns the path without the query. */
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -81,9 +81,35 @@
 
     void start() {
         context.started(this);
+        long nowNanos = System.nanoTime();
+        context.leavingInMillis(nowNanos).ifPresent(left -> logTakenWhileLeaving(left, nowNanos));
         context.snapshot().usable().ifPresent(this::serve);
     }
 
+    private void logTakenWhileLeaving(long leftMillis, long nowNanos) {
+        context.log(
+                "event=taken_while_leaving request=%s number_on_connection=%d age_ms=%d"
+                                .formatted(
+                                        facts.id(), request.number(), request.ageMillis(nowNanos))
+                        + " host_ends_in_ms=%d deadline_ms=%d output_tokens=%d"
+                                .formatted(
+                                        leftMillis, facts.deadlineMillis(), facts.outputTokens()));
+    }
+
+    /** Notes that this host ends before the request does. */
+    void logUnfinished() {
+        context.log(
+                "event=unfinished request=%s run=%s state=%s server=%s events=%d output_tokens=%d"
+                                .formatted(
+                                        facts.id(),
+                                        run,
+                                        state,
+                                        current == null ? "none" : current.server().id(),
+                                        framer.events(),
+                                        facts.outputTokens())
+                        + " total_ms=%d".formatted(request.ageMillis(System.nanoTime())));
+    }
+
     /** A configuration is known now. */
     void configured(Catalog catalog) {
         if (state == State.WAITING_FOR_CONFIG) {
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -25,6 +25,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -343,6 +344,7 @@
         }
         boolean done = sinceMillis >= STILL_SENT_MILLIS && callers.isEmpty();
         if (done || sinceMillis >= options.graceMillis() - END_MILLIS) {
+            exchanges.forEach(Exchange::logUnfinished);
             log.add(
                     "event=stopped after_ms=%d running=%d"
                             .formatted(sinceMillis, exchanges.size()));
@@ -381,6 +383,15 @@
         return snapshot.catalog().map(catalog -> catalog.limits()).orElse(CallerLimits.DEFAULT);
     }
 
+    @Override
+    public OptionalLong leavingInMillis(long nowNanos) {
+        if (!leaving) {
+            return OptionalLong.empty();
+        }
+        long sinceMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - leavingNanos);
+        return OptionalLong.of(Math.max(0, options.graceMillis() - END_MILLIS - sinceMillis));
+    }
+
     @Override
     public boolean isLeaving() {
         return leaving;
--- a/src/main/java/org/orioleshed/gateway/GatewayContext.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayContext.java
@@ -1,6 +1,7 @@
 package org.orioleshed.gateway;
 
 import java.net.InetSocketAddress;
+import java.util.OptionalLong;
 import java.util.random.RandomGenerator;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.dispatch.RunKey;
@@ -37,6 +38,9 @@
      */
     long retryAfterMillis(long leftMillis);
 
+    /** Returns the time until this host ends, where it is about to stop, in milliseconds. */
+    OptionalLong leavingInMillis(long nowNanos);
+
     void started(Exchange exchange);
 
     /** Notes an end; {@code status} is 0 where the caller got no answer. */
