A leaving host takes only what ends while it is there, and answers what it holds at its end

Cause: for 3,000 ms from the signal on all was taken, without regard to how long the host would still be there. At the end the process just halted: streams were cut, waiting requests and calls at work ended without an answer, and no line named them. Why this works: LeavingRule takes a request only if it ends in time by its own limit or, while the balancer may still send callers here, if 98 in 100 of its route do. What waits is handed back with Retry-After 0 once it can't end in time, and at the end everything gets a final answer. The listener stays open, since the balancer falls back to leaving hosts when fewer than half of a domain are ready.

--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -47,6 +47,8 @@
 
     private static final long ANY_AGE_MILLIS = Long.MAX_VALUE / NANOS_PER_MILLI;
 
+    private static final String LEAVING = "leaving";
+
     private enum State {
         WAITING_FOR_CONFIG,
         PLACING,
@@ -81,23 +83,30 @@
 
     void start() {
         context.started(this);
-        long nowNanos = System.nanoTime();
-        context.leavingInMillis(nowNanos).ifPresent(left -> logTakenWhileLeaving(left, nowNanos));
         context.snapshot().usable().ifPresent(this::serve);
     }
 
-    private void logTakenWhileLeaving(long leftMillis, long nowNanos) {
-        context.log(
-                "event=taken_while_leaving request=%s number_on_connection=%d age_ms=%d"
-                                .formatted(
-                                        facts.id(), request.number(), request.ageMillis(nowNanos))
-                        + " host_ends_in_ms=%d deadline_ms=%d output_tokens=%d"
-                                .formatted(
-                                        leftMillis, facts.deadlineMillis(), facts.outputTokens()));
+    /** Ends the request with a final answer, since this host ends. */
+    void hostEnds() {
+        logUnfinished();
+        switch (state) {
+            case WAITING_FOR_CONFIG -> giveUp(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING, 0);
+            case PLACING -> handBack();
+            case SENT -> {
+                letGo(RunEnd.Outcome.CANCELLED);
+                giveUp(HttpResponseStatus.BAD_GATEWAY, LEAVING, -1);
+            }
+            case DONE -> {}
+        }
     }
 
-    /** Notes that this host ends before the request does. */
-    void logUnfinished() {
+    /** Gives up a request that no server has, so that its caller comes back to another host. */
+    private void handBack() {
+        letGo(RunEnd.Outcome.CANCELLED);
+        giveUpUnplaced(LEAVING, 0);
+    }
+
+    private void logUnfinished() {
         context.log(
                 "event=unfinished request=%s run=%s state=%s server=%s events=%d output_tokens=%d"
                                 .formatted(
@@ -139,9 +148,33 @@
         }
         endNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
         content = fingerprint();
+        if (context.leaving().begun() && !isTakenWhileLeaving()) {
+            giveUp(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING, 0);
+            return;
+        }
         place(tenancy.map(WorkspaceConfig::workspace));
     }
 
+    private boolean isTakenWhileLeaving() {
+        long nowNanos = System.nanoTime();
+        long slowMillis = context.slowMillis(route.id());
+        long limitMillis = callerLeftMillis(nowNanos);
+        boolean taken = context.leaving().takes(slowMillis, limitMillis, nowNanos);
+        context.log(
+                "event=%s request=%s number_on_connection=%d age_ms=%d"
+                                .formatted(
+                                        taken ? "taken_while_leaving" : "not_taken_while_leaving",
+                                        facts.id(),
+                                        request.number(),
+                                        request.ageMillis(nowNanos))
+                        + " host_ends_in_ms=%d limit_ms=%d slow_ms=%d"
+                                .formatted(
+                                        context.leaving().leftMillis(nowNanos),
+                                        limitMillis,
+                                        slowMillis));
+        return taken;
+    }
+
     private String hostName() {
         String host = request.headers().get(HttpHeaderNames.HOST);
         int port = host.lastIndexOf(':');
@@ -172,10 +205,15 @@
                 excluded);
     }
 
-    private long leftMillis(long nowNanos) {
+    private long callerLeftMillis(long nowNanos) {
         return (endNanos - nowNanos) / NANOS_PER_MILLI;
     }
 
+    /** Returns the time left to the caller and to this host. */
+    private long leftMillis(long nowNanos) {
+        return Math.min(callerLeftMillis(nowNanos), context.leaving().leftMillis(nowNanos));
+    }
+
     /** Returns a fingerprint of what is asked and by whom. */
     private long fingerprint() {
         return Hashing.murmur3_128()
@@ -242,7 +280,7 @@
                 new CallDialect.ServerOrder(
                         server.id(),
                         tenancy.map(WorkspaceConfig::workspace),
-                        Math.max(1, leftMillis(nowNanos)),
+                        Math.max(1, callerLeftMillis(nowNanos)),
                         streaming ? framer.lastId() : Optional.empty());
         HttpHeaders headers = context.dialect().toServer(request.headers(), order);
         byte[] body = request.body().toBytes();
@@ -413,6 +451,9 @@
         state = State.DONE;
         long totalMillis = request.ageMillis(System.nanoTime());
         context.finished(this, status, totalMillis);
+        if (status == HttpResponseStatus.OK.code()) {
+            context.answered(route.id(), totalMillis);
+        }
         context.log(
                 "event=done request=%s route=%s workspace=%s status=%d outcome=\"%s\" total_ms=%d"
                                 .formatted(
@@ -466,6 +507,8 @@
                 if (nowNanos >= endNanos) {
                     letGo(RunEnd.Outcome.CANCELLED);
                     giveUpUnplaced("time_over", 0);
+                } else if (rule.tries() == 0 && !isKept(nowNanos)) {
+                    handBack();
                 }
             }
             case SENT -> {
@@ -479,6 +522,14 @@
         }
     }
 
+    /** Returns whether a request that waits for a server may end before this host does. */
+    private boolean isKept(long nowNanos) {
+        LeavingRule leaving = context.leaving();
+        return !leaving.begun()
+                || leaving.keeps(
+                        context.slowMillis(route.id()), callerLeftMillis(nowNanos), nowNanos);
+    }
+
     private void timeOver() {
         letGo(current.hasEvents() ? RunEnd.Outcome.CANCELLED : RunEnd.Outcome.TIMED_OUT);
         rule.ran();
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -25,7 +25,6 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -39,6 +38,7 @@
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
+import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
@@ -55,12 +55,6 @@
 
     private static final int BACKLOG = 1_024;
 
-    /** The balancer goes on sending for two questions after the first without a 200. */
-    private static final long STILL_SENT_MILLIS = 3_000;
-
-    /** The last part of the grace period is kept for the process to end. */
-    private static final long END_MILLIS = 700;
-
     private static final int RUN_BITS = 20;
     private static final long METRICS_WINDOW_SECONDS = 60;
 
@@ -90,8 +84,10 @@
     private final CatalogFollower follower;
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private volatile boolean alone = true;
-    private boolean leaving;
-    private long leavingNanos;
+    private final LeavingRule leaving;
+    private final RouteTimes routeTimes = new RouteTimes();
+    private boolean keptClosed;
+    private boolean ending;
     private Channel front;
     private long nextRun;
     private int ticks;
@@ -115,6 +111,7 @@
         this.log = log;
         this.random = random;
         this.self = FleetView.hostId(options.peer());
+        this.leaving = new LeavingRule(options.graceMillis());
         this.nextRun = incarnation << RUN_BITS;
         this.firstEventMillis = histogram("first_event_millis");
         this.answerMillis = histogram("answer_millis");
@@ -246,7 +243,7 @@
     }
 
     private StatusServer.Reply ready() {
-        boolean ready = !leaving && snapshot.usable().isPresent();
+        boolean ready = !leaving.begun() && snapshot.usable().isPresent();
         return ready
                 ? new StatusServer.Reply(HttpResponseStatus.OK, "ready\n")
                 : new StatusServer.Reply(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready\n");
@@ -307,7 +304,7 @@
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeOld(nowNanos));
         }
-        if (leaving) {
+        if (leaving.begun()) {
             leave(nowNanos);
         }
     }
@@ -323,11 +320,10 @@
     }
 
     private void beginToLeave() {
-        if (leaving) {
+        if (leaving.begun()) {
             return;
         }
-        leaving = true;
-        leavingNanos = System.nanoTime();
+        leaving.begin(System.nanoTime());
         log.add(
                 "event=leaving running=%d connections=%d"
                         .formatted(exchanges.size(), callers.size()));
@@ -335,21 +331,35 @@
     }
 
     private void leave(long nowNanos) {
-        long sinceMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - leavingNanos);
-        if (sinceMillis >= STILL_SENT_MILLIS) {
-            if (front.isOpen()) {
-                front.close();
-            }
+        boolean over = leaving.isOver(nowNanos);
+        if (leaving.isStillSent(nowNanos) && !over) {
+            return;
+        }
+        closeKept();
+        if (ending || (exchanges.isEmpty() && callers.isEmpty())) {
+            end(nowNanos);
+        } else if (over) {
+            // The last answers are written before the next tick ends the process.
+            ending = true;
+            List.copyOf(exchanges).forEach(Exchange::hostEnds);
+        }
+    }
+
+    /** Closes connections that callers keep; those that come later are closed by their answer. */
+    private void closeKept() {
+        if (!keptClosed) {
+            keptClosed = true;
             List.copyOf(callers).forEach(CallerConnection::closeSoon);
         }
-        boolean done = sinceMillis >= STILL_SENT_MILLIS && callers.isEmpty();
-        if (done || sinceMillis >= options.graceMillis() - END_MILLIS) {
-            exchanges.forEach(Exchange::logUnfinished);
-            log.add(
-                    "event=stopped after_ms=%d running=%d"
-                            .formatted(sinceMillis, exchanges.size()));
-            stopped.countDown();
+    }
+
+    private void end(long nowNanos) {
+        if (stopped.getCount() == 0) {
+            return;
         }
+        front.close();
+        log.add("event=stopped after_ms=" + leaving.sinceMillis(nowNanos));
+        stopped.countDown();
     }
 
     @Override
@@ -384,17 +394,18 @@
     }
 
     @Override
-    public OptionalLong leavingInMillis(long nowNanos) {
-        if (!leaving) {
-            return OptionalLong.empty();
-        }
-        long sinceMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - leavingNanos);
-        return OptionalLong.of(Math.max(0, options.graceMillis() - END_MILLIS - sinceMillis));
+    public LeavingRule leaving() {
+        return leaving;
+    }
+
+    @Override
+    public long slowMillis(RouteId route) {
+        return routeTimes.slowMillis(route);
     }
 
     @Override
     public boolean isLeaving() {
-        return leaving;
+        return leaving.begun();
     }
 
     @Override
@@ -487,6 +498,11 @@
         }
     }
 
+    @Override
+    public void answered(RouteId route, long totalMillis) {
+        routeTimes.add(route, totalMillis);
+    }
+
     @Override
     public void firstEvent(long millis) {
         firstEventMillis.update(millis);
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -37,6 +37,7 @@
                          "rate-per-s":%2$d,"burst":%2$d}]}
             """;
     private static final int SLOTS = 8;
+    private static final long GRACE_MILLIS = 2_000;
     private static final long WAIT_NANOS = 20_000_000_000L;
 
     final StoreFake store = new StoreFake();
@@ -48,13 +49,18 @@
     private final PlatformNode node;
 
     Fleet(long timeoutMillis, long unitsPerSecond) throws IOException {
-        this(timeoutMillis, unitsPerSecond, SLOTS, false);
+        this(timeoutMillis, unitsPerSecond, SLOTS, GRACE_MILLIS, false);
         awaitReady();
     }
 
-    /** Returns a fleet whose first worker runs {@code slots} requests at once. */
-    static Fleet withSlots(long timeoutMillis, int slots) throws IOException {
-        Fleet fleet = new Fleet(timeoutMillis, 100_000, slots, false);
+    /**
+     * Returns a fleet.
+     *
+     * @param slots the requests that the first worker runs at once
+     * @param graceMillis the time from the word to stop until the process would be killed
+     */
+    static Fleet with(long timeoutMillis, int slots, long graceMillis) throws IOException {
+        Fleet fleet = new Fleet(timeoutMillis, 100_000, slots, graceMillis, false);
         fleet.awaitReady();
         return fleet;
     }
@@ -65,10 +71,15 @@
 
     /** Returns a fleet whose gateway does not know the servers yet, and is not ready. */
     static Fleet withoutServers(long timeoutMillis) throws IOException {
-        return new Fleet(timeoutMillis, 100_000, SLOTS, true);
+        return new Fleet(timeoutMillis, 100_000, SLOTS, GRACE_MILLIS, true);
     }
 
-    private Fleet(long timeoutMillis, long unitsPerSecond, int slots, boolean hideServers)
+    private Fleet(
+            long timeoutMillis,
+            long unitsPerSecond,
+            int slots,
+            long graceMillis,
+            boolean hideServers)
             throws IOException {
         store.hideServers(hideServers);
         store.put("op/config", CONFIG.formatted(timeoutMillis, unitsPerSecond));
@@ -87,7 +98,7 @@
                         50,
                         Quotas.Slack.NONE,
                         MovePolicy.DEFAULT,
-                        2_000);
+                        graceMillis);
         node = new PlatformNode(options, store.address(), log, 1);
         node.start();
     }
--- a/src/test/java/org/orioleshed/platform/LeavingTest.java
+++ b/src/test/java/org/orioleshed/platform/LeavingTest.java
@@ -87,7 +87,7 @@
     @Test
     public void aRequestThatWaitsWhenItsHostEndsIsToldNotRun() throws Exception {
         fleet.close();
-        fleet = Fleet.withSlots(TIMEOUT_MILLIS, 1);
+        fleet = Fleet.with(TIMEOUT_MILLIS, 1, 2_000);
         fleet.first.script(Script.streaming(1, 500, 10));
         Caller running = new Caller(fleet.connect());
         running.send(request("/s/x", "r1", ""));
@@ -125,4 +125,41 @@
         assertEquals(caller.status(), "200");
         assertTrue(caller.answer().contains("onnection: close"), caller.answer());
     }
+
+    @Test
+    public void aStreamOfARouteWhoseSlowOnesEndInTimeIsServed() throws Exception {
+        fleet.first.script(Script.streaming(1, 3, 1));
+        for (int i = 0; i < 16; i++) {
+            assertEquals(fleet.send(request("/s/x", "r" + i, "")).substring(9, 12), "200");
+        }
+        Thread stopping = stop();
+        Caller caller = new Caller(fleet.connect());
+        caller.send(request("/s/x", "last", ""));
+        stopping.join();
+        assertEquals(caller.status(), "200");
+        assertTrue(caller.answer().endsWith("0\r\n\r\n"), caller.answer());
+    }
+
+    /** A balancer with too few ready hosts goes on sending callers to those that leave. */
+    @Test
+    public void newConnectionsAreAnsweredUntilTheHostEnds() throws Exception {
+        fleet.close();
+        fleet = Fleet.with(TIMEOUT_MILLIS, 8, 4_500);
+        fleet.first.script(Script.streaming(1, 350, 10));
+        Caller kept = new Caller(fleet.connect());
+        kept.send(request("/s/x", "long", "").replace("Connection: close\r\n", ""));
+        Fleet.await(() -> fleet.first.requests.size() == 1);
+        Thread stopping = stop();
+        Thread.sleep(2_600);
+        fleet.first.script(Script.answering(200, "ok"));
+        Caller quick = new Caller(fleet.connect());
+        quick.send(request("/o/x", "quick", "").replace("Ms: 5000", "Ms: 600"));
+        Caller patient = new Caller(fleet.connect());
+        patient.send(request("/o/x", "patient", ""));
+        stopping.join();
+        assertEquals(quick.status(), "200", fleet.log());
+        assertEquals(patient.status(), "503", fleet.log());
+        assertTrue(patient.answer().contains("Retry-After: 0.000"), patient.answer());
+        assertTrue(kept.answer().endsWith("0\r\n\r\n"), fleet.log());
+    }
 }
