A home that leaves hands over what is left of quotas

Cause: the next home does not know what was used and begins with buckets 0.05 full. Change: a home that leaves empties its buckets first, then tells the next the parts that they held. Nothing is created: if the word is lost, late or comes twice, the next begins as before.

--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -1,6 +1,8 @@
 package org.orioleshed.dispatch;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.orioleshed.model.FailureDomain;
@@ -50,6 +52,7 @@
                             .setEnd(write(ended.end()))
                             .build()
                             .toByteArray();
+            case DispatchEvent.QuotasHanded handed -> write(handed);
             case DispatchEvent.HostGone gone -> throw new IllegalArgumentException("not sent");
             case DispatchEvent.ServersChanged changed ->
                     throw new IllegalArgumentException("not sent");
@@ -65,6 +68,18 @@
         };
     }
 
+    private static byte[] write(DispatchEvent.QuotasHanded handed) {
+        Dispatch.Builder wire = Dispatch.newBuilder().setKind(Dispatch.Kind.QUOTAS_HANDED);
+        handed.parts()
+                .forEach(
+                        (workspace, part) ->
+                                wire.addQuotas(
+                                        Dispatch.QuotaPart.newBuilder()
+                                                .setWorkspace(workspace.value())
+                                                .setPart(part)));
+        return wire.build().toByteArray();
+    }
+
     private static byte[] write(DispatchAction action) {
         return switch (action) {
             case DispatchAction.Grant grant ->
@@ -140,6 +155,9 @@
         if (wire.getKind() == Dispatch.Kind.FOLLOWS) {
             return new DispatchMessage.Follows();
         }
+        if (wire.getKind() == Dispatch.Kind.QUOTAS_HANDED) {
+            return new DispatchMessage.ToHome(readQuotas(wire));
+        }
         RunKey run = new RunKey(new HostId(wire.getOrigin()), wire.getRun());
         return switch (wire.getKind()) {
             case ASKED ->
@@ -162,10 +180,19 @@
                     new DispatchMessage.FromHome(
                             new DispatchAction.Refuse(
                                     run, read(wire.getReason()), wire.getMillis()));
-            case FOLLOWS, UNKNOWN, UNRECOGNIZED -> throw new BadMessageException("unknown kind");
+            case FOLLOWS, QUOTAS_HANDED, UNKNOWN, UNRECOGNIZED ->
+                    throw new BadMessageException("unknown kind");
         };
     }
 
+    private static DispatchEvent.QuotasHanded readQuotas(Dispatch wire) {
+        Map<WorkspaceId, Double> parts = new HashMap<>();
+        for (Dispatch.QuotaPart quota : wire.getQuotasList()) {
+            parts.put(new WorkspaceId(quota.getWorkspace()), quota.getPart());
+        }
+        return new DispatchEvent.QuotasHanded(parts);
+    }
+
     private static DispatchAction.Reason read(Dispatch.Reason reason) throws BadMessageException {
         return switch (reason) {
             case QUOTA -> DispatchAction.Reason.QUOTA;
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -58,6 +58,22 @@
      */
     record ShareChanged(double places, double quota) implements DispatchEvent {}
 
+    /**
+     * The home before this one has stopped giving out quotas and hands over what is left.
+     *
+     * @param parts the part of its burst that each workspace has left: at most 1, and negative for
+     *     a debt
+     */
+    record QuotasHanded(Map<WorkspaceId, Double> parts) implements DispatchEvent {
+        /** Copies the map and checks the parts. */
+        public QuotasHanded {
+            parts = Map.copyOf(parts);
+            if (parts.values().stream().anyMatch(part -> !Double.isFinite(part) || part > 1)) {
+                throw new IllegalArgumentException("parts must be at most 1");
+            }
+        }
+    }
+
     /**
      * An order to move a pool between versions.
      *
--- a/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
@@ -3,10 +3,11 @@
 /** What hosts and the home of a pool say to each other. */
 public sealed interface DispatchMessage {
     /**
-     * Something happened to a run of the sender.
+     * Something happened to a run of the sender, or to its being the home.
      *
      * @param event one of {@link DispatchEvent.Asked}, {@link DispatchEvent.Withdrawn}, {@link
-     *     DispatchEvent.Placed}, {@link DispatchEvent.First}, {@link DispatchEvent.Ended}
+     *     DispatchEvent.Placed}, {@link DispatchEvent.First}, {@link DispatchEvent.Ended}, {@link
+     *     DispatchEvent.QuotasHanded}
      */
     record ToHome(DispatchEvent event) implements DispatchMessage {}
 
--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -106,6 +106,27 @@
         return limits.getOrDefault(workspace, Quota.NONE);
     }
 
+    /**
+     * Gives out nothing more of what has gathered, and returns what that is: for each workspace the
+     * part of its burst, at most 1, and negative for a debt.
+     */
+    Map<WorkspaceId, Double> handOver(long nowNanos) {
+        Map<WorkspaceId, Double> parts = new HashMap<>();
+        buckets.forEach((workspace, bucket) -> parts.put(workspace, bucket.empty(nowNanos)));
+        return parts;
+    }
+
+    /** Goes on with what another giver has handed over, in place of the first fill. */
+    void takeOver(Map<WorkspaceId, Double> parts) {
+        parts.forEach(
+                (workspace, part) -> {
+                    TokenBucket bucket = buckets.get(workspace);
+                    if (bucket != null) {
+                        bucket.addPart(part - firstFill);
+                    }
+                });
+    }
+
     /** Takes units; false when too few are left. */
     boolean take(Ask ask, long nowNanos) {
         return ask.workspace()
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -71,6 +71,7 @@
             case DispatchEvent.ServersChanged changed -> take(changed.servers());
             case DispatchEvent.LimitsChanged changed -> limit(changed);
             case DispatchEvent.ShareChanged changed -> share(changed);
+            case DispatchEvent.QuotasHanded handed -> quotas.takeOver(handed.parts());
             case DispatchEvent.MoveOrdered ordered -> order(ordered);
             case DispatchEvent.MoveSettled settled -> settle(settled);
             case DispatchEvent.Tick tick -> tick();
@@ -78,6 +79,11 @@
         return actions;
     }
 
+    /** Stops giving out what has gathered of quotas, and returns that for the next giver. */
+    public DispatchEvent.QuotasHanded handOverQuotas(long now) {
+        return new DispatchEvent.QuotasHanded(quotas.handOver(now));
+    }
+
     /** Returns how many requests wait, over all pools. */
     public int waiting() {
         return pools.values().stream().mapToInt(PoolState::waiting).sum();
--- a/src/main/java/org/orioleshed/dispatch/TokenBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -52,6 +52,22 @@
         return true;
     }
 
+    /**
+     * Empties the bucket and returns which part of its burst it held: at most 1, and negative for a
+     * debt, which stays.
+     */
+    double empty(long nowNanos) {
+        fill(nowNanos);
+        double part = units / burst;
+        units = Math.min(0, units);
+        return part;
+    }
+
+    /** Adds a part of the burst; a negative one is taken away. */
+    void addPart(double part) {
+        units = Math.min(burst, units + part * burst);
+    }
+
     /** Gives back units that were not used. */
     void giveBack(long unused) {
         units = Math.min(burst, units + unused);
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -67,6 +67,7 @@
     private Scheduler asHome;
     private final HomeLink home;
     private BiConsumer<MoveOrder, MoveOutcome> recorder = (order, outcome) -> {};
+    private final QuotaHandOver handOver = new QuotaHandOver();
     private long tickedNanos;
     private double quotaShare;
 
@@ -198,12 +199,7 @@
     /** Takes a message of a peer. */
     void received(HostId from, byte[] body) throws BadMessageException {
         switch (codec.decode(body)) {
-            case DispatchMessage.ToHome to -> {
-                if (to.event() instanceof DispatchEvent.Asked) {
-                    followedBy(from);
-                }
-                fromHome(asHome.on(clock.getAsLong(), to.event()));
-            }
+            case DispatchMessage.ToHome to -> receivedAsHome(from, to.event());
             case DispatchMessage.Follows follows -> followedBy(from);
             case DispatchMessage.FromHome answer -> {
                 home.answered(from, clock.getAsLong());
@@ -212,6 +208,39 @@
         }
     }
 
+    private void receivedAsHome(HostId from, DispatchEvent event) {
+        if (event instanceof DispatchEvent.QuotasHanded handed) {
+            handOver.received(handed, clock.getAsLong());
+            takeOverQuotas();
+            return;
+        }
+        if (event instanceof DispatchEvent.Asked) {
+            followedBy(from);
+        }
+        fromHome(asHome.on(clock.getAsLong(), event));
+    }
+
+    private void takeOverQuotas() {
+        long nowNanos = clock.getAsLong();
+        if (home.isSelf()) {
+            handOver.take(nowNanos).ifPresent(handed -> takeOver(handed, nowNanos));
+        }
+    }
+
+    private void takeOver(DispatchEvent.QuotasHanded handed, long nowNanos) {
+        log.accept("event=quotas_taken_over workspaces=" + handed.parts().size());
+        fromHome(asHome.on(nowNanos, handed));
+    }
+
+    /** Hands the next home what this one, which leaves, has left of quotas. */
+    private void handOverQuotas() {
+        DispatchEvent.QuotasHanded handed = asHome.handOverQuotas(clock.getAsLong());
+        boolean sent = toHome(handed);
+        log.accept(
+                "event=quotas_handed_over home=%s workspaces=%d sent=%s"
+                        .formatted(home.name(), handed.parts().size(), sent));
+    }
+
     private void followedBy(HostId host) {
         followers.heard(host, clock.getAsLong());
         shareAsHome();
@@ -374,8 +403,12 @@
 
     /** The membership view changed. */
     void fleetChanged() {
+        boolean wasHome = home.isSelf();
         boolean moved = home.choose(clock.getAsLong());
         share();
+        if (wasHome && !home.isSelf() && fleet.isLeaving() && home.id().isPresent()) {
+            handOverQuotas();
+        }
         if (moved) {
             homeMoved();
         }
@@ -416,6 +449,8 @@
             asHome = newHome(fill);
             var unused = feed.to(asHome, true, nowNanos);
             share();
+            handOver.begin(nowNanos);
+            takeOverQuotas();
         }
         active.forEach(
                 (run, at) ->
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -44,6 +44,7 @@
     private final Listener listener;
     private final Map<HostId, Long> vanishedNanos = new HashMap<>();
     private List<Member> members = List.of();
+    private boolean leaving;
     private int registered;
     private long registeredNanos;
 
@@ -99,6 +100,7 @@
     }
 
     void leave() {
+        leaving = true;
         apply(membership.on(clock.getAsLong(), new MembershipEvent.LeaveAsked()));
     }
 
@@ -124,6 +126,11 @@
         }
     }
 
+    /** Returns whether this host is about to stop. */
+    boolean isLeaving() {
+        return leaving;
+    }
+
     /** Returns the hosts that answer and are not about to stop, this one included. */
     List<Member> live() {
         return members.stream().filter(FleetView::isLive).toList();
--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -2,10 +2,12 @@
 
 import static org.testng.Assert.assertEquals;
 
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -51,6 +53,14 @@
         assertSame(new DispatchEvent.Ended(new RunKey(new HostId("h"), 7), end));
     }
 
+    @Property(tries = 50, seed = "4")
+    void quotasArriveAsHandedOver(@ForAll @DoubleRange(min = -20, max = 1) double part)
+            throws BadMessageException {
+        assertSame(
+                new DispatchEvent.QuotasHanded(
+                        Map.of(new WorkspaceId("v"), part, new WorkspaceId("w"), 1.0)));
+    }
+
     private void assertSame(DispatchEvent event) throws BadMessageException {
         DispatchMessage message = new DispatchMessage.ToHome(event);
         assertEquals(codec.decode(codec.encode(message)), message);
--- a/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
+++ b/src/test/java/org/orioleshed/dispatch/TokenBucketTest.java
@@ -71,4 +71,22 @@
         assertFalse(bucket.take(1, 0, SECOND));
         assertFalse(bucket.take(1, 0, 0));
     }
+
+    @Test
+    public void whatIsHandedOverIsNotGivenOutHere() {
+        TokenBucket bucket = new TokenBucket(10, 100, 60, 0);
+        assertEquals(bucket.empty(SECOND), 0.7);
+        assertFalse(bucket.take(1, 0, SECOND));
+        bucket.addPart(0.5);
+        assertTrue(bucket.take(50, 0, SECOND));
+        assertFalse(bucket.take(1, 0, SECOND));
+    }
+
+    @Test
+    public void aDebtIsHandedOverAndStays() {
+        TokenBucket bucket = new TokenBucket(10, 100, 100, 0);
+        assertTrue(bucket.take(150, 0, 0));
+        assertEquals(bucket.empty(0), -0.5);
+        assertEquals(bucket.millisUntil(0, 0), 5_000);
+    }
 }
--- a/src/test/java/org/orioleshed/gateway/DispatcherTest.java
+++ b/src/test/java/org/orioleshed/gateway/DispatcherTest.java
@@ -36,6 +36,35 @@
         assertEquals(two.get(1).told, List.of("2 x by=home", "3 x by=home"));
     }
 
+    @Test
+    public void theNextHomeGoesOnWithWhatOneThatLeavesHadLeftOfQuotas() {
+        SteppedHosts two = SteppedHosts.two(8);
+        two.put("op/config", "2/1000");
+        two.run(8_000);
+        two.get(0).fleet.leave();
+        two.run(600);
+        assertEquals(two.get(1).dispatcher.homeName(), "10.0.0.2");
+        for (int i = 1; i <= 7; i++) {
+            two.get(1).ask(i, Optional.of(PlainDecoder.WORKSPACE), 100);
+        }
+        two.deliver();
+        two.get(1).told.forEach(told -> assertTrue(told.endsWith("by=self"), told));
+    }
+
+    @Test
+    public void quotasUsedUpBeforeAHomeLeavesAreNotThereAgain() {
+        SteppedHosts two = SteppedHosts.two(8);
+        two.put("op/config", "2/1000");
+        two.run(8_000);
+        two.get(0).ask(1, Optional.of(PlainDecoder.WORKSPACE), 1_000);
+        two.get(0).ask(2, Optional.of(PlainDecoder.WORKSPACE), 400);
+        two.get(0).fleet.leave();
+        two.run(100);
+        two.get(1).ask(3, Optional.of(PlainDecoder.WORKSPACE), 700);
+        two.deliver();
+        assertEquals(two.get(1).told, List.of("3 QUOTA"));
+    }
+
     @Test
     public void aSilentHomeIsDoneWithoutAfterAMoment() {
         SteppedHosts two = SteppedHosts.two(2);
--- a/src/test/java/org/orioleshed/gateway/HostsTest.java
+++ b/src/test/java/org/orioleshed/gateway/HostsTest.java
@@ -75,6 +75,38 @@
         checkAgreement(all);
     }
 
+    /** Restarts of hosts, one after the other or together, each with a word before. */
+    @Test(dataProvider = "seeds")
+    public void promisesHoldWhileHostsLeave(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SteppedHosts all = start(seed);
+        for (int i = 0; i < STEPS; i++) {
+            int kind = random.nextInt(KINDS);
+            int dice = random.nextInt(1 << 20);
+            if (kind < 20) {
+                leaveOrEnd(all, dice % HOSTS);
+            } else {
+                step(all, kind, dice);
+            }
+        }
+        heal(all);
+        all.run(LAST_MILLIS);
+        checkQuota(all.sent());
+        checkOnce(all.sent());
+        checkAllAnswered(all);
+    }
+
+    private static void leaveOrEnd(SteppedHosts all, int number) {
+        SteppedHost host = all.get(number);
+        if (host.dead) {
+            all.restart(number);
+        } else if (host.leaving) {
+            all.kill(number);
+        } else {
+            host.leave();
+        }
+    }
+
     private SteppedHosts start(long seed) {
         SteppedHosts all = new SteppedHosts(HOSTS, SLOTS, seed);
         number = 0;
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -51,6 +51,7 @@
     final List<Sent> sent = new ArrayList<>();
     final Set<Long> open = new HashSet<>();
     boolean dead;
+    boolean leaving;
     boolean storeAway;
     private final SteppedHosts all;
     private final Map<RunKey, Long> endNanos = new HashMap<>();
@@ -98,6 +99,12 @@
         fleetChanged();
     }
 
+    /** Tells the others that it is about to stop. */
+    void leave() {
+        leaving = true;
+        fleet.leave();
+    }
+
     /** Has each request run for so long from now on; 0 for until it is ended by hand. */
     void runFor(long millis) {
         runMillis = millis;
