--- a/src/main/java/org/orioleshed/claim/ClaimHead.java
+++ b/src/main/java/org/orioleshed/claim/ClaimHead.java
@@ -3,7 +3,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.orioleshed.model.RequestKey;
+import org.orioleshed.model.RunId;
 
 /**
  * The newest claims of one bucket, and where its older ones lie. Immutable.
@@ -25,7 +27,12 @@
     private static final int PAGE_BYTES = 40;
 
     /** A page as the head names it: at least this version of it holds all that was moved there. */
-    record PageRef(int slot, long generation, int version, long newestMillis) {}
+    record PageRef(int slot, long generation, int version, long newestMillis) {
+        /** Returns whether {@code page} is the one named here. */
+        boolean isMetBy(ClaimPage page) {
+            return page.generation() == generation && page.version() >= version;
+        }
+    }
 
     /** Returns an upper bound of the encoded size. */
     int bytes() {
@@ -47,6 +54,11 @@
         return new ClaimHead(nowMillis, nextGeneration, kept, keptPages);
     }
 
+    /** Returns the claim of {@code run}, if it has the key here. */
+    Optional<ClaimRecord> find(RequestKey key, RunId run) {
+        return Optional.ofNullable(records.get(key)).filter(record -> record.run().equals(run));
+    }
+
     /** Returns the lowest slot that no page uses. */
     int freeSlot() {
         for (int slot = 0; ; slot++) {
--- a/src/main/java/org/orioleshed/claim/ClaimPage.java
+++ b/src/main/java/org/orioleshed/claim/ClaimPage.java
@@ -9,6 +9,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.orioleshed.claim.ClaimCodec.BadPageException;
+import org.orioleshed.host.HostEvent.StoreAnswer;
 import org.orioleshed.model.RequestKey;
 
 /**
@@ -24,6 +26,18 @@
         records = List.copyOf(records);
     }
 
+    /** Returns the page that an answer of the store holds, if it is one. */
+    static Optional<ClaimPage> in(StoreAnswer answer) {
+        if (!(answer instanceof StoreAnswer.Value value) || value.value().isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(ClaimCodec.page(value.value().get()));
+        } catch (BadPageException e) {
+            return Optional.empty();
+        }
+    }
+
     /** Returns an upper bound of the encoded size. */
     int bytes() {
         return records.stream().mapToInt(ClaimRecord::bytes).sum();
--- a/src/main/java/org/orioleshed/claim/ClaimRecord.java
+++ b/src/main/java/org/orioleshed/claim/ClaimRecord.java
@@ -4,6 +4,7 @@
 import org.orioleshed.model.Outcome;
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.RunId;
+import org.orioleshed.request.Claims;
 
 /**
  * One claim.
@@ -30,6 +31,11 @@
         return new ClaimRecord(key, run, atMillis, Optional.of(other));
     }
 
+    /** Returns the answer to another run that asks for the key. */
+    Claims.Result taken() {
+        return new Claims.Result.Taken(run, outcome);
+    }
+
     private static int bytes(Outcome outcome) {
         return switch (outcome) {
             case Outcome.Answered answered -> FIXED_BYTES + answered.body().size();
--- /dev/null
+++ b/src/main/java/org/orioleshed/claim/PageMove.java
@@ -0,0 +1,118 @@
+package org.orioleshed.claim;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.claim.ClaimHead.PageRef;
+import org.orioleshed.host.HostEvent.StoreAnswer;
+
+/**
+ * Moves the claims of a full head to the newest page, or to a new one: first the page is written,
+ * then the head without them. A failure between the two leaves the claims in both, which is
+ * harmless.
+ */
+final class PageMove {
+    private final ClaimLimits limits;
+    private final BucketCalls calls;
+    private final KnownHead known;
+    private final Emptied emptied;
+
+    /** Takes the head without the claims that a page holds now; it has to be written. */
+    interface Emptied {
+        void write(long nowNanos, ClaimHead empty);
+    }
+
+    /** The page that the claims of a head go to. */
+    private record Move(ClaimHead head, PageRef target, boolean startsPage) {
+        /** Returns whether a page found in the target's slot is the target or makes room for it. */
+        boolean accepts(long foundGeneration) {
+            return startsPage
+                    ? foundGeneration <= target.generation()
+                    : foundGeneration == target.generation();
+        }
+    }
+
+    PageMove(ClaimLimits limits, BucketCalls calls, KnownHead known, Emptied emptied) {
+        this.limits = limits;
+        this.calls = calls;
+        this.known = known;
+        this.emptied = emptied;
+    }
+
+    /** Moves the claims of the head as it is known. */
+    void start(long nowNanos) {
+        ClaimHead head = known.head();
+        if (head.pages().isEmpty()) {
+            startPage(nowNanos, head);
+            return;
+        }
+        readTarget(nowNanos, new Move(head, head.pages().getLast(), false));
+    }
+
+    private void startPage(long nowNanos, ClaimHead head) {
+        PageRef target = new PageRef(head.freeSlot(), head.nextGeneration(), 0, 0);
+        readTarget(nowNanos, new Move(head, target, true));
+    }
+
+    private void readTarget(long nowNanos, Move move) {
+        calls.readPage(
+                nowNanos,
+                move.target.slot(),
+                (now, answer) -> {
+                    if (answer instanceof StoreAnswer.Value value) {
+                        calls.succeeded();
+                        writeTarget(now, move, value);
+                    } else {
+                        calls.failed(now);
+                    }
+                });
+    }
+
+    private void writeTarget(long nowNanos, Move move, StoreAnswer.Value value) {
+        Optional<ClaimPage> present = ClaimPage.in(value);
+        long found = present.map(ClaimPage::generation).orElse(0L);
+        long generation = move.target.generation();
+        if (!move.accepts(found)) {
+            startOver(nowNanos);
+            return;
+        }
+        ClaimPage base =
+                found == generation
+                        ? present.orElseThrow()
+                        : new ClaimPage(generation, 0, List.of());
+        ClaimPage next = base.with(move.head.records().values());
+        if (!move.startsPage && next.bytes() > limits.pageBytes()) {
+            startPage(nowNanos, move.head);
+            return;
+        }
+        calls.swapPage(
+                nowNanos,
+                move.target.slot(),
+                value.revision(),
+                next,
+                (now, answer) -> {
+                    if (answer instanceof StoreAnswer.Swapped) {
+                        calls.succeeded();
+                        known.learn(next);
+                        emptied.write(now, without(now, move, next));
+                    } else {
+                        startOver(now);
+                    }
+                });
+    }
+
+    private void startOver(long nowNanos) {
+        known.forget();
+        calls.failed(nowNanos);
+    }
+
+    private ClaimHead without(long nowNanos, Move move, ClaimPage page) {
+        long clockMillis = known.clockMillis(nowNanos);
+        List<PageRef> pages = new ArrayList<>(move.head.pages());
+        pages.removeIf(ref -> ref.generation() == page.generation());
+        pages.add(new PageRef(move.target.slot(), page.generation(), page.version(), clockMillis));
+        long nextGeneration = Math.max(move.head.nextGeneration(), page.generation() + 1);
+        return new ClaimHead(clockMillis, nextGeneration, Map.of(), List.copyOf(pages));
+    }
+}
--- a/src/main/java/org/orioleshed/claim/PendingClaim.java
+++ b/src/main/java/org/orioleshed/claim/PendingClaim.java
@@ -49,4 +49,14 @@
         this.registered = registered;
         this.settled = settled;
     }
+
+    /** Returns whether {@code present} is of this claim's own run. */
+    boolean isOf(ClaimRecord present) {
+        return run.filter(present.run()::equals).isPresent();
+    }
+
+    /** Returns whether {@code present} is of the run that this claim may replace. */
+    boolean mayReplace(ClaimRecord present) {
+        return replaces.filter(present.run()::equals).isPresent();
+    }
 }
