--- a/src/main/java/org/orioleshed/routing/PrefixIndex.java
+++ b/src/main/java/org/orioleshed/routing/PrefixIndex.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import org.orioleshed.model.Work;
+import org.orioleshed.routing.RoutingMessage.Offer;
 
 /**
  * The home's picture of one backend server's prefix cache: what was sent there, the least recently
@@ -13,20 +14,26 @@
     private static final double CONFIDENCE_AFTER_GAP = 0.5;
     private static final double CONFIDENCE_STEP = 0.1;
 
-    private final Map<Long, Boolean> blocks;
+    private final Map<Long, Boolean> blocks =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
+                    return size() > maxBlocks;
+                }
+            };
+    private long maxBlocks;
     private double confidence = 1;
 
     PrefixIndex(long cacheTokens) {
-        long maxBlocks = cacheTokens / Work.PREFIX_BLOCK_TOKENS;
-        blocks =
-                new LinkedHashMap<>(16, 0.75f, true) {
-                    private static final long serialVersionUID = 1L;
+        maxBlocks = cacheTokens / Work.PREFIX_BLOCK_TOKENS;
+    }
 
-                    @Override
-                    protected boolean removeEldestEntry(Map.Entry<Long, Boolean> eldest) {
-                        return size() > maxBlocks;
-                    }
-                };
+    /** Forgets all and starts anew with a cache of another size. */
+    void reset(long cacheTokens) {
+        clear();
+        maxBlocks = cacheTokens / Work.PREFIX_BLOCK_TOKENS;
     }
 
     /** Notes that a prompt was sent to the engine. */
@@ -60,6 +67,11 @@
         return (int) (leading * Work.PREFIX_BLOCK_TOKENS * confidence);
     }
 
+    /** Returns how many tokens of the prompt are not expected in the cache. */
+    int uncachedTokens(Offer offer) {
+        return Math.max(0, offer.promptTokens() - cachedTokens(offer.prefixHashes()));
+    }
+
     int size() {
         return blocks.size();
     }
--- a/src/main/java/org/orioleshed/routing/ServerRuns.java
+++ b/src/main/java/org/orioleshed/routing/ServerRuns.java
@@ -6,35 +6,71 @@
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.model.RunId;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.routing.RoutingMessage.Offer;
 
-/** The runs on one engine: passes their tokens on, keeps to the callers' credit, and ends them. */
+/**
+ * The runs on one engine: starts them, passes their tokens on, keeps to the callers' credit, and
+ * ends them.
+ */
 final class ServerRuns {
     private static final long CANCEL_BOUND_NANOS = 2_000_000_000L;
     private static final long CANCEL_REPEAT_NANOS = 1_000_000_000L;
     private static final long OVERTIME_NANOS = 2_000_000_000L;
 
     private final RoutingLimits limits;
+    private final ServerId server;
     private final Outbox outbox;
     private final Places places;
+    private final PrefixIndex prefixes;
     private final ServerSpeed speed;
     private final AdaptiveLimit limit;
     private final HoldOff holdOff;
 
     ServerRuns(
             RoutingLimits limits,
+            ServerId server,
             Outbox outbox,
             Places places,
+            PrefixIndex prefixes,
             ServerSpeed speed,
             AdaptiveLimit limit,
             HoldOff holdOff) {
         this.limits = limits;
+        this.server = server;
         this.outbox = outbox;
         this.places = places;
+        this.prefixes = prefixes;
         this.speed = speed;
         this.limit = limit;
         this.holdOff = holdOff;
     }
 
+    /** Starts a run whose body arrived. */
+    void start(long nowNanos, Waiting waiting, RoutingMessage.Placed placed, boolean canResume) {
+        Offer offer = waiting.offer();
+        int uncached = prefixes.uncachedTokens(offer);
+        prefixes.sent(offer.prefixHashes());
+        Running run =
+                new Running(
+                        waiting,
+                        placed.resumeFromToken(),
+                        placed.creditTokens(),
+                        uncached,
+                        nowNanos,
+                        speed.prefillMillis(offer.route(), uncached));
+        places.start(run);
+        int resumeFrom = canResume ? placed.resumeFromToken() : 0;
+        outbox.add(new HostAction.StartRun(waiting.run(), server, placed.body(), resumeFrom));
+        outbox.log(
+                "start",
+                waiting.run(),
+                offer.tier(),
+                server,
+                server + ":" + waiting.workMillis(),
+                "uncached=" + uncached + "-of-" + offer.promptTokens());
+    }
+
+    /** Returns whether the run is here. */
     boolean credit(long nowNanos, RunId id, int tokens) {
         Optional<Running> run = places.run(id);
         run.ifPresent(r -> r.addCredit(tokens));
@@ -66,7 +102,7 @@
     }
 
     /** Asks the engine to stop a run; its place stays taken until the engine is done with it. */
-    void stop(long nowNanos, Running run, Running.Stop reason, ServerId server) {
+    void stop(long nowNanos, Running run, Running.Stop reason) {
         if (run.stopping()) {
             return;
         }
@@ -74,7 +110,19 @@
         outbox.add(new HostAction.CancelRun(run.run(), server));
     }
 
-    void ended(long nowNanos, Running run, RunEnd end, ServerId server) {
+    /** Stops a run so that more urgent work gets its place. */
+    void preempt(long nowNanos, Running victim, String reason) {
+        stop(nowNanos, victim, Running.Stop.PREEMPTED);
+        outbox.log(
+                "preempt",
+                victim.run(),
+                victim.waiting().offer().tier(),
+                server,
+                server + ":" + victim.generatedTokens(),
+                reason);
+    }
+
+    void ended(long nowNanos, Running run, RunEnd end) {
         judge(nowNanos, end);
         if (end instanceof RunEnd.Broken broken && !broken.confirmedEnded() && !broken.crashed()) {
             if (run.stop() != Running.Stop.BROKEN) {
@@ -90,10 +138,10 @@
         tell(run, meaning(run, end));
     }
 
-    void tick(long nowNanos, ServerId server) {
+    void tick(long nowNanos) {
         for (Running run : List.copyOf(places.running())) {
             if (run.stopping()) {
-                pressCancel(nowNanos, run, server);
+                pressCancel(nowNanos, run);
             } else if (isSilent(nowNanos, run)) {
                 outbox.log(
                         "stop",
@@ -102,9 +150,9 @@
                         server,
                         server + ":" + run.generatedTokens(),
                         "no-token-for-too-long");
-                stop(nowNanos, run, Running.Stop.SILENT, server);
+                stop(nowNanos, run, Running.Stop.SILENT);
             } else if (nowNanos - run.waiting().deadlineNanos() > OVERTIME_NANOS) {
-                stop(nowNanos, run, Running.Stop.ORPHANED, server);
+                stop(nowNanos, run, Running.Stop.ORPHANED);
             }
         }
     }
@@ -165,7 +213,7 @@
         }
     }
 
-    private void pressCancel(long nowNanos, Running run, ServerId server) {
+    private void pressCancel(long nowNanos, Running run) {
         long sinceStop = nowNanos - run.stopNanos();
         if (sinceStop > CANCEL_BOUND_NANOS) {
             tell(run, new RunEnd.Broken(false, false));
