--- a/src/main/java/org/orioleshed/standin/EngineServer.java
+++ b/src/main/java/org/orioleshed/standin/EngineServer.java
@@ -16,7 +16,7 @@
 import org.orioleshed.standin.EngineRun.Piece;
 
 /** A stand-in model engine on a loopback port. */
-final class EngineServer implements AutoCloseable {
+final class EngineServer extends StandinServer {
     private static final long ALIVE_MILLIS = 800;
     private static final long LOAD_SAMPLE_MILLIS = 100;
     private static final long LOAD_LAG_MILLIS = 500;
@@ -30,7 +30,6 @@
     private final EngineSpec spec;
     private final ScheduledExecutorService clock;
     private final EngineModel model;
-    private final JsonDoor door;
     private final Deque<Load> loads = new ArrayDeque<>();
     private final List<String> crashTags = new ArrayList<>();
     private String modelName;
@@ -40,31 +39,23 @@
     private long stepDueNanos;
 
     EngineServer(EngineSpec spec, ScheduledExecutorService clock) {
+        super(spec.port());
         this.spec = spec;
         this.clock = clock;
         this.model = new EngineModel(spec, new SplittableRandom(spec.id().hashCode()));
         this.modelName = spec.model();
-        this.door = new JsonDoor(spec.port(), this::handle);
     }
 
-    EngineServer open() {
-        door.open();
+    @Override
+    void open() {
+        super.open();
         var unused =
                 clock.scheduleAtFixedRate(
                         this::sampleLoad, 0, LOAD_SAMPLE_MILLIS, TimeUnit.MILLISECONDS);
-        return this;
     }
 
     @Override
-    public void close() {
-        door.close();
-    }
-
-    int port() {
-        return door.port();
-    }
-
-    private void handle(HttpExchange exchange) throws IOException, InterruptedException {
+    void handle(HttpExchange exchange) throws IOException, InterruptedException {
         String path = exchange.getRequestURI().getPath();
         switch (path) {
             case "/v1/chat/completions" -> generate(exchange);
@@ -125,7 +116,7 @@
             crashTags.add(run.tag);
             model.crash(System.currentTimeMillis());
         }
-        door.crash(CRASH_DOWN_MILLIS);
+        crash(CRASH_DOWN_MILLIS);
     }
 
     private void stream(HttpExchange exchange, EngineRun run)
@@ -291,8 +282,7 @@
     }
 
     private void setFaults(HttpExchange exchange) throws IOException {
-        EngineFaults faults =
-                JsonDoor.JSON.treeToValue(JsonDoor.read(exchange), EngineFaults.class);
+        EngineFaults faults = JsonDoor.read(exchange, EngineFaults.class);
         synchronized (this) {
             model.setFaults(faults);
         }
--- a/src/main/java/org/orioleshed/standin/JsonDoor.java
+++ b/src/main/java/org/orioleshed/standin/JsonDoor.java
@@ -98,6 +98,10 @@
         return JSON.readTree(exchange.getRequestBody().readAllBytes());
     }
 
+    static <T> T read(HttpExchange exchange, Class<T> type) throws IOException {
+        return JSON.treeToValue(read(exchange), type);
+    }
+
     static void reply(HttpExchange exchange, int status, Object body) throws IOException {
         byte[] bytes = JSON.writeValueAsBytes(body);
         exchange.getResponseHeaders().set("Content-Type", "application/json");
--- a/src/main/java/org/orioleshed/standin/ServiceServer.java
+++ b/src/main/java/org/orioleshed/standin/ServiceServer.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** A stand-in plain service on a loopback port, which counts its runs for each request. */
-final class ServiceServer implements AutoCloseable {
+final class ServiceServer extends StandinServer {
     /**
      * What is wrong with the service.
      *
@@ -27,37 +27,23 @@
     private static final long SILENT_SECONDS = 600;
 
     private final ServiceSpec spec;
-    private final JsonDoor door;
     private final SplittableRandom random;
     private final Map<String, Integer> runsByKey = new HashMap<>();
     private final List<RunRecord> runs = new ArrayList<>();
     private volatile Faults faults = Faults.NONE;
 
     ServiceServer(ServiceSpec spec) {
+        super(spec.port());
         this.spec = spec;
         this.random = new SplittableRandom(spec.id().hashCode());
-        this.door = new JsonDoor(spec.port(), this::handle);
-    }
-
-    ServiceServer open() {
-        door.open();
-        return this;
     }
 
     @Override
-    public void close() {
-        door.close();
-    }
-
-    int port() {
-        return door.port();
-    }
-
-    private void handle(HttpExchange exchange) throws IOException, InterruptedException {
+    void handle(HttpExchange exchange) throws IOException, InterruptedException {
         String path = exchange.getRequestURI().getPath();
         switch (path) {
             case "/standin/faults" -> {
-                faults = JsonDoor.JSON.treeToValue(JsonDoor.read(exchange), Faults.class);
+                faults = JsonDoor.read(exchange, Faults.class);
                 JsonDoor.reply(exchange, 200, faults);
             }
             case "/standin/runs" -> JsonDoor.reply(exchange, 200, runs());
--- a/src/main/java/org/orioleshed/standin/StandinMain.java
+++ b/src/main/java/org/orioleshed/standin/StandinMain.java
@@ -47,7 +47,7 @@
         System.out.println("ready");
     }
 
-    private static void run(FleetSpec spec) {
+    private static void runForever(FleetSpec spec) {
         start(spec);
         try {
             new CountDownLatch(1).await();
@@ -56,24 +56,43 @@
         }
     }
 
-    private static int port(String listen) {
-        String prefix = "127.0.0.1:";
-        if (!listen.startsWith(prefix)) {
-            throw new IllegalArgumentException("--listen must be 127.0.0.1:PORT: " + listen);
-        }
-        return Integer.parseInt(listen.substring(prefix.length()));
-    }
+    /** Runs one stand-in. */
+    public abstract static class OneCommand implements Runnable {
+        private static final String LOOPBACK = "127.0.0.1:";
 
-    /** Runs one engine. */
-    @Command(name = "engine", description = "Runs a model engine")
-    public static final class EngineCommand implements Runnable {
         @Option(name = "--listen", description = "127.0.0.1:PORT")
         @Required
         String listen;
 
+        /** Returns what the options say of the stand-in. */
+        abstract FleetSpec spec(int port);
+
+        @Override
+        public final void run() {
+            runForever(spec(port()));
+        }
+
+        private int port() {
+            if (!listen.startsWith(LOOPBACK)) {
+                throw new IllegalArgumentException("--listen must be 127.0.0.1:PORT: " + listen);
+            }
+            return Integer.parseInt(listen.substring(LOOPBACK.length()));
+        }
+    }
+
+    /** Runs one backend server. */
+    public abstract static class BackendCommand extends OneCommand {
         @Option(name = "--id", description = "The backend server's id")
-        String id = "engine";
+        String id;
+
+        BackendCommand(String defaultId) {
+            this.id = defaultId;
+        }
+    }
 
+    /** Runs one engine. */
+    @Command(name = "engine", description = "Runs a model engine")
+    public static final class EngineCommand extends BackendCommand {
         @Option(name = "--model", description = "The model")
         String model = "letters";
 
@@ -98,12 +117,17 @@
         @Option(name = "--ignore-fencing", description = "Take orders with old fencing numbers")
         boolean ignoreFencing;
 
+        /** Makes a command with the options' defaults. */
+        public EngineCommand() {
+            super("engine");
+        }
+
         @Override
-        public void run() {
+        FleetSpec spec(int port) {
             EngineSpec spec =
                     new EngineSpec(
                             id,
-                            port(listen),
+                            port,
                             model,
                             version,
                             stepMillis,
@@ -112,37 +136,31 @@
                             maxBatch,
                             cacheTokens,
                             !ignoreFencing);
-            StandinMain.run(new FleetSpec(List.of(spec), List.of(), null));
+            return new FleetSpec(List.of(spec), List.of(), null);
         }
     }
 
     /** Runs one plain service. */
     @Command(name = "service", description = "Runs a plain service")
-    public static final class ServiceCommand implements Runnable {
-        @Option(name = "--listen", description = "127.0.0.1:PORT")
-        @Required
-        String listen;
-
-        @Option(name = "--id", description = "The backend server's id")
-        String id = "service";
-
+    public static final class ServiceCommand extends BackendCommand {
         @Option(name = "--call-millis", description = "The time of a call")
         int callMillis = 20;
 
+        /** Makes a command with the options' defaults. */
+        public ServiceCommand() {
+            super("service");
+        }
+
         @Override
-        public void run() {
-            ServiceSpec spec = new ServiceSpec(id, port(listen), callMillis);
-            StandinMain.run(new FleetSpec(List.of(), List.of(spec), null));
+        FleetSpec spec(int port) {
+            ServiceSpec spec = new ServiceSpec(id, port, callMillis);
+            return new FleetSpec(List.of(), List.of(spec), null);
         }
     }
 
     /** Runs the store. */
     @Command(name = "store", description = "Runs the platform's key-value service")
-    public static final class StoreCommand implements Runnable {
-        @Option(name = "--listen", description = "127.0.0.1:PORT")
-        @Required
-        String listen;
-
+    public static final class StoreCommand extends OneCommand {
         @Option(name = "--writes", description = "Writes a second")
         int writesPerSecond = 500;
 
@@ -150,9 +168,9 @@
         int readsPerSecond = 2_000;
 
         @Override
-        public void run() {
-            StoreSpec spec = new StoreSpec(port(listen), writesPerSecond, readsPerSecond);
-            StandinMain.run(new FleetSpec(List.of(), List.of(), spec));
+        FleetSpec spec(int port) {
+            StoreSpec spec = new StoreSpec(port, writesPerSecond, readsPerSecond);
+            return new FleetSpec(List.of(), List.of(), spec);
         }
     }
 
@@ -166,7 +184,7 @@
         @Override
         public void run() {
             try {
-                StandinMain.run(JsonDoor.JSON.readValue(new File(spec), FleetSpec.class));
+                runForever(JsonDoor.JSON.readValue(new File(spec), FleetSpec.class));
             } catch (IOException e) {
                 throw new IllegalArgumentException(spec + " cannot be read: " + e.getMessage(), e);
             }
--- /dev/null
+++ b/src/main/java/org/orioleshed/standin/StandinServer.java
@@ -0,0 +1,39 @@
+package org.orioleshed.standin;
+
+import com.sun.net.httpserver.HttpExchange;
+import java.io.IOException;
+
+/** A stand-in that answers JSON over HTTP on a loopback port, from {@link #open} on. */
+abstract class StandinServer implements AutoCloseable {
+    private final JsonDoor door;
+
+    /**
+     * Makes a server that does not listen yet.
+     *
+     * @param port the loopback port; zero for any that is free
+     */
+    StandinServer(int port) {
+        this.door = new JsonDoor(port, this::handle);
+    }
+
+    /** Answers one exchange; called on a thread of its own. */
+    abstract void handle(HttpExchange exchange) throws IOException, InterruptedException;
+
+    void open() {
+        door.open();
+    }
+
+    /** Closes the port and all connections, and opens the port again after a while. */
+    final void crash(long downMillis) {
+        door.crash(downMillis);
+    }
+
+    @Override
+    public final void close() {
+        door.close();
+    }
+
+    final int port() {
+        return door.port();
+    }
+}
--- a/src/main/java/org/orioleshed/standin/StoreServer.java
+++ b/src/main/java/org/orioleshed/standin/StoreServer.java
@@ -19,7 +19,7 @@
  * The stand-in for the platform's key-value service: a part of etcd's v3 JSON gateway on a loopback
  * port. Counts its calls, a waiting watch as one, and refuses calls above its rates.
  */
-final class StoreServer implements AutoCloseable {
+final class StoreServer extends StandinServer {
     /**
      * What is wrong with the store.
      *
@@ -36,7 +36,6 @@
     private static final int MAX_VALUE_BASE64 = 1_400_000;
     private static final String NO_END = "\uffff";
 
-    private final JsonDoor door;
     private final CallRate writes;
     private final CallRate reads;
     private final StoreModel model = new StoreModel();
@@ -48,27 +47,14 @@
     private long refusedCalls;
 
     StoreServer(StoreSpec spec) {
+        super(spec.port());
         long now = System.currentTimeMillis();
         this.writes = new CallRate(spec.writesPerSecond(), now);
         this.reads = new CallRate(spec.readsPerSecond(), now);
-        this.door = new JsonDoor(spec.port(), this::handle);
-    }
-
-    StoreServer open() {
-        door.open();
-        return this;
     }
 
     @Override
-    public void close() {
-        door.close();
-    }
-
-    int port() {
-        return door.port();
-    }
-
-    private void handle(HttpExchange exchange) throws IOException, InterruptedException {
+    void handle(HttpExchange exchange) throws IOException, InterruptedException {
         String path = exchange.getRequestURI().getPath();
         if (path.startsWith("/standin/")) {
             control(exchange, path);
@@ -101,7 +87,7 @@
 
     private void control(HttpExchange exchange, String path) throws IOException {
         if (path.equals("/standin/faults")) {
-            faults = JsonDoor.JSON.treeToValue(JsonDoor.read(exchange), Faults.class);
+            faults = JsonDoor.read(exchange, Faults.class);
         }
         JsonDoor.reply(exchange, 200, counts());
     }
--- a/src/test/java/org/orioleshed/standin/StoreServerTest.java
+++ b/src/test/java/org/orioleshed/standin/StoreServerTest.java
@@ -27,7 +27,8 @@
 
     @BeforeMethod
     public void open() {
-        store = new StoreServer(new StoreSpec(0, 500, 2_000)).open();
+        store = new StoreServer(new StoreSpec(0, 500, 2_000));
+        store.open();
     }
 
     @AfterMethod
@@ -110,7 +111,8 @@
     @Test
     public void writesAboveTheRateAreRefused() throws Exception {
         store.close();
-        store = new StoreServer(new StoreSpec(0, 1, 2_000)).open();
+        store = new StoreServer(new StoreSpec(0, 1, 2_000));
+        store.open();
         swap("a", 0);
         String body = "{'key':'" + base64("k") + "','value':''}";
         assertEquals(post("/v3/kv/put", body, BodyHandlers.discarding()).statusCode(), 429);
