Settings: null brings the default back instead of an internal error; a null deadline is not 0 ms

A null took the schema's default away too, so that resolving the tree ended in a NullPointerException; a null inside an object that nothing was inherited for stayed in it.

--- a/src/main/java/org/orioleshed/settings/Inheritance.java
+++ b/src/main/java/org/orioleshed/settings/Inheritance.java
@@ -21,18 +21,21 @@
      */
     record Resolved(String path, String id, ObjectNode values) {}
 
+    private final ObjectNode defaults;
     private final List<Problem> problems;
     private final List<Resolved> items = new ArrayList<>();
     private final Map<String, String> pathById = new HashMap<>();
 
-    private Inheritance(List<Problem> problems) {
+    private Inheritance(ObjectNode defaults, List<Problem> problems) {
+        this.defaults = defaults;
         this.problems = problems;
     }
 
     /** Returns the items of {@code tree}, in the order of the document. */
     static List<Resolved> resolve(TreeOf type, JsonNode tree, String path, List<Problem> problems) {
-        Inheritance inheritance = new Inheritance(problems);
-        inheritance.walk(tree, path, defaults(type.item()));
+        ObjectNode defaults = defaults(type.item());
+        Inheritance inheritance = new Inheritance(defaults, problems);
+        inheritance.walk(tree, path, defaults);
         return inheritance.items;
     }
 
@@ -65,15 +68,20 @@
                 merged.remove(entry.getKey());
                 continue;
             }
-            boolean both = value instanceof ObjectNode && lower.get(entry.getKey()) != null;
-            if (both && lower.get(entry.getKey()) instanceof ObjectNode below) {
-                value = overlay(below, (ObjectNode) value);
+            if (value instanceof ObjectNode own) {
+                value = overlay(objectAt(lower, entry.getKey()), own);
             }
             merged.set(entry.getKey(), value);
         }
         return merged;
     }
 
+    private static ObjectNode objectAt(ObjectNode values, String name) {
+        return values.get(name) instanceof ObjectNode object
+                ? object
+                : JsonNodeFactory.instance.objectNode();
+    }
+
     private void walk(JsonNode node, String path, ObjectNode inherited) {
         ObjectNode base =
                 node.get(TreeOf.DEFAULTS) instanceof ObjectNode own
@@ -86,7 +94,18 @@
         String itemsPath = JsonText.below(path, TreeOf.ITEMS);
         for (Map.Entry<String, JsonNode> item : node.path(TreeOf.ITEMS).properties()) {
             if (item.getValue() instanceof ObjectNode own) {
-                add(JsonText.below(itemsPath, item.getKey()), item.getKey(), overlay(base, own));
+                ObjectNode values = overlay(base, own);
+                fillIn(values);
+                add(JsonText.below(itemsPath, item.getKey()), item.getKey(), values);
+            }
+        }
+    }
+
+    /** Adds the schema's default for each field that was taken away. */
+    private void fillIn(ObjectNode values) {
+        for (Map.Entry<String, JsonNode> fallback : defaults.properties()) {
+            if (!values.has(fallback.getKey())) {
+                values.set(fallback.getKey(), fallback.getValue());
             }
         }
     }
--- a/src/test/java/org/orioleshed/settings/SettingsTreeTest.java
+++ b/src/test/java/org/orioleshed/settings/SettingsTreeTest.java
@@ -133,4 +133,34 @@
                         "/servers/items/s/version",
                         "/servers/items/s"));
     }
+
+    @Test
+    public void nullTakesAnInheritedValueAwaySoThatTheDefaultHolds() {
+        SettingsTree tree =
+                tree(
+                        """
+                        {"workspaces": {"defaults": {"weight": 7, "defaultTier": "patient"},
+                                        "items": {"w": {"weight": null, "defaultTier": null}}},
+                         "servers": {"defaults": {"places": 3},
+                                     "items": {"s": {"domain": "d", "model": "m", "version": "v",
+                                                     "address": "http://127.0.0.1:9001",
+                                                     "places": null}}}}
+                        """);
+        Workspace workspace = tree.workspaces().get(new WorkspaceId("w"));
+        assertEquals(workspace.weight(), 1);
+        assertEquals(workspace.defaultTier(), Tier.STANDARD);
+        assertEquals(tree.servers().get(new ServerId("s")).places(), 8);
+    }
+
+    @Test
+    public void nullDeadlineOfAWorkspaceLeavesTheTiersOwn() {
+        SettingsTree tree =
+                tree(
+                        """
+                        {"workspaces": {"items": {"w": {"tiers": {"urgent":
+                                                            {"deadlineMillis": null}}}}}}
+                        """);
+        Workspace workspace = tree.workspaces().get(new WorkspaceId("w"));
+        assertEquals(workspace.tiers().get(Tier.URGENT), Long.valueOf(86_400_000));
+    }
 }
