Settings: a change resolves only what differs from the settings in force

ChangedTree cuts out what is alike in both documents, resolves the rest with TreeBuilder as it is, and takes the other items over; whenever something is wrong the tree is checked whole, so the problems reported stay the same. Edits copy only the objects on their way.

--- a/src/main/java/org/orioleshed/settings/SettingsDocument.java
+++ b/src/main/java/org/orioleshed/settings/SettingsDocument.java
@@ -186,13 +186,26 @@
         return SettingsTree.of(tree);
     }
 
+    /**
+     * Checks the tree by what differs from another one; the result is that of {@link #check}.
+     *
+     * @param before a document without problems
+     * @param resolvedBefore what came of checking it
+     */
+    SettingsTree.Result checkAfter(SettingsDocument before, SettingsTree resolvedBefore) {
+        Optional<SettingsTree> resolved =
+                new ChangedTree(before.tree, resolvedBefore, tree).resolve();
+        // All problems are reported in the order of the document, which only the whole tells.
+        return resolved.<SettingsTree.Result>map(SettingsTree.Result.Loaded::new)
+                .orElseGet(this::check);
+    }
+
     /**
      * Returns all that would be wrong with the tree after {@code edits}; none when they are valid.
      */
     public List<Problem> problemsWith(List<SettingsEdit> edits) {
         List<Problem> problems = new ArrayList<>();
-        ObjectNode edited = tree.deepCopy();
-        TreeEdits.apply(edited, edits, problems);
+        ObjectNode edited = TreeEdits.applied(tree, edits, problems);
         if (!problems.isEmpty()) {
             return problems;
         }
@@ -205,8 +218,7 @@
     /** Returns this document with one more change, or all that is wrong with it. */
     Result with(SettingsChange change) {
         List<Problem> problems = new ArrayList<>();
-        ObjectNode edited = tree.deepCopy();
-        TreeEdits.apply(edited, change.edits(), problems);
+        ObjectNode edited = TreeEdits.applied(tree, change.edits(), problems);
         if (!problems.isEmpty()) {
             return new Result.Problems(problems);
         }
--- a/src/main/java/org/orioleshed/settings/SettingsSpread.java
+++ b/src/main/java/org/orioleshed/settings/SettingsSpread.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Machine;
@@ -34,6 +35,7 @@
     private List<SettingsAction> actions = new ArrayList<>();
     private List<HostId> peers = List.of();
     private SettingsInForce inForce = SettingsInForce.NONE;
+    private SettingsTree resolved;
     private SettingsDocument held;
     private SettingsFetch fetch;
     private boolean storeHeard;
@@ -66,7 +68,7 @@
 
     /** Returns the document in force; empty when there is none. */
     public Optional<SettingsDocument> document() {
-        return inForce.number() == 0 ? Optional.empty() : Optional.of(read(inForce.packed()));
+        return inForce.number() == 0 ? Optional.empty() : Optional.of(documentInForce());
     }
 
     @Override
@@ -152,7 +154,7 @@
                             + " in force: was it restored from a backup?");
             return;
         }
-        adopt(document, "the store");
+        adopt(document, this::documentInForce, "the store");
     }
 
     private void storeAnswered() {
@@ -168,7 +170,8 @@
     }
 
     /** Takes a document into force if it is later and this host's revision lies in its past. */
-    private void adopt(SettingsDocument document, String source) {
+    private void adopt(
+            SettingsDocument document, Supplier<SettingsDocument> before, String source) {
         if (document.number() < inForce.number()) {
             return;
         }
@@ -187,11 +190,16 @@
                             + " in force");
             return;
         }
-        switch (document.check()) {
+        SettingsTree.Result result =
+                inForce.number() == 0
+                        ? document.check()
+                        : document.checkAfter(before.get(), resolved);
+        switch (result) {
             case SettingsTree.Result.Problems bad ->
                     alarm("settings of " + source + " are not valid: " + bad.problems());
             case SettingsTree.Result.Loaded good -> {
                 inForce = SettingsInForce.of(document);
+                resolved = good.tree();
                 actions.add(
                         new SettingsAction.Adopt(
                                 inForce.number(), inForce.changeId(), good.tree()));
@@ -283,16 +291,18 @@
         if (delta.fromNumber() != inForce.number() || inForce.number() == 0) {
             return;
         }
-        Optional<SettingsDocument> document = applied(delta);
+        SettingsDocument before = documentInForce();
+        Optional<SettingsDocument> document = applied(before, delta);
         if (document.isEmpty()) {
             startFetch(from, 0, "");
             return;
         }
-        adopt(document.get(), "host " + from);
+        adopt(document.get(), () -> before, "host " + from);
     }
 
-    private Optional<SettingsDocument> applied(SettingsMessage.Delta delta) {
-        SettingsDocument document = read(inForce.packed());
+    private static Optional<SettingsDocument> applied(
+            SettingsDocument before, SettingsMessage.Delta delta) {
+        SettingsDocument document = before;
         for (SettingsChange change : delta.changes()) {
             if (change.number() != document.number() + 1) {
                 return Optional.empty();
@@ -318,12 +328,14 @@
         switch (SettingsDocument.decode(whole.get())) {
             case SettingsDocument.Result.Problems bad ->
                     alarm("settings of host " + from + " can't be read: " + bad.problems());
-            case SettingsDocument.Result.Read good -> adopt(good.document(), "host " + from);
+            case SettingsDocument.Result.Read good ->
+                    adopt(good.document(), this::documentInForce, "host " + from);
         }
     }
 
-    private static SettingsDocument read(Payload packed) {
-        return ((SettingsDocument.Result.Read) SettingsDocument.decode(packed)).document();
+    private SettingsDocument documentInForce() {
+        return ((SettingsDocument.Result.Read) SettingsDocument.decode(inForce.packed()))
+                .document();
     }
 
     private void push() {
--- a/src/main/java/org/orioleshed/settings/TreeBuilder.java
+++ b/src/main/java/org/orioleshed/settings/TreeBuilder.java
@@ -7,6 +7,7 @@
 import java.time.LocalTime;
 import java.time.ZoneId;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -49,6 +50,20 @@
         check.check(Schema.TREE, document, "", SchemaCheck.Extent.WHOLE);
     }
 
+    /** Lets new items share the values that they have in common with items of an earlier tree. */
+    void shareWith(Collection<BackendServer> servers, Collection<Workspace> workspaces) {
+        for (BackendServer server : servers) {
+            share(server.domain());
+            share(server.target());
+            share(server.version());
+            share(server.generation());
+        }
+        for (Workspace workspace : workspaces) {
+            share(workspace.tiers());
+            share(workspace.patience());
+        }
+    }
+
     SettingsTree.Result build() {
         if (!problems.isEmpty()) {
             return new SettingsTree.Result.Problems(problems);
--- a/src/main/java/org/orioleshed/settings/TreeEdits.java
+++ b/src/main/java/org/orioleshed/settings/TreeEdits.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -13,11 +14,22 @@
 final class TreeEdits {
     private TreeEdits() {}
 
-    /** Applies all edits to {@code tree}, or reports those that can't be applied. */
-    static void apply(ObjectNode tree, List<SettingsEdit> edits, List<Problem> problems) {
+    /**
+     * Returns {@code tree} with all edits applied, or reports those that can't be. The argument is
+     * not changed; what no edit touches is shared with it.
+     */
+    static ObjectNode applied(ObjectNode tree, List<SettingsEdit> edits, List<Problem> problems) {
+        ObjectNode edited = copy(tree);
         for (SettingsEdit edit : edits) {
-            apply(tree, edit, problems);
+            apply(edited, edit, problems);
         }
+        return edited;
+    }
+
+    private static ObjectNode copy(ObjectNode node) {
+        ObjectNode copy = JsonNodeFactory.instance.objectNode();
+        copy.setAll(node);
+        return copy;
     }
 
     private static void apply(ObjectNode tree, SettingsEdit edit, List<Problem> problems) {
@@ -46,6 +58,7 @@
         }
     }
 
+    /** Returns the object that holds the edited value, with a copy of each object on the way. */
     private static ObjectNode parent(
             ObjectNode tree, List<String> names, SettingsEdit edit, List<Problem> problems) {
         ObjectNode node = tree;
@@ -58,7 +71,9 @@
                 problems.add(missing(edit.path(), name, node));
                 return null;
             }
-            node = object;
+            ObjectNode own = copy(object);
+            node.set(name, own);
+            node = own;
         }
         return node;
     }
--- a/src/test/java/org/orioleshed/settings/LargeTree.java
+++ b/src/test/java/org/orioleshed/settings/LargeTree.java
@@ -63,6 +63,15 @@
 
     /** Applies one change to a tree as a host does that gets it from a peer. */
     public static Object[] change(Object[] kept, int number) {
+        return change(kept, number, false);
+    }
+
+    /** Applies one change to a tree, and resolves the tree whole. */
+    public static Object[] changeAndResolveWhole(Object[] kept, int number) {
+        return change(kept, number, true);
+    }
+
+    private static Object[] change(Object[] kept, int number, boolean whole) {
         SettingsInForce before = (SettingsInForce) kept[0];
         SettingsDocument document =
                 ((SettingsDocument.Result.Read) SettingsDocument.decode(before.packed()))
@@ -79,10 +88,56 @@
                                         "/workspaces/branches/branch-1/items/workspace-1/weight",
                                         Integer.toString(number + 1))));
         SettingsDocument next = ((SettingsDocument.Result.Read) document.with(change)).document();
-        SettingsTree tree = ((SettingsTree.Result.Loaded) next.check()).tree();
+        SettingsTree.Result result =
+                whole ? next.check() : next.checkAfter(document, (SettingsTree) kept[1]);
+        SettingsTree tree = ((SettingsTree.Result.Loaded) result).tree();
         return new Object[] {SettingsInForce.of(next), tree};
     }
 
+    /**
+     * Returns how long it takes to check and resolve a changed tree, in nanoseconds.
+     *
+     * @param path what is changed
+     * @param json the value that it is changed to
+     * @param how whether the changed tree is resolved whole, by what changed in a document that
+     *     shares the rest, or by what changed in a document read anew
+     */
+    public static long resolveNanos(Object[] kept, String path, String json, How how) {
+        SettingsDocument before = read(((SettingsInForce) kept[0]).packed());
+        SettingsChange change =
+                new SettingsChange(
+                        before.number() + 1,
+                        "change",
+                        "litia",
+                        "measurement",
+                        0,
+                        java.util.List.of(SettingsEdit.set(path, json)));
+        SettingsDocument changed = ((SettingsDocument.Result.Read) before.with(change)).document();
+        SettingsDocument after = how == How.READ_ANEW ? read(changed.encode()) : changed;
+        long start = System.nanoTime();
+        SettingsTree.Result result =
+                how == How.WHOLE ? after.check() : after.checkAfter(before, (SettingsTree) kept[1]);
+        long nanos = System.nanoTime() - start;
+        if (!(result instanceof SettingsTree.Result.Loaded)) {
+            throw new IllegalStateException("" + result);
+        }
+        return nanos;
+    }
+
+    /** How a changed tree is resolved. */
+    public enum How {
+        /** All of it. */
+        WHOLE,
+        /** What differs, most of the rest being the same objects. */
+        SHARED,
+        /** What differs, nothing being the same objects. */
+        READ_ANEW
+    }
+
+    private static SettingsDocument read(org.orioleshed.model.Payload value) {
+        return ((SettingsDocument.Result.Read) SettingsDocument.decode(value)).document();
+    }
+
     private static SettingsDocument document(String text) {
         return ((SettingsDocument.Result.Read)
                         SettingsDocument.decode(org.orioleshed.model.Payload.of(text)))
