--- a/src/main/java/org/orioleshed/settings/ChangedTree.java
+++ b/src/main/java/org/orioleshed/settings/ChangedTree.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.stream.Collectors;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.Workspace;
 import org.orioleshed.model.ServerId;
@@ -47,62 +48,73 @@
 
     /** Returns the same as when the later document is resolved whole; empty if it has problems. */
     Optional<SettingsTree> resolve() {
+        ObjectNode gone = difference(before, after);
+        Set<ServerId> goneServers = ids(gone.path(SERVERS), ServerId::new);
+        Set<WorkspaceId> goneWorkspaces = ids(gone.path(WORKSPACES), WorkspaceId::new);
         TreeBuilder builder = new TreeBuilder(difference(after, before));
-        Set<String> goneServers = itemNames(SERVERS);
-        Set<String> goneWorkspaces = itemNames(WORKSPACES);
         builder.shareWith(
-                present(goneServers, name -> resolvedBefore.servers().get(new ServerId(name))),
-                present(
-                        goneWorkspaces,
-                        name -> resolvedBefore.workspaces().get(new WorkspaceId(name))));
+                goneServers.stream().map(resolvedBefore.servers()::get).toList(),
+                goneWorkspaces.stream().map(resolvedBefore.workspaces()::get).toList());
         if (!(builder.build() instanceof SettingsTree.Result.Loaded part)) {
             return Optional.empty();
         }
-        Map<ServerId, BackendServer> servers = new HashMap<>(resolvedBefore.servers());
-        goneServers.forEach(name -> servers.remove(new ServerId(name)));
-        Map<WorkspaceId, Workspace> workspaces = new HashMap<>(resolvedBefore.workspaces());
-        goneWorkspaces.forEach(name -> workspaces.remove(new WorkspaceId(name)));
-        boolean shareKeys = shareKeys(part.tree().workspaces().values(), workspaces.values());
-        if (shareKeys
-                || !addNew(servers, part.tree().servers())
-                || !addNew(workspaces, part.tree().workspaces())) {
+        return join(goneServers, goneWorkspaces, part.tree());
+    }
+
+    /** Returns what was resolved before, with {@code part} in the place of what is gone. */
+    private Optional<SettingsTree> join(
+            Set<ServerId> goneServers, Set<WorkspaceId> goneWorkspaces, SettingsTree part) {
+        Optional<Map<ServerId, BackendServer>> servers =
+                replaced(resolvedBefore.servers(), goneServers, part.servers());
+        Optional<Map<WorkspaceId, Workspace>> workspaces =
+                replaced(resolvedBefore.workspaces(), goneWorkspaces, part.workspaces());
+        boolean good =
+                servers.isPresent()
+                        && workspaces.isPresent()
+                        && !usesKeptKeys(part.workspaces().values(), goneWorkspaces);
+        if (!good) {
             return Optional.empty();
         }
         return Optional.of(
                 new SettingsTree(
-                        part.tree().tiers(),
-                        part.tree().routes(),
-                        servers,
-                        workspaces,
-                        part.tree().currentVersions(),
-                        part.tree().limits()));
+                        part.tiers(),
+                        part.routes(),
+                        servers.get(),
+                        workspaces.get(),
+                        part.currentVersions(),
+                        part.limits()));
     }
 
-    private static <T> Collection<T> present(Set<String> names, Function<String, T> item) {
-        return names.stream().map(item).filter(Objects::nonNull).toList();
-    }
-
-    /** Adds all, unless one is there already: its name is stated in two places. */
-    private static <K, V> boolean addNew(Map<K, V> all, Map<K, V> more) {
+    /** Returns the items with some replaced; empty when a name is then stated in two places. */
+    private static <K, V> Optional<Map<K, V>> replaced(Map<K, V> all, Set<K> gone, Map<K, V> more) {
+        if (gone.isEmpty() && more.isEmpty()) {
+            return Optional.of(all);
+        }
+        Map<K, V> items = new HashMap<>(all);
+        gone.forEach(items::remove);
         for (Map.Entry<K, V> entry : more.entrySet()) {
-            if (all.putIfAbsent(entry.getKey(), entry.getValue()) != null) {
-                return false;
+            if (items.putIfAbsent(entry.getKey(), entry.getValue()) != null) {
+                return Optional.empty();
             }
         }
-        return true;
+        return Optional.of(items);
     }
 
-    private static boolean shareKeys(Collection<Workspace> few, Collection<Workspace> many) {
+    /** Returns whether a new workspace has a key of a workspace that is taken over. */
+    private boolean usesKeptKeys(Collection<Workspace> added, Set<WorkspaceId> gone) {
         Set<String> hashes = new HashSet<>();
-        few.forEach(workspace -> hashes.addAll(workspace.keyHashes()));
-        return many.stream().flatMap(w -> w.keyHashes().stream()).anyMatch(hashes::contains);
+        added.forEach(workspace -> hashes.addAll(workspace.keyHashes()));
+        return !hashes.isEmpty()
+                && resolvedBefore.workspaces().values().stream()
+                        .filter(workspace -> !gone.contains(workspace.id()))
+                        .flatMap(workspace -> workspace.keyHashes().stream())
+                        .anyMatch(hashes::contains);
     }
 
-    /** Returns the names of the earlier document's items that are not taken over. */
-    private Set<String> itemNames(String section) {
+    private static <K> Set<K> ids(JsonNode tree, Function<String, K> id) {
         Set<String> names = new HashSet<>();
-        addItemNames(difference(before, after).path(section), names);
-        return names;
+        addItemNames(tree, names);
+        return names.stream().map(id).collect(Collectors.toSet());
     }
 
     private static void addItemNames(JsonNode tree, Set<String> names) {
