--- a/src/main/java/org/orioleshed/settings/ChangedTree.java
+++ b/src/main/java/org/orioleshed/settings/ChangedTree.java
@@ -128,7 +128,7 @@
 
     /** Returns {@code document} without the items that hold the same in {@code other}. */
     static ObjectNode difference(ObjectNode document, ObjectNode other) {
-        ObjectNode left = shallowCopy(document);
+        ObjectNode left = JsonText.copy(document);
         leaveDifference(left, other, SERVERS, ChangedTree::branchDifference);
         if (Objects.equals(document.get(TIERS), other.get(TIERS))) {
             leaveDifference(left, other, WORKSPACES, ChangedTree::branchDifference);
@@ -152,7 +152,7 @@
         if (!Objects.equals(branch.get(TreeOf.DEFAULTS), other.get(TreeOf.DEFAULTS))) {
             return branch;
         }
-        ObjectNode left = shallowCopy(branch);
+        ObjectNode left = JsonText.copy(branch);
         leaveDifference(left, other, TreeOf.ITEMS, ChangedTree::itemsDifference);
         leaveDifference(left, other, TreeOf.BRANCHES, ChangedTree::branchesDifference);
         return left;
@@ -175,10 +175,4 @@
         }
         return left;
     }
-
-    private static ObjectNode shallowCopy(ObjectNode node) {
-        ObjectNode copy = JsonNodeFactory.instance.objectNode();
-        copy.setAll(node);
-        return copy;
-    }
 }
--- a/src/main/java/org/orioleshed/settings/JsonText.java
+++ b/src/main/java/org/orioleshed/settings/JsonText.java
@@ -55,6 +55,13 @@
         }
     }
 
+    /** Returns an object of its own that holds the same values. */
+    static ObjectNode copy(ObjectNode node) {
+        ObjectNode copy = MAPPER.createObjectNode();
+        copy.setAll(node);
+        return copy;
+    }
+
     /** Returns {@code path} with {@code name} below it, as a JSON pointer. */
     static String below(String path, String name) {
         return path + "/" + name.replace("~", "~0").replace("/", "~1");
--- a/src/main/java/org/orioleshed/settings/TreeEdits.java
+++ b/src/main/java/org/orioleshed/settings/TreeEdits.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Arrays;
@@ -19,19 +18,13 @@
      * not changed; what no edit touches is shared with it.
      */
     static ObjectNode applied(ObjectNode tree, List<SettingsEdit> edits, List<Problem> problems) {
-        ObjectNode edited = copy(tree);
+        ObjectNode edited = JsonText.copy(tree);
         for (SettingsEdit edit : edits) {
             apply(edited, edit, problems);
         }
         return edited;
     }
 
-    private static ObjectNode copy(ObjectNode node) {
-        ObjectNode copy = JsonNodeFactory.instance.objectNode();
-        copy.setAll(node);
-        return copy;
-    }
-
     private static void apply(ObjectNode tree, SettingsEdit edit, List<Problem> problems) {
         List<String> names = names(edit.path());
         if (names.isEmpty()) {
@@ -71,7 +64,7 @@
                 problems.add(missing(edit.path(), name, node));
                 return null;
             }
-            ObjectNode own = copy(object);
+            ObjectNode own = JsonText.copy(object);
             node.set(name, own);
             node = own;
         }
