--- a/src/main/java/org/orioleshed/settings/TreeEdits.java
+++ b/src/main/java/org/orioleshed/settings/TreeEdits.java
@@ -13,11 +13,16 @@
 final class TreeEdits {
     private TreeEdits() {}
 
-    /** Applies all edits to {@code tree}, or reports those that can't be applied. */
-    static void apply(ObjectNode tree, List<SettingsEdit> edits, List<Problem> problems) {
+    /**
+     * Returns {@code tree} with all edits applied, or reports those that can't be. The argument is
+     * not changed; what no edit touches is shared with it.
+     */
+    static ObjectNode applied(ObjectNode tree, List<SettingsEdit> edits, List<Problem> problems) {
+        ObjectNode edited = JsonText.copy(tree);
         for (SettingsEdit edit : edits) {
-            apply(tree, edit, problems);
+            apply(edited, edit, problems);
         }
+        return edited;
     }
 
     private static void apply(ObjectNode tree, SettingsEdit edit, List<Problem> problems) {
@@ -46,6 +51,7 @@
         }
     }
 
+    /** Returns the object that holds the edited value, with a copy of each object on the way. */
     private static ObjectNode parent(
             ObjectNode tree, List<String> names, SettingsEdit edit, List<Problem> problems) {
         ObjectNode node = tree;
@@ -58,7 +64,9 @@
                 problems.add(missing(edit.path(), name, node));
                 return null;
             }
-            node = object;
+            ObjectNode own = JsonText.copy(object);
+            node.set(name, own);
+            node = own;
         }
         return node;
     }
