A leaving host tells no "not run" of a call that another host sent

Callers saw: a resend of a call that may not be repeated, waiting at a host for the word of the host that sent the call, was answered 503 "draining, ran=not_run" when its host got SIGTERM, while the service ran the call.

Cause: at a drain ServiceRequests ended every call that this host itself had not sent. A call in the state Asking was sent by another host.

Evidence: HostCoreTest.drainDoesNotTellNotRunOfACallThatAnotherHostSent failed before: "NotRun[reason=DRAINING, retryAfterMillis=0] expected [false] but found [true]".

The call now waits on for the other host, as what runs here does, and gets that outcome. A late caller in this state was told "in doubt" already.

--- a/src/main/java/org/orioleshed/request/ServiceRequests.java
+++ b/src/main/java/org/orioleshed/request/ServiceRequests.java
@@ -152,7 +152,8 @@
     void drain(long nowNanos) {
         draining = true;
         for (ServiceCall call : List.copyOf(byRequest.values())) {
-            if (call.provedNotRun()) {
+            boolean sentElsewhere = call.state instanceof Asking;
+            if (call.provedNotRun() && !sentElsewhere) {
                 end(nowNanos, call, notRun(NotRunReason.DRAINING, 0));
             }
         }
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -190,6 +190,23 @@
         assertEquals(fleet.drained.size(), 1);
     }
 
+    @Test
+    public void drainDoesNotTellNotRunOfACallThatAnotherHostSent() {
+        fleet.send(host, fleet.call(host, "k", false, 60_000));
+        fleet.settle();
+        assertEquals(fleet.calls.size(), 1);
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 60_000));
+        for (int i = 0; i < 40; i++) {
+            fleet.settle();
+            fleet.tick(20);
+        }
+        fleet.feed(other, new HostEvent.DrainAsked());
+        assertFalse(fleet.outcome(resend) instanceof Outcome.NotRun, "" + fleet.outcome(resend));
+        fleet.finish();
+        assertEquals(fleet.outcome(resend), new Outcome.Answered(0, Payload.of("k")));
+    }
+
     @Test
     public void resendJoinsTheRunningRequestOnItsHost() {
         RequestId first = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
