What still runs when the drain is over gets its final answer

Callers saw, at a host that stopped gracefully with requests still running after drainMillis: the connection closed without an answer, or a stream cut without its error event. A call that may not be repeated ended without the word "in doubt", and no log line named any of them.

Cause: the process took on work without a bound by its own end, and at that end it closed its doors; nobody told the decisions that the time was over.

Evidence: EntryProcessTest.callThatRunsWhenTheDrainIsOverIsAnsweredBefore- TheProcessEnds failed before: "java.io.IOException: HTTP/1.1 header parser received no bytes"; HostCoreTest.whatStillRunsWhenTheDrainIsOverGetsIts- FinalAnswer with the event but nobody to hear it: "null expected [true] but found [false]", three times.

HostEvent.DrainOver follows the wait. The accepting side then ends each request with the outcome it can prove (not run, failed, in doubt), cancels its runs and logs each as event=give-up; the two seconds that the process keeps for last writes carry the answers out.

--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -149,6 +149,11 @@
                 settings.host(), settings.domain(), incarnation, settings.callerAddress());
     }
 
+    /** Begins a graceful stop, as the signal does. */
+    void askStop() {
+        stopAsked.countDown();
+    }
+
     /**
      * Waits for the signal to stop and for all that runs to finish, within the bound that the
      * settings state.
@@ -159,6 +164,9 @@
         control.drain();
         duty.add(new HostEvent.DrainAsked());
         boolean finished = actions.drained().await(settings.drainMillis(), TimeUnit.MILLISECONDS);
+        if (!finished) {
+            duty.add(new HostEvent.DrainOver());
+        }
         awaitLastWrites();
         logger.atInfo().log(
                 "event=stopped host=%s finished=%s open=%d",
@@ -185,7 +193,7 @@
     }
 
     private void stopAndWait() {
-        stopAsked.countDown();
+        askStop();
         try {
             boolean closed =
                     stopped.await(
--- a/src/main/java/org/orioleshed/host/HostEvent.java
+++ b/src/main/java/org/orioleshed/host/HostEvent.java
@@ -76,6 +76,9 @@
     /** The process was asked to stop: take nothing new, finish what runs. */
     record DrainAsked() implements HostEvent {}
 
+    /** The time to finish after {@link DrainAsked} is over: what is left gets its outcome now. */
+    record DrainOver() implements HostEvent {}
+
     /**
      * The host's wall clock, for daily windows only; comes at the start and at least every minute.
      *
--- a/src/main/java/org/orioleshed/request/AcceptingSide.java
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -113,6 +113,10 @@
                     services.onCallEnded(nowNanos, ended.run(), ended.server(), ended.end());
             case HostEvent.WorldChanged changed -> worldChanged(nowNanos, changed.world());
             case HostEvent.DrainAsked asked -> drain(nowNanos);
+            case HostEvent.DrainOver over -> {
+                models.giveUp(nowNanos);
+                services.giveUp(nowNanos);
+            }
             case HostEvent.Tick tick -> tick(nowNanos);
             case HostEvent.RunAccepted accepted -> {}
             case HostEvent.RunTokens tokens -> {}
--- a/src/main/java/org/orioleshed/request/KeyedRequest.java
+++ b/src/main/java/org/orioleshed/request/KeyedRequest.java
@@ -10,6 +10,8 @@
     /** Why a caller whose deadline passed can't be told "not run" when others wait on. */
     static final String SHARED_KEY = "the same key still waits for another caller";
 
+    static final String HOST_STOPPED = "the host stopped before the run had ended";
+
     final Request request;
     final List<Caller> callers = new ArrayList<>();
 
--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -249,6 +249,19 @@
         }
     }
 
+    /** Answers all that is left and cancels its runs: this host won't be there to read on. */
+    void giveUp(long nowNanos) {
+        for (Execution execution : List.copyOf(byRequest.values())) {
+            log("give-up", execution, null, "drain-over");
+            Outcome outcome =
+                    execution.provedNotRun()
+                            ? notRun(NotRunReason.DRAINING, 0)
+                            : new Outcome.Failed(
+                                    FailReason.RETRIES_SPENT, KeyedRequest.HOST_STOPPED);
+            end(nowNanos, execution, outcome);
+        }
+    }
+
     /** Ends a request that was never run, for the sake of a more urgent one. */
     void evict(long nowNanos, Execution execution, NotRunReason reason) {
         end(nowNanos, execution, notRun(reason, limits.backoffMaxMillis()));
--- a/src/main/java/org/orioleshed/request/ServiceRequests.java
+++ b/src/main/java/org/orioleshed/request/ServiceRequests.java
@@ -159,6 +159,27 @@
         }
     }
 
+    /** Answers all that is left: this host won't be there to hear how it ends. */
+    void giveUp(long nowNanos) {
+        for (ServiceCall call : List.copyOf(byRequest.values())) {
+            log("give-up", call, null, "drain-over");
+            end(nowNanos, call, givenUpOutcome(call));
+        }
+    }
+
+    private static Outcome givenUpOutcome(ServiceCall call) {
+        if (call.state instanceof Asking) {
+            return new Outcome.InDoubt("another host still runs the call");
+        }
+        if (call.provedNotRun()) {
+            return notRun(NotRunReason.DRAINING, 0);
+        }
+        if (!call.work().repeatable()) {
+            return new Outcome.InDoubt("the host stopped before the call had answered");
+        }
+        return new Outcome.Failed(FailReason.RETRIES_SPENT, KeyedRequest.HOST_STOPPED);
+    }
+
     void onCallerGone(long nowNanos, RequestId caller) {
         ServiceCall call = byCaller.remove(caller);
         if (call == null) {
--- a/src/main/java/org/orioleshed/routing/HomeCore.java
+++ b/src/main/java/org/orioleshed/routing/HomeCore.java
@@ -74,6 +74,7 @@
             case HostEvent.WorldChanged e -> worldChanged(nowNanos, e.world());
             case HostEvent.WallClock e -> wallClock(nowNanos, e.epochMillis());
             case HostEvent.DrainAsked e -> drain(moment);
+            case HostEvent.DrainOver e -> {}
             case HostEvent.Tick e -> tick(moment);
             case HostEvent.RequestArrived e -> {}
             case HostEvent.CallerGone e -> {}
--- /dev/null
+++ b/src/test/java/org/orioleshed/entry/EntryProcessTest.java
@@ -0,0 +1,123 @@
+package org.orioleshed.entry;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import com.google.common.hash.Hashing;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.HostId;
+import org.orioleshed.settings.EntrySettings;
+import org.orioleshed.store.MemoryStore;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.Test;
+
+/** Tests of {@link EntryProcess} with its own threads: one host, and a service that hangs. */
+public class EntryProcessTest {
+    private static final long PATIENCE_SECONDS = 60;
+    private static final String TREE =
+            """
+            {"tiers": {"urgent": {"rank": 0}},
+             "routes": {"hold": {"service": "holds", "calls": {"book": {"repeatable": false}}}},
+             "servers": {"defaults": {"domain": "suva-a", "places": 4, "cacheTokens": 0},
+              "items": {"s1": {"address": "http://127.0.0.1:%d", "service": "holds",
+               "version": "v1"}}},
+             "workspaces": {"defaults": {"defaultTier": "urgent",
+               "tiers": {"urgent": {"deadlineMillis": 60000}}},
+              "items": {"w1": {"keyHashes": ["%s"]}}}}""";
+
+    private final InetAddress loopback = InetAddress.getLoopbackAddress();
+    private final CountDownLatch called = new CountDownLatch(1);
+    private final CompletableFuture<Void> serviceEnds = new CompletableFuture<>();
+    private HttpServer service;
+    private InetSocketAddress callers;
+    private EntryProcess process;
+
+    @BeforeMethod
+    void start() throws IOException {
+        service = HttpServer.create(new InetSocketAddress(loopback, 0), 0);
+        service.createContext(
+                "/",
+                http -> {
+                    called.countDown();
+                    serviceEnds.join();
+                    http.close();
+                });
+        service.start();
+        callers = freeAddress();
+        MemoryStore store = new MemoryStore();
+        String hash = Hashing.sha256().hashString("secret", StandardCharsets.UTF_8).toString();
+        store.put("orioleshed/settings/tree", TREE.formatted(service.getAddress().getPort(), hash));
+        EntrySettings settings =
+                new EntrySettings(
+                        new HostId("entry-1"),
+                        new FailureDomain("suva-a"),
+                        callers,
+                        freeAddress(),
+                        Optional.empty(),
+                        List.of(),
+                        List.of(URI.create("http://127.0.0.1:1")),
+                        List.of(),
+                        0,
+                        EntrySettings.Policy.ORIOLESHED);
+        process = new EntryProcess(settings, store);
+        process.start();
+    }
+
+    private InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
+            return new InetSocketAddress(loopback, socket.getLocalPort());
+        }
+    }
+
+    @AfterMethod
+    void stop() {
+        process.close();
+        serviceEnds.complete(null);
+        service.stop(0);
+    }
+
+    private HttpRequest.Builder to(String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callers.getPort() + path));
+    }
+
+    @Test
+    public void callThatRunsWhenTheDrainIsOverIsAnsweredBeforeTheProcessEnds() throws Exception {
+        HttpClient client = HttpClient.newHttpClient();
+        long untilNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_SECONDS);
+        while (client.send(to("/readyz").build(), BodyHandlers.ofString()).statusCode() != 200) {
+            assertTrue(System.nanoTime() - untilNanos < 0, "the host is not ready in time");
+        }
+        HttpRequest call =
+                to("/v1/services/hold/book")
+                        .header("Authorization", "Bearer secret")
+                        .header("Idempotency-Key", "k")
+                        .POST(HttpRequest.BodyPublishers.ofString("{}"))
+                        .build();
+        CompletableFuture<HttpResponse<String>> answer =
+                client.sendAsync(call, BodyHandlers.ofString());
+        assertTrue(called.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        process.askStop();
+        process.awaitStop();
+        process.close();
+        HttpResponse<String> seen = answer.get(PATIENCE_SECONDS, TimeUnit.SECONDS);
+        assertEquals(seen.statusCode(), 504);
+        assertTrue(seen.body().contains("\"ran\":\"in_doubt\""), seen.body());
+    }
+}
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -2,6 +2,7 @@
 
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNull;
 import static org.testng.Assert.assertTrue;
 
 import java.util.ArrayList;
@@ -190,6 +191,22 @@
         assertEquals(fleet.drained.size(), 1);
     }
 
+    @Test(dataProvider = "works")
+    public void whatStillRunsWhenTheDrainIsOverGetsItsFinalAnswer(int work) {
+        RequestId id =
+                switch (work) {
+                    case 0 -> fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 60_000));
+                    case 1 -> fleet.send(host, fleet.call(host, "k", true, 60_000));
+                    default -> fleet.send(host, fleet.call(host, "k", false, 60_000));
+                };
+        fleet.settle();
+        fleet.feed(host, new HostEvent.DrainAsked());
+        assertNull(fleet.outcome(id));
+        fleet.feed(host, new HostEvent.DrainOver());
+        Class<?> expected = work == 2 ? Outcome.InDoubt.class : Outcome.Failed.class;
+        assertTrue(expected.isInstance(fleet.outcome(id)), "" + fleet.outcome(id));
+    }
+
     @Test
     public void drainDoesNotTellNotRunOfACallThatAnotherHostSent() {
         fleet.send(host, fleet.call(host, "k", false, 60_000));
