A change that waits at a stopping host is answered

Operators saw the connection of a change, or of a watch, cut when its host stopped; the answer "in doubt: the host is stopping" existed, but nobody got it.

Cause: the admin server was closed before the control duty that holds the answers, and closed without a look at open calls; and the duty left what stood in its ring when it was stopped without an answer.

Evidence: AdminServerTest.changeThatWaitsWhileTheServerClosesIsAnswered failed before: "java.io.IOException: HTTP/1.1 header parser received no bytes"; ControlDutyTest.changeNotYetTakenUpWhenTheDutyStopsIsAnswered: "TimeoutException" after 10 s.

The duty takes up what its ring still holds, then answers all that is open; the admin server closes after it, when its calls are answered or after 500 ms. The margin that the signal's thread waits grows by these and by the last log lines to 5 s.

--- a/src/main/java/org/orioleshed/admin/AdminServer.java
+++ b/src/main/java/org/orioleshed/admin/AdminServer.java
@@ -30,6 +30,7 @@
     private static final int BACKLOG = 64;
     private static final long BACKEND_MILLIS = 10_000;
     private static final long WATCH_MILLIS = 40_000;
+    private static final long CLOSE_MILLIS = 500;
 
     private final HttpServer server;
     private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
@@ -70,24 +71,40 @@
         return server.getAddress();
     }
 
-    /** Stops listening and drops calls that still wait. */
+    /**
+     * Stops listening, once the calls that wait are answered or had a moment for it. Whoever holds
+     * their answers is to be stopped before.
+     */
     @Override
     public void close() {
+        boolean answered = awaitCalls();
         server.stop(0);
         threads.shutdownNow();
+        if (answered) {
+            places.release(MAX_CALLS);
+        }
+    }
+
+    private boolean awaitCalls() {
+        try {
+            return places.tryAcquire(MAX_CALLS, CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
     }
 
     private void handle(HttpExchange exchange) throws IOException {
-        try (exchange) {
-            if (!places.tryAcquire()) {
+        if (!places.tryAcquire()) {
+            try (exchange) {
                 send(exchange, AdminJson.error(AdminError.STORE_AWAY, "too many calls at once"));
-                return;
-            }
-            try {
-                send(exchange, answer(exchange));
-            } finally {
-                places.release();
             }
+            return;
+        }
+        try (exchange) {
+            send(exchange, answer(exchange));
+        } finally {
+            places.release();
         }
     }
 
--- a/src/main/java/org/orioleshed/control/ControlDuty.java
+++ b/src/main/java/org/orioleshed/control/ControlDuty.java
@@ -246,6 +246,9 @@
                 await(nextTickNanos - now);
             }
         }
+        while (drainRings()) {
+            // What was taken in before the stop needs its answer, too.
+        }
         core.close();
     }
 
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -38,7 +38,7 @@
 /** One entry host: its threads and what joins them. */
 final class EntryProcess implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long CLOSE_MARGIN_MILLIS = 4_000;
+    private static final long CLOSE_MARGIN_MILLIS = 5_000;
     private static final long LAST_WRITES_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long LAST_WRITES_POLL_MILLIS = 10;
 
@@ -244,10 +244,10 @@
 
     @Override
     public void close() {
+        control.close();
         if (admin != null) {
             admin.close();
         }
-        control.close();
         reports.close();
         callers.close();
         orderClient.shutdownNow();
--- a/src/test/java/org/orioleshed/admin/AdminServerTest.java
+++ b/src/test/java/org/orioleshed/admin/AdminServerTest.java
@@ -19,6 +19,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.orioleshed.settings.Operator;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -29,6 +31,7 @@
 public class AdminServerTest {
     private static final String CHANGE_KEY = "change-key";
     private static final String READ_KEY = "read-key";
+    private static final long PATIENCE_SECONDS = 60;
     private static final AdminReply.Table TABLE =
             new AdminReply.Table(
                     List.of("host", "state"),
@@ -87,6 +90,25 @@
         return code;
     }
 
+    @Test
+    public void changeThatWaitsWhileTheServerClosesIsAnswered() throws Exception {
+        backend.pending = new CompletableFuture<>();
+        HttpRequest change =
+                HttpRequest.newBuilder(address("/v1/admin/moves/m1/take-back"))
+                        .header("Authorization", "Bearer " + CHANGE_KEY)
+                        .POST(HttpRequest.BodyPublishers.ofString("{\"reason\":\"r\"}"))
+                        .build();
+        CompletableFuture<HttpResponse<String>> answer =
+                http.sendAsync(change, HttpResponse.BodyHandlers.ofString());
+        assertTrue(backend.called.await(PATIENCE_SECONDS, TimeUnit.SECONDS));
+        Thread closer = Thread.ofPlatform().start(server::close);
+        while (closer.getState() != Thread.State.TIMED_WAITING && closer.isAlive()) {
+            Thread.onSpinWait();
+        }
+        backend.pending.complete(new AdminReply.Accepted("c1", 7, "fine"));
+        assertEquals(answer.get(PATIENCE_SECONDS, TimeUnit.SECONDS).statusCode(), 200);
+    }
+
     @DataProvider
     Object[][] callsAtTheDoor() {
         String settings = "/v1/admin/settings";
--- a/src/test/java/org/orioleshed/admin/FakeBackend.java
+++ b/src/test/java/org/orioleshed/admin/FakeBackend.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 
 /** An {@link AdminBackend} that notes what it was asked and gives one reply to all. */
 final class FakeBackend implements AdminBackend {
@@ -12,8 +13,17 @@
     Notices notices = new Notices(List.of(), 0);
     RuntimeException failure;
 
+    /** What a call waits for, in place of the one reply. */
+    CompletableFuture<AdminReply> pending;
+
+    final CountDownLatch called = new CountDownLatch(1);
+
     private synchronized CompletableFuture<AdminReply> answer(Object question) {
         asked.add(question);
+        called.countDown();
+        if (pending != null) {
+            return pending;
+        }
         if (failure != null) {
             return CompletableFuture.failedFuture(failure);
         }
--- a/src/test/java/org/orioleshed/control/ControlDutyTest.java
+++ b/src/test/java/org/orioleshed/control/ControlDutyTest.java
@@ -40,6 +40,7 @@
 public class ControlDutyTest {
     private static final int HOSTS = 3;
     private static final long PATIENCE_SECONDS = 60;
+    private static final long STOP_SECONDS = 10;
     private static final FailureDomain DOMAIN = new FailureDomain("suva-a");
 
     private final Map<HostId, ControlDuty> duties = new ConcurrentHashMap<>();
@@ -115,22 +116,24 @@
         for (int i = 0; i < HOSTS; i++) {
             Worlds seen = new Worlds();
             worlds.add(seen);
-            duties.put(
-                    id(i),
-                    new ControlDuty(
-                            settings(i),
-                            1,
-                            store,
-                            new Link(id(i), duties),
-                            new NoOrders(),
-                            seen::take,
-                            System::nanoTime,
-                            InstantSource.system(),
-                            new Random(i)));
+            duties.put(id(i), duty(i, seen));
         }
         duties.values().forEach(ControlDuty::start);
     }
 
+    private ControlDuty duty(int i, Worlds seen) {
+        return new ControlDuty(
+                settings(i),
+                1,
+                store,
+                new Link(id(i), duties),
+                new NoOrders(),
+                seen::take,
+                System::nanoTime,
+                InstantSource.system(),
+                new Random(i));
+    }
+
     private static EntrySettings settings(int i) {
         List<PeerSeed> peers = new ArrayList<>();
         for (int p = 0; p < HOSTS; p++) {
@@ -180,6 +183,24 @@
         assertEquals(duties.get(id(2)).document().join().orElseThrow().changeId(), "c1");
     }
 
+    @Test
+    public void changeNotYetTakenUpWhenTheDutyStopsIsAnswered() throws Exception {
+        store.setSlow(true);
+        ControlDuty stopped = duty(0, new Worlds());
+        CompletableFuture<ProposalResult> answer =
+                stopped.propose(
+                        new ProposedChange(
+                                "c1",
+                                "litia",
+                                "test",
+                                Optional.empty(),
+                                List.of(SettingsEdit.set("/limits/moveSpreadMillis", "2000"))));
+        stopped.close();
+        stopped.start();
+        ProposalResult result = answer.get(STOP_SECONDS, TimeUnit.SECONDS);
+        assertTrue(result instanceof ProposalResult.InDoubt, "" + result);
+    }
+
     @Test
     public void aDrainingHostIsSeenToLeave() throws InterruptedException {
         awaitAll(world -> world.hosts().size() == HOSTS);
