The decision log writes its last lines

At the end of a process the lines still in the log's ring were lost, among them those that name the requests given up.

Evidence: DecisionLogTest.lineThatWaitsWhenTheLogIsClosedIsWritten failed before: "expected [1] but found [0]".

A closed log empties its ring before its thread ends, and the process waits for that thread up to 500 ms.

--- a/src/main/java/org/orioleshed/entry/DecisionLog.java
+++ b/src/main/java/org/orioleshed/entry/DecisionLog.java
@@ -35,12 +35,15 @@
     @Override
     public void run() {
         while (!closed) {
-            Decision decision = ring.poll();
-            if (decision == null) {
-                LockSupport.parkNanos(IDLE_NANOS);
-                continue;
-            }
-            write(decision);
+            writeAll();
+            LockSupport.parkNanos(IDLE_NANOS);
+        }
+        writeAll();
+    }
+
+    private void writeAll() {
+        for (Decision next = ring.poll(); next != null; next = ring.poll()) {
+            write(next);
         }
     }
 
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -39,6 +39,7 @@
 final class EntryProcess implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final long CLOSE_MARGIN_MILLIS = 5_000;
+    private static final long LAST_LINES_MILLIS = 500;
     private static final long LAST_WRITES_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long LAST_WRITES_POLL_MILLIS = 10;
 
@@ -50,6 +51,7 @@
     private final CountDownLatch stopAsked = new CountDownLatch(1);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final DecisionLog log;
+    private final Thread logThread;
     private final HostActions actions;
     private final HostDuty duty;
     private final Backends backends;
@@ -72,6 +74,7 @@
     EntryProcess(EntrySettings settings, Store store) throws IOException {
         this.settings = settings;
         this.log = new DecisionLog(limits.logLines(), metrics.counter("log.dropped"));
+        this.logThread = Thread.ofPlatform().name("decision-log").daemon().unstarted(log);
         this.mail = new PeerMail(metrics);
         this.actions = new HostActions(entryMetrics, log, store, mail);
         Machine<HostEvent, HostAction> core = core();
@@ -137,7 +140,7 @@
 
     /** Starts all threads. */
     void start() throws IOException {
-        Thread.ofPlatform().name("decision-log").daemon().start(log);
+        logThread.start();
         Thread.ofPlatform().name("decisions").daemon().start(duty);
         control.start();
         reports.start();
@@ -242,6 +245,14 @@
         metrics.register("settings.revision", (Gauge<Long>) () -> world.settingsRevision());
     }
 
+    private void awaitLog() {
+        try {
+            logThread.join(LAST_LINES_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public void close() {
         control.close();
@@ -255,6 +266,7 @@
         backends.close();
         peers.close();
         log.close();
+        awaitLog();
         stopped.countDown();
     }
 }
