A host that leaves does not become a mover

Operators would see a move between versions stand still when the host that had just become its mover ended, until its lease ran out.

Cause: MoverTurn leaves leaving hosts out of the order, then puts this host back in whatever its state.

Evidence: MoverTurnTest.hostThatLeavesDoesNotBecomeTheMover failed before: "expected [false] but found [true]".

A host that the view marks as leaving does not try for the lease.

--- a/src/main/java/org/orioleshed/move/MoverTurn.java
+++ b/src/main/java/org/orioleshed/move/MoverTurn.java
@@ -32,6 +32,7 @@
     private final Map<MoveId, Long> heardNanos = new HashMap<>();
     private final Map<String, Integer> ranks = new HashMap<>();
     private List<EntryHost> hosts = List.of();
+    private boolean leaving;
 
     MoverTurn(HostId self) {
         this.self = self;
@@ -39,6 +40,8 @@
 
     void changeHosts(World world) {
         hosts = world.hosts().values().stream().filter(EntryHost::takesWork).toList();
+        EntryHost own = world.hosts().get(self);
+        leaving = own != null && own.state() == EntryHost.State.LEAVING;
         ranks.clear();
     }
 
@@ -52,8 +55,14 @@
         heardNanos.put(move, nowNanos);
     }
 
-    /** Returns whether this host should try now, no other mover having been heard of for long. */
+    /**
+     * Returns whether this host should try now, no other mover having been heard of for long. A
+     * host that leaves would take its lease along, and the move would stand until that ran out.
+     */
     boolean isMine(MoveId move, long nowNanos) {
+        if (leaving) {
+            return false;
+        }
         int rank = ranks.computeIfAbsent(move.value(), name -> rank(name, ids(null)));
         if (rank >= MOST_TRYING) {
             return false;
