--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -38,7 +38,8 @@
 /** One entry host: its threads and what joins them. */
 final class EntryProcess implements AutoCloseable {
     private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-    private static final long CLOSE_MARGIN_MILLIS = 4_000;
+    private static final long CLOSE_MARGIN_MILLIS = 5_000;
+    private static final long LAST_LINES_MILLIS = 500;
     private static final long LAST_WRITES_NANOS = TimeUnit.SECONDS.toNanos(2);
     private static final long LAST_WRITES_POLL_MILLIS = 10;
 
@@ -50,6 +51,7 @@
     private final CountDownLatch stopAsked = new CountDownLatch(1);
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final DecisionLog log;
+    private final Thread logThread;
     private final HostActions actions;
     private final HostDuty duty;
     private final Backends backends;
@@ -72,6 +74,7 @@
     EntryProcess(EntrySettings settings, Store store) throws IOException {
         this.settings = settings;
         this.log = new DecisionLog(limits.logLines(), metrics.counter("log.dropped"));
+        this.logThread = Thread.ofPlatform().name("decision-log").daemon().unstarted(log);
         this.mail = new PeerMail(metrics);
         this.actions = new HostActions(entryMetrics, log, store, mail);
         Machine<HostEvent, HostAction> core = core();
@@ -137,7 +140,7 @@
 
     /** Starts all threads. */
     void start() throws IOException {
-        Thread.ofPlatform().name("decision-log").daemon().start(log);
+        logThread.start();
         Thread.ofPlatform().name("decisions").daemon().start(duty);
         control.start();
         reports.start();
@@ -149,6 +152,11 @@
                 settings.host(), settings.domain(), incarnation, settings.callerAddress());
     }
 
+    /** Begins a graceful stop, as the signal does. */
+    void askStop() {
+        stopAsked.countDown();
+    }
+
     /**
      * Waits for the signal to stop and for all that runs to finish, within the bound that the
      * settings state.
@@ -159,6 +167,9 @@
         control.drain();
         duty.add(new HostEvent.DrainAsked());
         boolean finished = actions.drained().await(settings.drainMillis(), TimeUnit.MILLISECONDS);
+        if (!finished) {
+            duty.add(new HostEvent.DrainOver());
+        }
         awaitLastWrites();
         logger.atInfo().log(
                 "event=stopped host=%s finished=%s open=%d",
@@ -185,7 +196,7 @@
     }
 
     private void stopAndWait() {
-        stopAsked.countDown();
+        askStop();
         try {
             boolean closed =
                     stopped.await(
@@ -199,12 +210,13 @@
     }
 
     private void changed(World newWorld) {
-        world = newWorld;
         actions.world(newWorld);
         door.world(newWorld);
         homes = homes.in(newWorld);
         ownServers = newWorld.servers().values().stream().filter(this::isHomeOf).toList();
         duty.add(new HostEvent.WorldChanged(newWorld));
+        // Readiness goes by this: last, so that a host that is ready knows its callers and servers.
+        world = newWorld;
     }
 
     private boolean isHomeOf(BackendServer server) {
@@ -233,12 +245,20 @@
         metrics.register("settings.revision", (Gauge<Long>) () -> world.settingsRevision());
     }
 
+    private void awaitLog() {
+        try {
+            logThread.join(LAST_LINES_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Override
     public void close() {
+        control.close();
         if (admin != null) {
             admin.close();
         }
-        control.close();
         reports.close();
         callers.close();
         orderClient.shutdownNow();
@@ -246,6 +266,7 @@
         backends.close();
         peers.close();
         log.close();
+        awaitLog();
         stopped.countDown();
     }
 }
