The end of a host, after a review: the window of the balancer, late notice, kept connections, last bytes

Now all is taken while the balancer may still send, at most for half of the grace period; RouteTimes is gone. aStreamThatTheBalancerStillSentIsServed: expected [200] but found [503]. The test of the incident now sends its stream when the balancer sends nothing new, as in the incident, and wants 503 with Retry-After 0; before it accepted either a 503 or a whole stream at once after the signal, which the rule above can't promise for a stream longer than the grace period. - The leaving time was counted from when the data thread was free; a thread held up for 0.9 s let the process be killed with callers unanswered (aHostThatHearsOfTheSignalLateAnswersBeforeItIsKilled). It counts from the signal. - A connection whose stream began before the signal idled after its end and held the host until the last moment: 7,335 ms instead of about 3,900 (aHostDoesNotWaitForAnIdleConnectionAfterItsLastStream). Closing a kept connection cut an answer that its caller had not read yet: 3,996,761 of 8,388,608 bytes (anAnswerThatIsNotYetReadIsNotCut...). - At the end, waiting requests are ended before the running ones, whose places they would otherwise be given; the process waits for last bytes for half of its reserve; a fault of one request keeps none of the others from its answer; repeats ask the rule, too.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -49,7 +49,7 @@
     private Exchange exchange;
     private boolean keepAlive = true;
     private boolean closing;
-    private boolean refused;
+    private boolean doneReading;
     private boolean chunkedAnswer;
     private boolean headOnly;
 
@@ -94,7 +94,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         HttpObject part = (HttpObject) message;
-        if (refused) {
+        if (doneReading) {
             ReferenceCountUtil.release(part);
             return;
         }
@@ -198,7 +198,7 @@
 
     /** Answers a request that is not read to its end, and closes. */
     private void refuse(HttpResponseStatus status, String reason) {
-        refused = true;
+        doneReading = true;
         head = null;
         keepAlive = false;
         chunkedAnswer = true;
@@ -209,7 +209,7 @@
 
     /** Closes a connection that was idle, or slow to send a request, for too long. */
     void checkIdle(long nowNanos, CallerLimits limits) {
-        if (exchange != null || refused) {
+        if (exchange != null || doneReading) {
             return;
         }
         long since = head != null ? headNanos : idleSinceNanos;
@@ -226,10 +226,17 @@
     void closeSoon() {
         closing = true;
         if (exchange == null && head == null && ahead.isEmpty()) {
-            channel.close();
+            closeWritten();
         }
     }
 
+    /** Reads nothing more, and closes when what was answered is written. */
+    private void closeWritten() {
+        doneReading = true;
+        channel.config().setAutoRead(false);
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+    }
+
     /** Writes a whole answer. */
     void answer(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
         boolean keep = prepare(headers);
@@ -264,7 +271,7 @@
     }
 
     void endStream() {
-        finish(LastHttpContent.EMPTY_LAST_CONTENT, keepAlive);
+        finish(LastHttpContent.EMPTY_LAST_CONTENT, keepAlive && !closing);
     }
 
     /** Ends the connection so that the answer does not look complete. */
@@ -294,10 +301,10 @@
     }
 
     private void next() {
-        while (exchange == null && !refused && !ahead.isEmpty()) {
+        while (exchange == null && !doneReading && !ahead.isEmpty()) {
             read(ahead.poll());
         }
-        if (ahead.size() <= MAX_PARTS_AHEAD / 2 && channel.isOpen()) {
+        if (!doneReading && ahead.size() <= MAX_PARTS_AHEAD / 2 && channel.isOpen()) {
             channel.config().setAutoRead(true);
         }
     }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -86,6 +86,11 @@
         context.snapshot().usable().ifPresent(this::serve);
     }
 
+    /** Returns whether a server has the request. */
+    boolean isSent() {
+        return state == State.SENT;
+    }
+
     /** Ends the request with a final answer, since this host ends. */
     void hostEnds() {
         logUnfinished();
@@ -157,9 +162,8 @@
 
     private boolean isTakenWhileLeaving() {
         long nowNanos = System.nanoTime();
-        long slowMillis = context.slowMillis(route.id());
         long limitMillis = callerLeftMillis(nowNanos);
-        boolean taken = context.leaving().takes(slowMillis, limitMillis, nowNanos);
+        boolean taken = context.leaving().takes(limitMillis, nowNanos);
         context.log(
                 "event=%s request=%s number_on_connection=%d age_ms=%d"
                                 .formatted(
@@ -167,11 +171,8 @@
                                         facts.id(),
                                         request.number(),
                                         request.ageMillis(nowNanos))
-                        + " host_ends_in_ms=%d limit_ms=%d slow_ms=%d"
-                                .formatted(
-                                        context.leaving().leftMillis(nowNanos),
-                                        limitMillis,
-                                        slowMillis));
+                        + " host_ends_in_ms=%d limit_ms=%d"
+                                .formatted(context.leaving().leftMillis(nowNanos), limitMillis));
         return taken;
     }
 
@@ -414,6 +415,10 @@
                                 rule.tries(),
                                 reason));
         long nowNanos = System.nanoTime();
+        if (isForAnotherHost(nowNanos)) {
+            giveUpUnplaced(LEAVING, 0);
+            return;
+        }
         boolean allowed =
                 mayTryAgain(proved)
                         && context.retries(service).repeat(context.fixedRetries(), nowNanos);
@@ -451,9 +456,6 @@
         state = State.DONE;
         long totalMillis = request.ageMillis(System.nanoTime());
         context.finished(this, status, totalMillis);
-        if (status == HttpResponseStatus.OK.code()) {
-            context.answered(route.id(), totalMillis);
-        }
         context.log(
                 "event=done request=%s route=%s workspace=%s status=%d outcome=\"%s\" total_ms=%d"
                                 .formatted(
@@ -507,7 +509,7 @@
                 if (nowNanos >= endNanos) {
                     letGo(RunEnd.Outcome.CANCELLED);
                     giveUpUnplaced("time_over", 0);
-                } else if (rule.tries() == 0 && !isKept(nowNanos)) {
+                } else if (isForAnotherHost(nowNanos)) {
                     handBack();
                 }
             }
@@ -522,12 +524,11 @@
         }
     }
 
-    /** Returns whether a request that waits for a server may end before this host does. */
-    private boolean isKept(long nowNanos) {
-        LeavingRule leaving = context.leaving();
-        return !leaving.begun()
-                || leaving.keeps(
-                        context.slowMillis(route.id()), callerLeftMillis(nowNanos), nowNanos);
+    /** Returns whether a request that no server has had is better served by another host. */
+    private boolean isForAnotherHost(long nowNanos) {
+        return !rule.mayHaveRun()
+                && !streaming
+                && !context.leaving().takes(callerLeftMillis(nowNanos), nowNanos);
     }
 
     private void timeOver() {
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -21,6 +21,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -38,7 +39,6 @@
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
-import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
@@ -85,9 +85,7 @@
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private volatile boolean alone = true;
     private final LeavingRule leaving;
-    private final RouteTimes routeTimes = new RouteTimes();
     private boolean keptClosed;
-    private boolean ending;
     private Channel front;
     private long nextRun;
     private int ticks;
@@ -311,7 +309,9 @@
 
     /** Stops gracefully: finishes what runs, within the grace period; returns at the end. */
     public void stop() {
-        loop.execute(this::beginToLeave);
+        // The grace period counts from here, also where the data thread hears of it late.
+        long toldNanos = System.nanoTime();
+        loop.execute(() -> beginToLeave(toldNanos));
         try {
             var unused = stopped.await(options.graceMillis(), TimeUnit.MILLISECONDS);
         } catch (InterruptedException e) {
@@ -319,11 +319,11 @@
         }
     }
 
-    private void beginToLeave() {
+    private void beginToLeave(long toldNanos) {
         if (leaving.begun()) {
             return;
         }
-        leaving.begin(System.nanoTime());
+        leaving.begin(toldNanos);
         log.add(
                 "event=leaving running=%d connections=%d"
                         .formatted(exchanges.size(), callers.size()));
@@ -336,15 +336,30 @@
             return;
         }
         closeKept();
-        if (ending || (exchanges.isEmpty() && callers.isEmpty())) {
+        if (over) {
+            endAll();
+        }
+        boolean idle = exchanges.isEmpty() && callers.isEmpty();
+        if (idle || leaving.isLast(nowNanos)) {
             end(nowNanos);
-        } else if (over) {
-            // The last answers are written before the next tick ends the process.
-            ending = true;
-            List.copyOf(exchanges).forEach(Exchange::hostEnds);
         }
     }
 
+    /** Gives all that is left its final answer, and closes when that is written. */
+    private void endAll() {
+        // Those that wait go first: the place of one that ends must not go to them.
+        List<Exchange> left = new ArrayList<>(exchanges);
+        left.sort(Comparator.comparing(Exchange::isSent));
+        for (Exchange exchange : left) {
+            try {
+                exchange.hostEnds();
+            } catch (RuntimeException e) {
+                failed("end", e);
+            }
+        }
+        List.copyOf(callers).forEach(CallerConnection::closeSoon);
+    }
+
     /** Closes connections that callers keep; those that come later are closed by their answer. */
     private void closeKept() {
         if (!keptClosed) {
@@ -398,11 +413,6 @@
         return leaving;
     }
 
-    @Override
-    public long slowMillis(RouteId route) {
-        return routeTimes.slowMillis(route);
-    }
-
     @Override
     public boolean isLeaving() {
         return leaving.begun();
@@ -498,11 +508,6 @@
         }
     }
 
-    @Override
-    public void answered(RouteId route, long totalMillis) {
-        routeTimes.add(route, totalMillis);
-    }
-
     @Override
     public void firstEvent(long millis) {
         firstEventMillis.update(millis);
--- a/src/main/java/org/orioleshed/gateway/GatewayContext.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayContext.java
@@ -5,7 +5,6 @@
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.model.FailureDomain;
-import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServiceId;
 
 /** What an exchange needs of the gateway; all calls are made on the data thread. */
@@ -41,17 +40,11 @@
     /** Returns what is taken while this host is about to stop. */
     LeavingRule leaving();
 
-    /** Returns how long a slow request of a route takes here, in milliseconds. */
-    long slowMillis(RouteId route);
-
     void started(Exchange exchange);
 
     /** Notes an end; {@code status} is 0 where the caller got no answer. */
     void finished(Exchange exchange, int status, long totalMillis);
 
-    /** Notes how long an answered request of a route took, in milliseconds. */
-    void answered(RouteId route, long totalMillis);
-
     /** Notes a stream's first event. */
     void firstEvent(long millis);
 
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -8,6 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.orioleshed.dispatch.MovePolicy;
 import org.orioleshed.dispatch.Quotas;
@@ -108,6 +111,23 @@
         node.gateway().stop();
     }
 
+    /** Has the data thread do nothing for a time, from now on. */
+    void holdUp(long millis) throws InterruptedException {
+        CountDownLatch held = new CountDownLatch(1);
+        node.gateway()
+                .metrics()
+                .gauge(
+                        "pause",
+                        () ->
+                                () -> {
+                                    held.countDown();
+                                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+                                    return 0;
+                                });
+        Thread.ofVirtual().start(() -> get(options.metrics(), "/metrics"));
+        held.await();
+    }
+
     /** Returns how many requests the gateway has read. */
     long requestsRead() {
         return node.gateway().metrics().counter("requests").getCount();
@@ -135,6 +155,14 @@
         return new Socket(options.callers().getAddress(), options.callers().getPort());
     }
 
+    /** Opens a connection whose caller takes few bytes at a time. */
+    Socket connect(int receiveBufferBytes) throws IOException {
+        Socket socket = new Socket();
+        socket.setReceiveBufferSize(receiveBufferBytes);
+        socket.connect(options.callers());
+        return socket;
+    }
+
     /** Sends bytes on a new connection and returns all that comes until it closes. */
     String send(String bytes) throws IOException {
         try (Socket socket = connect()) {
