Claims: a late "not run" no longer hides the claim that replaced it

What callers could see: a non-repeatable call run a second time. A host gives a claim up; a resend at another host replaces it, runs and has its answer recorded; the bucket's head moves to a page. Then the first host, which stood still meanwhile, records "not run" for its own run. The head held nothing under the key, so the record was made anew there, before the page with the answer: the next resend read "not run" and was free to run again.

Evidence: ClaimCoreTest.lateWordThatAClaimWasNeverSentDoesNotHideTheClaimThatReplacedIt failed before: expected [Taken[owner=h2.1.1#1, outcome=Optional[Answered[...]]]] but found [Taken[owner=h1.1.1#1, outcome=Optional[NotRun[reason=STORE_AWAY, retryAfterMillis=0]]]]

Why it works: only "not run" lets a key be replaced, so only a claim "not run" can have a later one. Such a word is now written over its own claim in the head, and nowhere else. When the claim has moved to a page the word isn't recorded: the key's next claimant asks the host, as before, and is told "in doubt" if that is gone. That is the safe side.

--- a/src/main/java/org/orioleshed/claim/Bucket.java
+++ b/src/main/java/org/orioleshed/claim/Bucket.java
@@ -442,7 +442,13 @@
 
         void end(PendingOutcome outcome, long clock) {
             ClaimRecord present = next.records().get(outcome.key());
-            if (present != null && !present.run().equals(outcome.run())) {
+            // A claim "not run" may have been replaced by one that moved to a page since: a record
+            // anew would hide that one. The key's next claimant asks the host instead.
+            boolean replaced =
+                    present == null
+                            ? outcome.outcome() instanceof Outcome.NotRun
+                            : !present.run().equals(outcome.run());
+            if (replaced) {
                 ends.add(outcome);
                 return;
             }
--- a/src/test/java/org/orioleshed/claim/ClaimCoreTest.java
+++ b/src/test/java/org/orioleshed/claim/ClaimCoreTest.java
@@ -233,6 +233,28 @@
         assertEquals(first.result(run), null);
     }
 
+    /** The host that gave the first claim up stood still meanwhile. */
+    @Test
+    public void lateWordThatAClaimWasNeverSentDoesNotHideTheClaimThatReplacedIt() {
+        RunId never = first.claim("k");
+        first.run();
+        RunId sent = second.claim("k", Optional.of(never));
+        second.run();
+        Outcome answered = new Outcome.Answered(0, Payload.of("cabin 12"));
+        second.core.record(nowNanos, key("k"), sent, answered);
+        second.run();
+        for (int i = 0; i < 60; i++) {
+            second.claim("other" + i);
+            second.run();
+        }
+        Outcome notRun = new Outcome.NotRun(Outcome.NotRunReason.STORE_AWAY, 0);
+        first.core.record(nowNanos, key("k"), never, notRun);
+        first.run();
+        second.core.lookUp(nowNanos, 7, key("k"));
+        second.run();
+        assertEquals(second.found.get(7L), new Result.Taken(sent, Optional.of(answered)));
+    }
+
     @Test
     public void claimIsReplacedOnlyByWhoNamesIt() {
         RunId run = first.claim("k");
