Claims: a host that gives a claim up tells its writer at once

Cause: the bucket's writer stood still, so the first host gave the claim up. The writer woke, wrote the claim, and heard that it was given up only after the first host had heard that it had landed: two more messages and a write later. A resend between found a claim without an outcome whose host was gone, and that is "in doubt".

Evidence: GivenUpClaimTest.resendRunsWhenTheWriterStoodStillAndTheFirstHostIsHeldForDead failed before: expected [Answered[tokens=0, body=Payload[1 bytes]]] but found [InDoubt[detail=the host that sent the call is gone, and left no outcome]]

Why it works: the host says "never sent" for its run to the writer with the answer to the caller, when it is surely alive. The writer drops a claim that has not left yet, and writes "not run" over one that has. A host never sends a run that it gave up, so the word stays true. Words kept for a store that is away are bounded as given-up claims are. The way from before, by the answer to the claim, stays for a word that is lost or overtaken.

--- a/src/main/java/org/orioleshed/claim/Bucket.java
+++ b/src/main/java/org/orioleshed/claim/Bucket.java
@@ -94,7 +94,14 @@
         pump(nowNanos);
     }
 
+    /** Takes the outcome of a run; one "not run" is claimed no more. */
     void record(long nowNanos, RequestKey key, RunId run, Outcome outcome, Runnable written) {
+        if (outcome instanceof Outcome.NotRun) {
+            claims.remove(run);
+            if (outcomes.size() >= MAX_DISOWNED) {
+                return;
+            }
+        }
         long due = nowNanos + nanos(limits.recordDelayMillis());
         outcomes.put(run, new PendingOutcome(key, run, outcome, due, written));
         pump(nowNanos);
--- a/src/main/java/org/orioleshed/claim/ClaimCore.java
+++ b/src/main/java/org/orioleshed/claim/ClaimCore.java
@@ -44,6 +44,9 @@
 
     private static final int MAX_GIVEN_UP = 10_000;
 
+    /** The outcome of a claim that was given up. */
+    private static final Outcome NEVER = new Outcome.NotRun(Outcome.NotRunReason.STORE_AWAY, 0);
+
     private final HostId self;
     private final ClaimLimits limits;
     private final Consumer<HostAction> out;
@@ -112,6 +115,8 @@
     public void disown(RequestKey key, RunId run) {
         asked.remove(run);
         bucket(key).disown(key, run);
+        // The writer may have the claim yet, and this host may be gone when it lands.
+        otherWriter(key).ifPresent(writer -> send(writer, new OutcomeAsked(key, run, NEVER)));
         givenUp.put(run, key);
         if (givenUp.size() > MAX_GIVEN_UP) {
             givenUp.remove(givenUp.keySet().iterator().next());
@@ -262,8 +267,7 @@
         RequestKey key = givenUp.get(told.run());
         if (key != null && told.result() instanceof ClaimResult.Owned) {
             givenUp.remove(told.run());
-            Outcome never = new Outcome.NotRun(Outcome.NotRunReason.STORE_AWAY, 0);
-            record(nowNanos, key, told.run(), never);
+            record(nowNanos, key, told.run(), NEVER);
         }
     }
 
