Claims: a write that was not heard of is read back for claims given up

What callers saw: "not run, store_away" (true), and after the host had left, "in doubt" for the resend.

Cause: the host wrote the claim itself, the answer was lost and the store away until the call was given up. Nothing was left to do for the bucket then, so the claim stood in the store without an outcome until the next work on the bucket, and a host that shut down left it so for good.

Evidence: GivenUpClaimTest.resendRunsWhenTheClaimLandedUnheardOfBeforeTheFirstHostLeft failed before: left while its claim may stand in the store expected [true] but found [false]

Why it works: a bucket with claims given up and a write not heard of reads its head as soon as the store answers again, which writes "not run" over a claim that landed; a host that shuts down waits for that, within the bound it has for outcomes.

--- a/src/main/java/org/orioleshed/claim/Bucket.java
+++ b/src/main/java/org/orioleshed/claim/Bucket.java
@@ -121,7 +121,12 @@
     }
 
     boolean isIdle() {
-        return claims.isEmpty() && outcomes.isEmpty();
+        return claims.isEmpty() && outcomes.isEmpty() && (disowned.isEmpty() || !mayLand());
+    }
+
+    /** Returns whether a write was not heard of, so that a claim given up may stand unseen. */
+    private boolean mayLand() {
+        return busy || head == null;
     }
 
     /** Reads the head for the first time, or to see whether the store is back. */
@@ -187,6 +192,7 @@
     private boolean hasWork(long nowNanos) {
         return !claims.isEmpty()
                 || !lookUps.isEmpty()
+                || (head == null && !disowned.isEmpty() && !store.isAway())
                 || outcomes.values().stream().anyMatch(o -> nowNanos >= o.dueNanos());
     }
 
--- a/src/test/java/org/orioleshed/host/GivenUpClaimTest.java
+++ b/src/test/java/org/orioleshed/host/GivenUpClaimTest.java
@@ -1,6 +1,7 @@
 package org.orioleshed.host;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.util.Optional;
@@ -52,6 +53,17 @@
                 && received.message() instanceof RequestMessage.ClaimAsked;
     }
 
+    private Node besides(Node... known) {
+        Set<Node> all = Set.of(known);
+        return fleet.nodes.stream().filter(node -> !all.contains(node)).findFirst().orElseThrow();
+    }
+
+    private void deliverAll() {
+        while (!fleet.underWay.isEmpty()) {
+            fleet.deliver(0);
+        }
+    }
+
     /** Lets time pass until a call is answered; no call on the store is answered meanwhile. */
     private void awaitOutcome(RequestId call) {
         for (int i = 0; i < 100 && fleet.outcome(call) == null; i++) {
@@ -94,4 +106,34 @@
         assertEquals(resend(other), ANSWERED);
         assertEquals(runs(), 1);
     }
+
+    @Test
+    public void resendRunsWhenTheClaimLandedUnheardOfBeforeTheFirstHostLeft() {
+        Node first = writer();
+        Node other = besides(first);
+        RequestId call = fleet.send(first, fleet.call(first, "k", false, 10_000));
+        fleet.answerStore(0, 0);
+        deliverAll();
+        fleet.answerStore(0, 1);
+        deliverAll();
+        for (int i = 0; i < 100 && fleet.outcome(call) == null; i++) {
+            fleet.tick(20);
+            while (!fleet.storeCalls.isEmpty()) {
+                fleet.answerStore(0, 2);
+            }
+            deliverAll();
+        }
+        assertEquals(fleet.outcome(call), STORE_AWAY);
+        fleet.feed(first, new HostEvent.DrainAsked());
+        assertTrue(fleet.drained.isEmpty(), "left while its claim may stand in the store");
+        for (int i = 0; i < 100 && fleet.drained.isEmpty(); i++) {
+            fleet.settle();
+            fleet.tick(20);
+        }
+        assertFalse(fleet.drained.isEmpty());
+        fleet.crash(first);
+        fleet.tellWorld(Set.of(first.id));
+        assertEquals(resend(other), ANSWERED);
+        assertEquals(runs(), 1);
+    }
 }
