Requests: a call that another host has claimed is never told "not run" by the host that waits for its word

What callers could see: a non-repeatable call runs at one host; its resend at another host, which waits for the first one's word, was answered "not run, draining" when that other host was drained, though the call ran. And after the resend's caller left, the other host told the key's fate as "not run".

Cause: "proved not run" looked only at what this host had sent. Only the deadline's answer asked whether another host had the key.

Evidence: HostCoreTest failed before: drainDoesNotAnswerNotRunForACallThatRunsAtAnotherHost: expected [Answered[tokens=0, body=Payload[1 bytes]]] but found [NotRun[reason=DRAINING, retryAfterMillis=0]] callThatRunsAtAnotherHostIsInDoubtWhenItsDeadlineIsFirst: NotRun[reason=DRAINING, retryAfterMillis=0] expected [true] but found [false] fateOfACallThatRunsAtAnotherHostIsNotNotRunAfterItsCallerLeft: expected [Pending[]] but found [Final[outcome=NotRun[reason=CALLER_GONE, retryAfterMillis=0]]]

Why it works: the call remembers that the key is taken, until the owner's word "not run" frees it, and isn't proved not run meanwhile. A host that drains waits for the word as it waits for what runs, until the caller's deadline, and then says "in doubt".

--- a/src/main/java/org/orioleshed/request/ServiceCall.java
+++ b/src/main/java/org/orioleshed/request/ServiceCall.java
@@ -26,6 +26,9 @@
     /** The run that the claim names. */
     RunId claimed;
 
+    /** Whether another host's run has the key and may have reached the service. */
+    boolean taken;
+
     /** An earlier claim that is proved never to be sent, to be replaced. */
     Optional<RunId> replaces = Optional.empty();
 
@@ -52,7 +55,7 @@
 
     @Override
     boolean provedNotRun() {
-        return !mayHaveRun;
+        return !mayHaveRun && !taken;
     }
 
     /** Where a call is in its life. */
--- a/src/main/java/org/orioleshed/request/ServiceRequests.java
+++ b/src/main/java/org/orioleshed/request/ServiceRequests.java
@@ -273,6 +273,7 @@
 
     private void taken(long nowNanos, ServiceCall call, Claims.Result.Taken taken) {
         if (taken.outcome().isEmpty()) {
+            call.taken = true;
             ask(nowNanos, call, taken.owner());
             return;
         }
@@ -285,6 +286,7 @@
 
     /** Claims a key anew whose earlier claim is proved never to be sent. */
     private void replace(long nowNanos, ServiceCall call, RunId earlier) {
+        call.taken = false;
         call.replaces = Optional.of(earlier);
         enqueue(nowNanos, call);
     }
@@ -469,7 +471,7 @@
     }
 
     private static Outcome lateOutcome(ServiceCall call) {
-        if (call.state instanceof Asking) {
+        if (call.taken) {
             return new Outcome.InDoubt("another host still runs the call");
         }
         if (call.provedNotRun() && call.callers.size() > 1) {
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -16,6 +16,7 @@
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.Tier;
+import org.orioleshed.request.Fate;
 import org.orioleshed.routing.RoutingMessage;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -38,6 +39,13 @@
         return new RequestKey(FakeFleet.WORKSPACE, key);
     }
 
+    private void passMillis(int millis) {
+        for (int i = 0; i < millis; i += 20) {
+            fleet.settle();
+            fleet.tick(20);
+        }
+    }
+
     @DataProvider
     Object[][] works() {
         return new Object[][] {{0}, {1}, {2}};
@@ -190,6 +198,47 @@
         assertEquals(fleet.drained.size(), 1);
     }
 
+    /** The host that drains only knows that another one sent the call. */
+    @Test
+    public void drainDoesNotAnswerNotRunForACallThatRunsAtAnotherHost() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        assertEquals(fleet.calls.size(), 1);
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        passMillis(200);
+        fleet.feed(other, new HostEvent.DrainAsked());
+        fleet.finish();
+        assertEquals(fleet.outcome(resend), new Outcome.Answered(0, Payload.of("k")));
+        assertEquals(fleet.drained.size(), 1);
+    }
+
+    @Test
+    public void callThatRunsAtAnotherHostIsInDoubtWhenItsDeadlineIsFirst() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 300));
+        passMillis(200);
+        fleet.feed(other, new HostEvent.DrainAsked());
+        passMillis(200);
+        assertTrue(fleet.outcome(resend) instanceof Outcome.InDoubt, "" + fleet.outcome(resend));
+    }
+
+    @Test
+    public void fateOfACallThatRunsAtAnotherHostIsNotNotRunAfterItsCallerLeft() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        passMillis(200);
+        fleet.promises.left(resend);
+        fleet.feed(other, new HostEvent.CallerGone(resend));
+        fleet.feed(other, new HostEvent.FateAsked(7, key("k")));
+        fleet.settle();
+        assertEquals(fleet.fates.get(7L), new Fate.Pending());
+    }
+
     @Test
     public void resendJoinsTheRunningRequestOnItsHost() {
         RequestId first = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
