Homes: a body that comes again to a restarted home is no proof that its run never started

What callers could see: "not run" for a request that had run, and a second run beside the first on the engines.

Cause: peers repeat a message whose receipt was not confirmed, also to a process started anew. The old process had started the run; the new one got the body again, knew no grant for it and answered "never started", which the accepting host takes for the proof that nothing ran.

Evidence: HostCoreTest.requestIsNotNotRunWhenItsBodyComesAgainToTheRestartedHomeOfItsRun failed before, in Promises: not run, but ran: h1.1.1

Why it works: a process says "never started" only for runs that it granted itself, of which it remembers the latest 4,096, as it does their ends. For others it says that the run may still be on the engine, as it does for a cancel of a run that it never saw; the accepting host then cancels it there before it goes on, and no longer counts the request as not run.

--- a/src/main/java/org/orioleshed/routing/HomeCore.java
+++ b/src/main/java/org/orioleshed/routing/HomeCore.java
@@ -31,6 +31,9 @@
  * accepting host waits for anything here any more.
  */
 public final class HomeCore implements Machine<HostEvent, HostAction> {
+    /** The end of a run that may still be on an engine. */
+    private static final RunEnd UNKNOWN = new RunEnd.Broken(false, false);
+
     private final HostId self;
     private final RoutingLimits limits;
     private final Outbox outbox = new Outbox();
@@ -178,6 +181,11 @@
             outbox.ended(from, message.run(), end.get());
             return;
         }
+        if (!outbox.granted(message.run())) {
+            // Granted by an earlier incarnation, which may have started the run.
+            outbox.ended(from, message.run(), UNKNOWN);
+            return;
+        }
         HomeServer server = servers.get(message.server());
         if (server == null) {
             outbox.ended(from, message.run(), new RunEnd.NeverStarted());
@@ -203,7 +211,7 @@
             return;
         }
         // A run that this incarnation never saw may still be on an engine since an earlier one.
-        RunEnd end = outbox.endOf(run).orElse(new RunEnd.Broken(false, false));
+        RunEnd end = outbox.endOf(run).orElse(UNKNOWN);
         outbox.ended(from, run, end);
     }
 
--- a/src/main/java/org/orioleshed/routing/Outbox.java
+++ b/src/main/java/org/orioleshed/routing/Outbox.java
@@ -1,11 +1,13 @@
 package org.orioleshed.routing;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.orioleshed.host.Decision;
 import org.orioleshed.host.HostAction;
 import org.orioleshed.model.HostId;
@@ -14,21 +16,26 @@
 import org.orioleshed.model.Tier;
 import org.orioleshed.routing.RoutingMessage.RefusalReason;
 
-/** Collects the actions of one event, and remembers how the latest runs ended. */
+/**
+ * Collects the actions of one event; remembers the latest grants, and how the latest runs ended.
+ */
 final class Outbox {
-    private static final int REMEMBERED_ENDS = 4_096;
+    private static final int REMEMBERED = 4_096;
 
-    private final Map<RunId, RunEnd> ends =
-            new LinkedHashMap<>() {
-                private static final long serialVersionUID = 1L;
-
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<RunId, RunEnd> eldest) {
-                    return size() > REMEMBERED_ENDS;
-                }
-            };
+    private final Map<RunId, RunEnd> ends = new Latest<>();
+    private final Set<RunId> granted = Collections.newSetFromMap(new Latest<>());
     private List<HostAction> actions = new ArrayList<>();
 
+    /** What is known of the latest runs. */
+    private static final class Latest<V> extends LinkedHashMap<RunId, V> {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<RunId, V> eldest) {
+            return size() > REMEMBERED;
+        }
+    }
+
     /** Returns the actions collected since the last call. */
     List<HostAction> drain() {
         List<HostAction> drained = actions;
@@ -40,6 +47,11 @@
         return Optional.ofNullable(ends.get(run));
     }
 
+    /** Returns whether this process granted the run a place, as far as it remembers. */
+    boolean granted(RunId run) {
+        return granted.contains(run);
+    }
+
     void add(HostAction action) {
         actions.add(action);
     }
@@ -49,6 +61,7 @@
     }
 
     void granted(Waiting waiting, ServerId server, long reservedMillis) {
+        granted.add(waiting.run());
         send(waiting.from(), new RoutingMessage.Granted(waiting.run(), server, reservedMillis));
     }
 
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -316,6 +316,29 @@
         assertTrue(fleet.nowNanos - start < 6_000_000_000L, "" + (fleet.nowNanos - start));
     }
 
+    /** Peers repeat a body whose receipt was not confirmed, also to a process started anew. */
+    @Test
+    public void requestIsNotNotRunWhenItsBodyComesAgainToTheRestartedHomeOfItsRun() {
+        Node accepting = fleet.nodes.get(1);
+        fleet.servers.remove(new ServerId("m2"));
+        fleet.tellWorld(Set.of());
+        RequestId id =
+                fleet.send(accepting, fleet.generate(accepting, "k", "x", Tier.URGENT, 20_000));
+        while (!isRouting(fleet.underWay.getFirst().event(), RoutingMessage.Placed.class)) {
+            fleet.deliver(0);
+        }
+        HostEvent body = fleet.underWay.getFirst().event();
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 1);
+        fleet.crash(host);
+        fleet.restart(host);
+        fleet.feed(host, body);
+        fleet.settle();
+        fleet.feed(accepting, new HostEvent.DrainAsked());
+        fleet.finish();
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+    }
+
     private static boolean isRouting(HostEvent event, Class<?> kind) {
         return event instanceof HostEvent.RoutingReceived received
                 && kind.isInstance(received.message());
