Fates: a host asks the others before it says "not run" or "in doubt" of a key

What callers could see: a call answered at one host, its resend at another not run there (its caller left, the host drained); the fate of the key at that other host was "not run", though the recorded answer stood in the store.

Cause: what the host itself knew was taken for final, also where it only knew that its own send was not run.

Evidence: HostCoreTest failed before: fateOfAnAnsweredCallIsNotNotRunWhereItsResendWasNotRun: expected [Final[outcome=Answered[tokens=0, body=Payload[1 bytes]]]] but found [Final[outcome=NotRun[reason=CALLER_GONE, retryAfterMillis=0]]] fateIsUnknownWhereACallWasNotRunWhileTheStoreCannotBeAsked: expected [Unknown[]] but found [Final[outcome=NotRun[reason=CALLER_GONE, ...]]]

"Not run" is told when the store and the directory were heard and know nothing more, "unknown" when one of them was not; "in doubt" stays unless others know more.

--- a/src/main/java/org/orioleshed/request/AcceptingSide.java
+++ b/src/main/java/org/orioleshed/request/AcceptingSide.java
@@ -349,7 +349,7 @@
 
     private void fateAsked(long nowNanos, long ticket, RequestKey key) {
         Fate here = fate(nowNanos, key);
-        if (!(here instanceof Fate.Unknown)) {
+        if (!othersMayKnowMore(here)) {
             out.accept(new HostAction.TellFate(ticket, here));
             return;
         }
@@ -358,7 +358,18 @@
                 hosts.contains(self) ? Optional.empty() : hosts.stream().findFirst();
         Optional<RequestId> holder =
                 host.isPresent() ? Optional.empty() : directory.holder(nowNanos, key);
-        inquiries.start(nowNanos, ticket, key, host, holder);
+        inquiries.start(nowNanos, ticket, key, here, host, holder);
+    }
+
+    /** What this host didn't run, or doesn't know, another one may have run under the key. */
+    private static boolean othersMayKnowMore(Fate here) {
+        return switch (here) {
+            case Fate.Unknown unknown -> true;
+            case Fate.Pending pending -> false;
+            case Fate.Final end ->
+                    end.outcome() instanceof Outcome.NotRun
+                            || end.outcome() instanceof Outcome.InDoubt;
+        };
     }
 
     private Fate fate(long nowNanos, RequestKey key) {
--- a/src/main/java/org/orioleshed/request/FateInquiries.java
+++ b/src/main/java/org/orioleshed/request/FateInquiries.java
@@ -40,14 +40,28 @@
         final RequestKey key;
         final long untilNanos;
         final List<Long> tickets = new ArrayList<>();
+
+        /** What this host knows itself. */
+        final Fate here;
+
         boolean directoryKnowsNone;
         boolean storeKnowsNone;
+        boolean storeAway;
         boolean known;
 
-        Inquiry(RequestKey key, long untilNanos) {
+        Inquiry(RequestKey key, Fate here, long untilNanos) {
             this.key = key;
+            this.here = here;
             this.untilNanos = untilNanos;
         }
+
+        /** Returns what is known when no other host said more; "not run" once all were heard. */
+        Fate unlessOthersKnow() {
+            boolean heardAll = directoryKnowsNone && storeKnowsNone && !storeAway;
+            boolean notRun =
+                    here instanceof Fate.Final end && end.outcome() instanceof Outcome.NotRun;
+            return notRun && !heardAll ? new Fate.Unknown() : here;
+        }
     }
 
     void onWorld(World changed) {
@@ -57,6 +71,7 @@
     /**
      * Starts to look for a key.
      *
+     * @param here what this host knows itself
      * @param directory the host to ask; empty when this host keeps the key's entry, which names
      *     {@code holder}
      */
@@ -64,6 +79,7 @@
             long nowNanos,
             long ticket,
             RequestKey key,
+            Fate here,
             Optional<HostId> directory,
             Optional<RequestId> holder) {
         Inquiry running = byKey.get(key);
@@ -75,7 +91,7 @@
             out.accept(new HostAction.TellFate(ticket, new Fate.Unknown()));
             return;
         }
-        Inquiry inquiry = new Inquiry(key, nowNanos + MAX_NANOS);
+        Inquiry inquiry = new Inquiry(key, here, nowNanos + MAX_NANOS);
         inquiry.tickets.add(ticket);
         byKey.put(key, inquiry);
         byTicket.put(ticket, inquiry);
@@ -110,6 +126,7 @@
         }
         if (!(result instanceof Claims.Result.Taken taken)) {
             inquiry.storeKnowsNone = true;
+            inquiry.storeAway = result instanceof Claims.Result.Away;
             endIfUnknown(inquiry);
             return;
         }
@@ -153,13 +170,13 @@
             if (nowNanos < inquiry.untilNanos) {
                 return;
             }
-            end(inquiry, inquiry.known ? new Fate.Pending() : new Fate.Unknown());
+            end(inquiry, inquiry.known ? new Fate.Pending() : inquiry.unlessOthersKnow());
         }
     }
 
     private void endIfUnknown(Inquiry inquiry) {
         if (inquiry.directoryKnowsNone && inquiry.storeKnowsNone) {
-            end(inquiry, new Fate.Unknown());
+            end(inquiry, inquiry.unlessOthersKnow());
         }
     }
 
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -239,6 +239,52 @@
         assertEquals(fleet.fates.get(7L), new Fate.Pending());
     }
 
+    @Test
+    public void fateOfAnAnsweredCallIsNotNotRunWhereItsResendWasNotRun() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.finish();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        fleet.promises.left(resend);
+        fleet.feed(other, new HostEvent.CallerGone(resend));
+        fleet.feed(other, new HostEvent.FateAsked(7, key("k")));
+        passMillis(200);
+        Outcome answered = new Outcome.Answered(0, Payload.of("k"));
+        assertEquals(fleet.fates.get(7L), new Fate.Final(answered));
+    }
+
+    @Test
+    public void fateOfACallThatNoHostRanIsNotRun() {
+        RequestId call = fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.promises.left(call);
+        fleet.feed(host, new HostEvent.CallerGone(call));
+        fleet.feed(host, new HostEvent.FateAsked(7, key("k")));
+        passMillis(1_000);
+        Outcome notRun = new Outcome.NotRun(Outcome.NotRunReason.CALLER_GONE, 0);
+        assertEquals(fleet.fates.get(7L), new Fate.Final(notRun));
+    }
+
+    @Test
+    public void fateIsUnknownWhereACallWasNotRunWhileTheStoreCannotBeAsked() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.finish();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        fleet.promises.left(resend);
+        fleet.feed(other, new HostEvent.CallerGone(resend));
+        fleet.feed(other, new HostEvent.FateAsked(7, key("k")));
+        for (int i = 0; i < 100 && fleet.fates.isEmpty(); i++) {
+            while (!fleet.underWay.isEmpty()) {
+                fleet.deliver(0);
+            }
+            while (!fleet.storeCalls.isEmpty()) {
+                fleet.answerStore(0, 2);
+            }
+            fleet.tick(20);
+        }
+        assertEquals(fleet.fates.get(7L), new Fate.Unknown());
+    }
+
     @Test
     public void resendJoinsTheRunningRequestOnItsHost() {
         RequestId first = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
