Peers: what was written to a process on runs and places is not repeated to the next one

What callers could see: "not run" for a request that had run.

Cause: a lane repeats what was not acknowledged, whoever answers. A process that died may have done what it was asked.

Evidence: PeerNetworkTest.messageOnARunIsNotRepeatedToTheNextProcess failed before: arrays differ firstly at element [0]; expected value is <3> but was <1>.

Why it works: the answering side of a lane says its incarnation, in a field that the hello has. When another process answers, messages on runs and places that were written to the one before are forgotten; the decisions stand their loss, and offer again. What was not written yet still goes out. Other kinds are repeated as before. A peer that says no incarnation counts as one process.

--- a/src/main/java/org/orioleshed/peer/AcceptHandler.java
+++ b/src/main/java/org/orioleshed/peer/AcceptHandler.java
@@ -7,6 +7,7 @@
 
 /** The answering side of one connection: passes new frames on and acknowledges all. */
 final class AcceptHandler extends FrameHandler {
+    private final long incarnation;
     private final ReceiveWindows windows;
     private final PeerListener listener;
     private final int acknowledgeEveryFrames;
@@ -15,7 +16,12 @@
     private ReceiveWindow window;
     private int unacknowledged;
 
-    AcceptHandler(ReceiveWindows windows, PeerListener listener, int acknowledgeEveryFrames) {
+    AcceptHandler(
+            long incarnation,
+            ReceiveWindows windows,
+            PeerListener listener,
+            int acknowledgeEveryFrames) {
+        this.incarnation = incarnation;
         this.windows = windows;
         this.listener = listener;
         this.acknowledgeEveryFrames = acknowledgeEveryFrames;
@@ -44,7 +50,11 @@
             return;
         }
         Hello answer =
-                Hello.newBuilder().setProtocol(PeerLane.PROTOCOL).setReceived(received).build();
+                Hello.newBuilder()
+                        .setProtocol(PeerLane.PROTOCOL)
+                        .setIncarnation(incarnation)
+                        .setReceived(received)
+                        .build();
         write(channel, Frame.newBuilder().setKind(Frame.Kind.HELLO).setHello(answer).build());
     }
 
--- a/src/main/java/org/orioleshed/peer/PeerLane.java
+++ b/src/main/java/org/orioleshed/peer/PeerLane.java
@@ -30,6 +30,12 @@
     private long downSinceNanos;
     private long nextDialNanos;
 
+    /** The incarnation of the process that answered last; zero when none did. */
+    private long receiver;
+
+    /** The highest number written to that process. */
+    private long writtenSequence;
+
     PeerLane(
             Hello hello,
             PeerLimits limits,
@@ -58,6 +64,7 @@
         }
         lastUsedNanos = nowNanos;
         if (open) {
+            writtenSequence = frame.getSequence();
             FrameHandler.write(channel, frame);
         } else {
             dial(nowNanos);
@@ -146,13 +153,23 @@
         lastHeardNanos = System.nanoTime();
         if (frame.getKind() == Frame.Kind.HELLO) {
             window.acknowledge(frame.getHello().getReceived());
+            meet(frame.getHello().getIncarnation());
             open = true;
+            writtenSequence = window.lastSequence();
             window.unacknowledged().forEach(pending -> FrameHandler.write(channel, pending));
             return;
         }
         window.acknowledge(frame.getAcknowledged());
     }
 
+    /** What was written to a process on runs and places means nothing to the one after it. */
+    private void meet(long answering) {
+        if (receiver != 0 && answering != receiver) {
+            window.forget(writtenSequence, FrameKinds.wire(MessageKind.ROUTING));
+        }
+        receiver = answering;
+    }
+
     private synchronized void closed(Channel which) {
         if (which == channel) {
             drop(System.nanoTime());
--- a/src/main/java/org/orioleshed/peer/PeerNetwork.java
+++ b/src/main/java/org/orioleshed/peer/PeerNetwork.java
@@ -113,7 +113,10 @@
                                             socket,
                                             limits.maxFrameBytes(),
                                             new AcceptHandler(
-                                                    windows, listener, ACKNOWLEDGE_EVERY_FRAMES));
+                                                    incarnation,
+                                                    windows,
+                                                    listener,
+                                                    ACKNOWLEDGE_EVERY_FRAMES));
                                 }
                             })
                     .bind(address)
--- a/src/main/java/org/orioleshed/peer/SendWindow.java
+++ b/src/main/java/org/orioleshed/peer/SendWindow.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.List;
 import org.orioleshed.wire.PeerWire.Frame;
 
@@ -44,6 +45,23 @@
         }
     }
 
+    /** Forgets the frames of one kind up to {@code sequence}. */
+    void forget(long sequence, Frame.Kind kind) {
+        Iterator<Frame> frames = pending.iterator();
+        while (frames.hasNext()) {
+            Frame frame = frames.next();
+            if (frame.getSequence() <= sequence && frame.getKind() == kind) {
+                frames.remove();
+                pendingBytes -= frame.getBody().size();
+            }
+        }
+    }
+
+    /** Returns the highest number given to a frame. */
+    long lastSequence() {
+        return lastSequence;
+    }
+
     /** Returns the frames to repeat on a new connection, in order. */
     List<Frame> unacknowledged() {
         return List.copyOf(pending);
--- a/src/test/java/org/orioleshed/peer/PeerNetworkTest.java
+++ b/src/test/java/org/orioleshed/peer/PeerNetworkTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Arrays;
 import java.util.Random;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -75,6 +76,32 @@
         }
     }
 
+    /** The first process got the message and had no time to confirm it. */
+    @Test
+    public void messageOnARunIsNotRepeatedToTheNextProcess() throws Exception {
+        LinkedBlockingQueue<byte[]> before = new LinkedBlockingQueue<>();
+        LinkedBlockingQueue<byte[]> after = new LinkedBlockingQueue<>();
+        InetSocketAddress address = freeAddress();
+        InetSocketAddress next = freeAddress();
+        try (PeerNetwork first = network(B, 1, address, before);
+                PeerNetwork second = network(B, 2, next, after);
+                PeerNetwork a = network(A, freeAddress(), new LinkedBlockingQueue<>())) {
+            a.know(B, address);
+            a.send(B, MessageKind.ROUTING, new byte[] {1});
+            a.send(B, MessageKind.REQUEST, new byte[] {2});
+            assertNotNull(before.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            assertNotNull(before.poll(PATIENCE_SECONDS, TimeUnit.SECONDS));
+            a.know(B, next);
+            a.send(B, MessageKind.ROUTING, new byte[] {3});
+            byte[] got = after.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            if (Arrays.equals(got, new byte[] {2})) {
+                got = after.poll(PATIENCE_SECONDS, TimeUnit.SECONDS);
+            }
+            assertEquals(got, new byte[] {3});
+            assertEquals(first.droppedMessages() + second.droppedMessages(), 0);
+        }
+    }
+
     @Test
     public void randomBytesCloseOnlyTheirConnection() throws Exception {
         LinkedBlockingQueue<byte[]> received = new LinkedBlockingQueue<>();
@@ -99,8 +126,20 @@
 
     private static PeerNetwork network(
             HostId id, InetSocketAddress address, LinkedBlockingQueue<byte[]> received) {
+        return network(id, 1, address, received);
+    }
+
+    private static PeerNetwork network(
+            HostId id,
+            long incarnation,
+            InetSocketAddress address,
+            LinkedBlockingQueue<byte[]> received) {
         return new PeerNetwork(
-                id, 1, address, PeerLimits.DEFAULT, (from, kind, body) -> received.add(body));
+                id,
+                incarnation,
+                address,
+                PeerLimits.DEFAULT,
+                (from, kind, body) -> received.add(body));
     }
 
     private static InetSocketAddress freeAddress() throws IOException {
