Requests: a second body that was never started proves nothing of the first

What callers could see: "not run" for a request that had run. Its home started it and restarted; the new process was probed, granted the run and got the body again, after the reservation, and answered "never started".

Evidence: HostCoreTest.requestIsNotNotRunWhenOnlyItsSecondBodyWasNeverStarted failed before, in Promises: not run, but ran: h1.1.1

Why it works: once the body was sent twice, "never started" leads to the next attempt, but no longer to "not run".

--- a/src/main/java/org/orioleshed/request/ModelRequests.java
+++ b/src/main/java/org/orioleshed/request/ModelRequests.java
@@ -496,7 +496,8 @@
                 offer(nowNanos, execution);
             }
             case RunEnd.NeverStarted never -> {
-                execution.mayHaveRun = running.ranBefore;
+                // The first body may have been started by an earlier incarnation of the home.
+                execution.mayHaveRun = running.ranBefore || running.placedAgain;
                 backOff(nowNanos, execution, 0);
             }
             case RunEnd.Cancelled cancelled -> backOff(nowNanos, execution, 0);
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -385,6 +385,38 @@
         assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
     }
 
+    /** The home of its run restarted, asked for the body once more, and got it too late. */
+    @Test
+    public void requestIsNotNotRunWhenOnlyItsSecondBodyWasNeverStarted() {
+        Node accepting = fleet.nodes.get(1);
+        fleet.servers.remove(new ServerId("m2"));
+        fleet.tellWorld(Set.of());
+        RequestId id =
+                fleet.send(accepting, fleet.generate(accepting, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 1);
+        fleet.crash(host);
+        fleet.restart(host);
+        for (int i = 0; i < 200 && !bodyIsNext(); i++) {
+            if (fleet.underWay.isEmpty()) {
+                fleet.tick(20);
+            } else {
+                fleet.deliver(0);
+            }
+        }
+        assertTrue(bodyIsNext());
+        fleet.tick(2_000);
+        fleet.settle();
+        fleet.feed(accepting, new HostEvent.DrainAsked());
+        fleet.finish();
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+    }
+
+    private boolean bodyIsNext() {
+        return !fleet.underWay.isEmpty()
+                && isRouting(fleet.underWay.getFirst().event(), RoutingMessage.Placed.class);
+    }
+
     private static boolean isRouting(HostEvent event, Class<?> kind) {
         return event instanceof HostEvent.RoutingReceived received
                 && kind.isInstance(received.message());
