--- a/src/test/java/org/orioleshed/host/FakeFleet.java
+++ b/src/test/java/org/orioleshed/host/FakeFleet.java
@@ -388,6 +388,11 @@
         boot(node);
     }
 
+    static boolean isLink(HostEvent event) {
+        return event instanceof HostEvent.RoutingReceived
+                || event instanceof HostEvent.RequestReceived;
+    }
+
     void tick(long millis) {
         nowNanos += TimeUnit.MILLISECONDS.toNanos(millis);
         nodes.forEach(node -> feed(node, new HostEvent.Tick()));
--- a/src/test/java/org/orioleshed/host/HostCoreProperties.java
+++ b/src/test/java/org/orioleshed/host/HostCoreProperties.java
@@ -8,8 +8,10 @@
 import net.jqwik.api.ShrinkingMode;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
+import org.orioleshed.fleet.Target;
 import org.orioleshed.host.FakeFleet.Node;
 import org.orioleshed.model.HostId;
+import org.orioleshed.model.ModelId;
 import org.orioleshed.model.RequestId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.Tier;
@@ -27,6 +29,49 @@
             @ForAll @Size(STEPS) List<@IntRange(min = 0, max = 1 << 24) Integer> steps) {
         FakeFleet fleet = new FakeFleet(steps.getFirst());
         steps.forEach(step -> step(fleet, step % 100, step / 100));
+        checkEnd(fleet);
+    }
+
+    /** Hosts are homes of several servers, stand still for seconds, are drained and restarted. */
+    @Property(tries = 1_000, seed = "6", shrinking = ShrinkingMode.BOUNDED)
+    void promisesHoldWhileHostsStandStillAndLeave(
+            @ForAll @Size(STEPS) List<@IntRange(min = 0, max = 1 << 24) Integer> steps) {
+        FakeFleet fleet = new FakeFleet(steps.getFirst());
+        for (int i = 3; i <= 6; i++) {
+            Target letters = new Target.Model(new ModelId("letters"));
+            fleet.addServer("m" + i, FakeFleet.DOMAINS.get(i % 2), letters, "v1", true);
+        }
+        fleet.tellWorld(Set.of());
+        for (int step : steps) {
+            int kind = step % 100;
+            int dice = step / 100;
+            if (kind < 90) {
+                step(fleet, kind, dice);
+            } else {
+                standStillOrLeave(fleet, kind, dice);
+            }
+        }
+        checkEnd(fleet);
+    }
+
+    private static void standStillOrLeave(FakeFleet fleet, int kind, int dice) {
+        Node node = fleet.nodes.get(dice % fleet.nodes.size());
+        int rest = dice / fleet.nodes.size();
+        switch (kind) {
+            case 90, 91 -> node.paused = true;
+            case 92, 93 -> node.paused = false;
+            case 94 -> fleet.feed(node, new HostEvent.DrainAsked());
+            case 95 -> {
+                if (node.up) {
+                    fleet.crash(node);
+                }
+                fleet.restart(node);
+            }
+            default -> fail(fleet, kind, node, rest);
+        }
+    }
+
+    private static void checkEnd(FakeFleet fleet) {
         heal(fleet);
         fleet.finish();
         fleet.tick(60_000);
@@ -66,9 +111,7 @@
         }
         int any = rest % fleet.underWay.size();
         FakeFleet.Delivery chosen = fleet.underWay.get(any);
-        boolean link =
-                chosen.event() instanceof HostEvent.RoutingReceived
-                        || chosen.event() instanceof HostEvent.RequestReceived;
+        boolean link = FakeFleet.isLink(chosen.event());
         if (chosen.to().paused) {
             return;
         }
