--- a/src/main/java/org/orioleshed/claim/Bucket.java
+++ b/src/main/java/org/orioleshed/claim/Bucket.java
@@ -75,7 +75,7 @@
     }
 
     boolean isIdle() {
-        return queue.isIdle();
+        return queue.isIdle(calls.isBusy() || !known.isKnown());
     }
 
     /** Reads the head for the first time, or to see whether the store is back. */
@@ -92,7 +92,7 @@
 
     /** Does the next thing that is due, unless a call on the store is under way. */
     private void pump(long nowNanos) {
-        if (pumping || !calls.mayStart(nowNanos) || !queue.isDue(nowNanos)) {
+        if (pumping || !calls.mayStart(nowNanos) || !queue.isDue(nowNanos, mayRead())) {
             return;
         }
         pumping = true;
@@ -100,6 +100,10 @@
         pumping = false;
     }
 
+    private boolean mayRead() {
+        return !known.isKnown() && !store.isAway();
+    }
+
     private void step(long nowNanos) {
         if (!known.isKnown() || queue.needsHeadAfter(fresh, known.head())) {
             readHead(nowNanos);
--- a/src/main/java/org/orioleshed/claim/BucketQueue.java
+++ b/src/main/java/org/orioleshed/claim/BucketQueue.java
@@ -54,7 +54,14 @@
         return new PendingClaim(key, run, replaces, own, until, ++registered, settled);
     }
 
+    /** Takes the outcome of a run; one "not run" is claimed no more. */
     void addOutcome(long nowNanos, RequestKey key, RunId run, Outcome outcome, Runnable written) {
+        if (outcome instanceof Outcome.NotRun) {
+            claims.remove(run);
+            if (outcomes.size() >= DisownedClaims.MAX_WATCHED) {
+                return;
+            }
+        }
         long due = nowNanos + TimeUnit.MILLISECONDS.toNanos(limits.recordDelayMillis());
         outcomes.put(run, new PendingOutcome(key, run, outcome, due, written));
     }
@@ -69,15 +76,24 @@
         return claims.containsKey(run);
     }
 
-    /** Returns whether nothing waits to be written. */
-    boolean isIdle() {
-        return claims.isEmpty() && outcomes.isEmpty();
+    /**
+     * Returns whether nothing waits to be written.
+     *
+     * @param mayLand whether a write was not heard of, so that a claim given up may stand unseen
+     */
+    boolean isIdle(boolean mayLand) {
+        return claims.isEmpty() && outcomes.isEmpty() && (disowned.isEmpty() || !mayLand);
     }
 
-    /** Returns whether there is something to do now. */
-    boolean isDue(long nowNanos) {
+    /**
+     * Returns whether there is something to do now.
+     *
+     * @param mayRead whether the head is not known and the store is there to be asked
+     */
+    boolean isDue(long nowNanos, boolean mayRead) {
         return !claims.isEmpty()
                 || !lookUps.isEmpty()
+                || (mayRead && !disowned.isEmpty())
                 || outcomes.values().stream().anyMatch(outcome -> outcome.isDue(nowNanos));
     }
 
--- a/src/main/java/org/orioleshed/claim/DisownedClaims.java
+++ b/src/main/java/org/orioleshed/claim/DisownedClaims.java
@@ -9,10 +9,14 @@
 
 /** Claims given up while a write of them was under way or its answer lost; they may still land. */
 final class DisownedClaims {
-    private static final int MAX_WATCHED = 10_000;
+    static final int MAX_WATCHED = 10_000;
 
     private final Map<RunId, RequestKey> keyByRun = new LinkedHashMap<>();
 
+    boolean isEmpty() {
+        return keyByRun.isEmpty();
+    }
+
     /** Watches for a claim to land; the oldest is watched no more when there are too many. */
     void add(RequestKey key, RunId run) {
         keyByRun.put(run, key);
--- a/src/main/java/org/orioleshed/claim/HeadWrite.java
+++ b/src/main/java/org/orioleshed/claim/HeadWrite.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import org.orioleshed.model.Outcome;
 
 /** One write of a head under preparation: the claims and outcomes that go into it together. */
 final class HeadWrite {
@@ -40,7 +41,7 @@
     /** Adds an outcome, unless the head is full; it has no effect once another run has the key. */
     void end(PendingOutcome outcome) {
         ClaimRecord present = next.records().get(outcome.key());
-        if (present != null && !present.run().equals(outcome.run())) {
+        if (isReplaced(present, outcome)) {
             ends.add(outcome);
             return;
         }
@@ -50,6 +51,16 @@
         }
     }
 
+    /**
+     * A claim "not run" may have been replaced by one that moved to a page since: a record anew
+     * would hide that one. The key's next claimant asks the host instead.
+     */
+    private static boolean isReplaced(ClaimRecord present, PendingOutcome outcome) {
+        return present == null
+                ? outcome.outcome() instanceof Outcome.NotRun
+                : !present.run().equals(outcome.run());
+    }
+
     private ClaimRecord recordOf(PendingOutcome outcome) {
         return new ClaimRecord(outcome.key(), outcome.run(), next.clockMillis(), Optional.empty());
     }
--- a/src/main/java/org/orioleshed/request/ServiceRequests.java
+++ b/src/main/java/org/orioleshed/request/ServiceRequests.java
@@ -152,8 +152,7 @@
     void drain(long nowNanos) {
         draining = true;
         for (ServiceCall call : List.copyOf(byRequest.values())) {
-            boolean sentElsewhere = call.state instanceof Asking;
-            if (call.provedNotRun() && !sentElsewhere) {
+            if (call.provedNotRun()) {
                 end(nowNanos, call, notRun(NotRunReason.DRAINING, 0));
             }
         }
@@ -295,6 +294,7 @@
 
     private void taken(long nowNanos, ServiceCall call, Claims.Result.Taken taken) {
         if (taken.outcome().isEmpty()) {
+            call.taken = true;
             ask(nowNanos, call, taken.owner());
             return;
         }
@@ -307,6 +307,7 @@
 
     /** Claims a key anew whose earlier claim is proved never to be sent. */
     private void replace(long nowNanos, ServiceCall call, RunId earlier) {
+        call.taken = false;
         call.replaces = Optional.of(earlier);
         enqueue(nowNanos, call);
     }
@@ -491,7 +492,7 @@
     }
 
     private static Outcome lateOutcome(ServiceCall call) {
-        if (call.state instanceof Asking) {
+        if (call.taken) {
             return new Outcome.InDoubt("another host still runs the call");
         }
         if (call.provedNotRun() && call.callers.size() > 1) {
--- a/src/test/java/org/orioleshed/host/HostCoreTest.java
+++ b/src/test/java/org/orioleshed/host/HostCoreTest.java
@@ -17,6 +17,7 @@
 import org.orioleshed.model.RequestKey;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.Tier;
+import org.orioleshed.request.Fate;
 import org.orioleshed.routing.RoutingMessage;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -39,6 +40,13 @@
         return new RequestKey(FakeFleet.WORKSPACE, key);
     }
 
+    private void passMillis(int millis) {
+        for (int i = 0; i < millis; i += 20) {
+            fleet.settle();
+            fleet.tick(20);
+        }
+    }
+
     @DataProvider
     Object[][] works() {
         return new Object[][] {{0}, {1}, {2}};
@@ -224,6 +232,93 @@
         assertEquals(fleet.outcome(resend), new Outcome.Answered(0, Payload.of("k")));
     }
 
+    /** The host that drains only knows that another one sent the call. */
+    @Test
+    public void drainDoesNotAnswerNotRunForACallThatRunsAtAnotherHost() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        assertEquals(fleet.calls.size(), 1);
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        passMillis(200);
+        fleet.feed(other, new HostEvent.DrainAsked());
+        fleet.finish();
+        assertEquals(fleet.outcome(resend), new Outcome.Answered(0, Payload.of("k")));
+        assertEquals(fleet.drained.size(), 1);
+    }
+
+    @Test
+    public void callThatRunsAtAnotherHostIsInDoubtWhenItsDeadlineIsFirst() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 300));
+        passMillis(200);
+        fleet.feed(other, new HostEvent.DrainAsked());
+        passMillis(200);
+        assertTrue(fleet.outcome(resend) instanceof Outcome.InDoubt, "" + fleet.outcome(resend));
+    }
+
+    @Test
+    public void fateOfACallThatRunsAtAnotherHostIsNotNotRunAfterItsCallerLeft() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.settle();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        passMillis(200);
+        fleet.promises.left(resend);
+        fleet.feed(other, new HostEvent.CallerGone(resend));
+        fleet.feed(other, new HostEvent.FateAsked(7, key("k")));
+        fleet.settle();
+        assertEquals(fleet.fates.get(7L), new Fate.Pending());
+    }
+
+    @Test
+    public void fateOfAnAnsweredCallIsNotNotRunWhereItsResendWasNotRun() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.finish();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        fleet.promises.left(resend);
+        fleet.feed(other, new HostEvent.CallerGone(resend));
+        fleet.feed(other, new HostEvent.FateAsked(7, key("k")));
+        passMillis(200);
+        Outcome answered = new Outcome.Answered(0, Payload.of("k"));
+        assertEquals(fleet.fates.get(7L), new Fate.Final(answered));
+    }
+
+    @Test
+    public void fateOfACallThatNoHostRanIsNotRun() {
+        RequestId call = fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.promises.left(call);
+        fleet.feed(host, new HostEvent.CallerGone(call));
+        fleet.feed(host, new HostEvent.FateAsked(7, key("k")));
+        passMillis(1_000);
+        Outcome notRun = new Outcome.NotRun(Outcome.NotRunReason.CALLER_GONE, 0);
+        assertEquals(fleet.fates.get(7L), new Fate.Final(notRun));
+    }
+
+    @Test
+    public void fateIsUnknownWhereACallWasNotRunWhileTheStoreCannotBeAsked() {
+        fleet.send(host, fleet.call(host, "k", false, 10_000));
+        fleet.finish();
+        Node other = fleet.nodes.get(1);
+        RequestId resend = fleet.send(other, fleet.call(other, "k", false, 10_000));
+        fleet.promises.left(resend);
+        fleet.feed(other, new HostEvent.CallerGone(resend));
+        fleet.feed(other, new HostEvent.FateAsked(7, key("k")));
+        for (int i = 0; i < 100 && fleet.fates.isEmpty(); i++) {
+            while (!fleet.underWay.isEmpty()) {
+                fleet.deliver(0);
+            }
+            while (!fleet.storeCalls.isEmpty()) {
+                fleet.answerStore(0, 2);
+            }
+            fleet.tick(20);
+        }
+        assertEquals(fleet.fates.get(7L), new Fate.Unknown());
+    }
+
     @Test
     public void resendJoinsTheRunningRequestOnItsHost() {
         RequestId first = fleet.send(host, fleet.generate(host, "k", "x", Tier.URGENT, 20_000));
@@ -301,6 +396,61 @@
         assertTrue(fleet.nowNanos - start < 6_000_000_000L, "" + (fleet.nowNanos - start));
     }
 
+    /** Peers repeat a body whose receipt was not confirmed, also to a process started anew. */
+    @Test
+    public void requestIsNotNotRunWhenItsBodyComesAgainToTheRestartedHomeOfItsRun() {
+        Node accepting = fleet.nodes.get(1);
+        fleet.servers.remove(new ServerId("m2"));
+        fleet.tellWorld(Set.of());
+        RequestId id =
+                fleet.send(accepting, fleet.generate(accepting, "k", "x", Tier.URGENT, 20_000));
+        while (!isRouting(fleet.underWay.getFirst().event(), RoutingMessage.Placed.class)) {
+            fleet.deliver(0);
+        }
+        HostEvent body = fleet.underWay.getFirst().event();
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 1);
+        fleet.crash(host);
+        fleet.restart(host);
+        fleet.feed(host, body);
+        fleet.settle();
+        fleet.feed(accepting, new HostEvent.DrainAsked());
+        fleet.finish();
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+    }
+
+    /** The home of its run restarted, asked for the body once more, and got it too late. */
+    @Test
+    public void requestIsNotNotRunWhenOnlyItsSecondBodyWasNeverStarted() {
+        Node accepting = fleet.nodes.get(1);
+        fleet.servers.remove(new ServerId("m2"));
+        fleet.tellWorld(Set.of());
+        RequestId id =
+                fleet.send(accepting, fleet.generate(accepting, "k", "x", Tier.URGENT, 20_000));
+        fleet.settle();
+        assertEquals(fleet.engines.live.size(), 1);
+        fleet.crash(host);
+        fleet.restart(host);
+        for (int i = 0; i < 200 && !bodyIsNext(); i++) {
+            if (fleet.underWay.isEmpty()) {
+                fleet.tick(20);
+            } else {
+                fleet.deliver(0);
+            }
+        }
+        assertTrue(bodyIsNext());
+        fleet.tick(2_000);
+        fleet.settle();
+        fleet.feed(accepting, new HostEvent.DrainAsked());
+        fleet.finish();
+        assertTrue(fleet.outcome(id) instanceof Outcome.Answered, "" + fleet.outcome(id));
+    }
+
+    private boolean bodyIsNext() {
+        return !fleet.underWay.isEmpty()
+                && isRouting(fleet.underWay.getFirst().event(), RoutingMessage.Placed.class);
+    }
+
     private static boolean isRouting(HostEvent event, Class<?> kind) {
         return event instanceof HostEvent.RoutingReceived received
                 && kind.isInstance(received.message());
