Quotas are full once after a common start, not at each home that dies soon after it

Cause: a home that begins within 8 s of a common start of all hosts starts with quotas 0.7 full, whatever the homes before it gave out. Now only a host that has followed no other home does.

--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -42,7 +42,7 @@
     /** A scheduler that begins does not know what was used before. */
     private static final double FIRST_FILL = 0.05;
 
-    /** While all hosts were down, quotas filled up. */
+    /** While all hosts were down, quotas filled up; the first home gives that out, and no other. */
     private static final double RESTART_FILL = 0.7;
 
     /** After a pause of this host's own, answers may wait unread; they come before judgement. */
@@ -68,6 +68,7 @@
     private final HomeLink home;
     private BiConsumer<MoveOrder, MoveOutcome> recorder = (order, outcome) -> {};
     private final QuotaHandOver handOver = new QuotaHandOver();
+    private boolean followed;
     private long tickedNanos;
     private double quotaShare;
 
@@ -445,13 +446,14 @@
                                 active.size()));
         if (home.isSelf()) {
             told.clear();
-            double fill = fleet.startedTogether() ? RESTART_FILL : FIRST_FILL;
+            double fill = !followed && fleet.startedTogether() ? RESTART_FILL : FIRST_FILL;
             asHome = newHome(fill);
             var unused = feed.to(asHome, true, nowNanos);
             share();
             handOver.begin(nowNanos);
             takeOverQuotas();
         }
+        followed |= home.id().isPresent() && !home.isSelf();
         active.forEach(
                 (run, at) ->
                         tellHome(
--- a/src/test/java/org/orioleshed/gateway/DispatcherTest.java
+++ b/src/test/java/org/orioleshed/gateway/DispatcherTest.java
@@ -157,6 +157,37 @@
         assertEquals(two.get(1).told, List.of("1 x by=home", "2 x by=self"));
     }
 
+    /** Quotas are full after a common start; the first home has given them out when it dies. */
+    @Test
+    public void quotasAreNotFullAgainWhenAHomeDiesSoonAfterACommonStart() {
+        SteppedHosts five = new SteppedHosts(5, 1_000, 1);
+        five.put("op/config", "2/1000");
+        five.put("servers/x", "open");
+        five.run(1_000);
+        askMuch(five.get(1), 0);
+        five.deliver();
+        five.kill(0);
+        while (!five.get(1).dispatcher.homeName().equals("10.0.0.2")) {
+            five.run(20);
+        }
+        five.run(300);
+        long before = units(five);
+        askMuch(five.get(1), 100);
+        five.deliver();
+        double burst = 1_000 * 1.04 + 400;
+        assertTrue(units(five) - before < 0.5 * burst, "units " + (units(five) - before));
+    }
+
+    private static void askMuch(SteppedHost host, int from) {
+        for (int i = from; i < from + 40; i++) {
+            host.ask(i, Optional.of(PlainDecoder.WORKSPACE), 100);
+        }
+    }
+
+    private static long units(SteppedHosts hosts) {
+        return hosts.sent().stream().mapToLong(SteppedHost.Sent::units).sum();
+    }
+
     @Test
     public void theBurstThatAHomeGaveOutIsNotGivenOutAgainWhenItDies() {
         SteppedHosts two = SteppedHosts.two(1_000);
