--- a/src/test/java/org/orioleshed/platform/PlatformStoreTest.java
+++ b/src/test/java/org/orioleshed/platform/PlatformStoreTest.java
@@ -1,5 +1,6 @@
 package org.orioleshed.platform;
 
+import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
 import io.netty.channel.EventLoopGroup;
@@ -19,6 +20,7 @@
 public class PlatformStoreTest {
     private static final long WAIT_SECONDS = 20;
     private static final int CHANGES = 30;
+    private static final int PAGES = 3;
 
     /** The stand-in looks for changes more often than this. */
     private static final long GAP_MILLIS = 12;
@@ -81,6 +83,22 @@
         assertTrue(fake.watchCalls() <= 3 + rests, "calls " + fake.watchCalls());
     }
 
+    /** A watch from its revision must bring what changed on pages that were already read. */
+    @Test
+    public void aListOfSeveralPagesIsAsOfItsFirst() throws Exception {
+        for (int i = 0; i < PAGES * StoreFake.PAGE; i++) {
+            fake.put("servers/" + i, "x");
+        }
+        long before = listedRevision();
+        fake.afterEachPage(() -> fake.put("servers/0", "draining"));
+        assertEquals(listedRevision(), before);
+    }
+
+    private long listedRevision() throws Exception {
+        Store.Result result = store.list("servers/", WAIT_SECONDS * 1_000).get();
+        return ((Store.Result.Entries) result).storeRevision();
+    }
+
     @Test
     public void aWatchThatIsClosedAsksNoMore() throws InterruptedException {
         Store.Watch watch = store.watch("servers/", 1, new Watcher());
--- a/src/test/java/org/orioleshed/platform/StoreFake.java
+++ b/src/test/java/org/orioleshed/platform/StoreFake.java
@@ -19,7 +19,9 @@
  * A small stand-in of the platform's store: ranges and watches, and what can go wrong with them.
  */
 final class StoreFake implements AutoCloseable {
-    private static final int PAGE = 3;
+    /** Items on a page of a list. */
+    static final int PAGE = 3;
+
     private static final long POLL_MILLIS = 5;
 
     private final HttpServer server;
@@ -30,6 +32,7 @@
     private volatile boolean watchesSilent;
     private volatile boolean historyGone;
     private volatile boolean serversHidden;
+    private volatile Runnable pageHook = () -> {};
     private final AtomicInteger watches = new AtomicInteger();
 
     private record Item(String value, long revision) {}
@@ -112,6 +115,11 @@
         }
     }
 
+    /** Has something happen after each page of a list. */
+    void afterEachPage(Runnable newHook) {
+        pageHook = newHook;
+    }
+
     private synchronized String range(String prefix, String after) {
         List<String> found = new ArrayList<>();
         boolean more = false;
@@ -128,8 +136,10 @@
             }
             found.add(item(entry.getKey(), entry.getValue()));
         }
+        long asOf = revision;
+        pageHook.run();
         return "{\"items\":[%s],\"truncated\":%s,\"as-of\":%d}"
-                .formatted(String.join(",", found), more, revision);
+                .formatted(String.join(",", found), more, asOf);
     }
 
     private void watch(HttpExchange exchange) throws IOException, InterruptedException {
