--- a/src/test/java/org/orioleshed/platform/StoreFake.java
+++ b/src/test/java/org/orioleshed/platform/StoreFake.java
@@ -1,5 +1,7 @@
 package org.orioleshed.platform;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
@@ -18,10 +20,15 @@
 /**
  * A small stand-in of the platform's store: ranges and watches, and what can go wrong with them.
  */
-final class StoreFake implements AutoCloseable {
+public final class StoreFake implements AutoCloseable {
     private static final int PAGE = 3;
     private static final long POLL_MILLIS = 5;
 
+    /** Leases never end here. */
+    private static final String LEASE = "{\"lease\":7,\"ttl-ms\":60000}";
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
     private final HttpServer server;
     private final SortedMap<String, Item> items = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
@@ -36,24 +43,28 @@
 
     private record Change(String key, String json, long revision) {}
 
-    StoreFake() throws IOException {
+    /** Opens it at a free port of the loopback address. */
+    public StoreFake() throws IOException {
         server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
         server.setExecutor(Executors.newVirtualThreadPerTaskExecutor());
         server.createContext("/", this::handle);
         server.start();
     }
 
-    InetSocketAddress address() {
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
         return server.getAddress();
     }
 
-    synchronized void put(String key, String value) {
+    /** Writes an item; the return is the acknowledgement. */
+    public synchronized void put(String key, String value) {
         revision++;
         items.put(key, new Item(value, revision));
         changes.add(new Change(key, item(key, items.get(key)), revision));
     }
 
-    synchronized void delete(String key) {
+    /** Removes an item. */
+    public synchronized void delete(String key) {
         revision++;
         items.remove(key);
         String json =
@@ -66,7 +77,8 @@
         return watches.get();
     }
 
-    void failWith(int status) {
+    /** Answers all calls with a status; 0 ends that. */
+    public void failWith(int status) {
         failWith = status;
     }
 
@@ -104,6 +116,10 @@
                 reply(exchange, 200, range(query(exchange, "prefix"), query(exchange, "after")));
             } else if (path.equals("/kv-watch")) {
                 watch(exchange);
+            } else if (path.startsWith("/kv-lease") || path.startsWith("/kv-keep/")) {
+                reply(exchange, 200, LEASE);
+            } else if (path.equals("/kv-txn")) {
+                transact(exchange);
             } else {
                 reply(exchange, 404, "{}");
             }
@@ -132,6 +148,35 @@
                 .formatted(String.join(",", found), more, revision);
     }
 
+    private void transact(HttpExchange exchange) throws IOException {
+        JsonNode call = MAPPER.readTree(exchange.getRequestBody());
+        String conflicts = transact(call);
+        if (conflicts.isEmpty()) {
+            reply(exchange, 200, "{\"revision\":%d}".formatted(revision));
+        } else {
+            reply(exchange, 412, "{\"items\":[%s]}".formatted(conflicts));
+        }
+    }
+
+    /** Writes all or nothing; returns the items whose revision is another one. */
+    private synchronized String transact(JsonNode call) {
+        List<String> conflicts = new ArrayList<>();
+        for (JsonNode row : call.path("if-rev")) {
+            String key = row.path("key").asText();
+            Item present = items.getOrDefault(key, new Item("", 0));
+            if (present.revision() != row.path("revision").asLong()) {
+                conflicts.add(item(key, present));
+            }
+        }
+        if (conflicts.isEmpty()) {
+            for (JsonNode row : call.path("puts")) {
+                byte[] value = Base64.getDecoder().decode(row.path("value").asText());
+                put(row.path("key").asText(), new String(value, StandardCharsets.UTF_8));
+            }
+        }
+        return String.join(",", conflicts);
+    }
+
     private void watch(HttpExchange exchange) throws IOException, InterruptedException {
         watches.incrementAndGet();
         String prefix = query(exchange, "prefix");
--- a/src/test/java/org/orioleshed/platform/WorkerFake.java
+++ b/src/test/java/org/orioleshed/platform/WorkerFake.java
@@ -21,20 +21,21 @@
  * A small stand-in of a worker on a bare socket, so that it can misbehave in any way. It notes what
  * reaches it.
  */
-final class WorkerFake implements AutoCloseable {
+public final class WorkerFake implements AutoCloseable {
     final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
     private final ServerSocket socket;
     private volatile Script script = Script.answering(200, "ok");
 
     /** A request as it arrived; header names in lower case. */
-    record Request(String line, Map<String, String> headers, String body) {
-        String id() {
+    public record Request(String line, Map<String, String> headers, String body) {
+        /** Returns the request's id; empty where it has none. */
+        public String id() {
             return headers.getOrDefault("x-request-id", "");
         }
     }
 
     /** What the worker does with a request. */
-    interface Script {
+    public interface Script {
         /** Answers on {@code out}; returns whether the connection stays open. */
         boolean play(Request request, OutputStream out, InputStream in)
                 throws IOException, InterruptedException;
@@ -61,19 +62,23 @@
         }
     }
 
-    static final String STREAM =
+    /** The header fields of a stream, and the end of the head. */
+    public static final String STREAM =
             "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-    WorkerFake() throws IOException {
+    /** Listens at a free port of the loopback address. */
+    public WorkerFake() throws IOException {
         socket = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(this::accept);
     }
 
-    void script(Script newScript) {
+    /** Sets what happens to the next requests. */
+    public void script(Script newScript) {
         script = newScript;
     }
 
-    InetSocketAddress address() {
+    /** Returns where it listens. */
+    public InetSocketAddress address() {
         return (InetSocketAddress) socket.getLocalSocketAddress();
     }
 
@@ -82,20 +87,24 @@
                 .formatted(service, address().getPort(), slots);
     }
 
-    static String head(Request request, int status, boolean signed) {
+    /** Returns the first lines of an answer. */
+    public static String head(Request request, int status, boolean signed) {
         return "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\n".formatted(status, request.id())
                 + (signed ? "X-Response-Signature: s\r\n" : "");
     }
 
-    static String length(String body) {
+    /** Returns the length of a body, and the end of the head. */
+    public static String length(String body) {
         return "Content-Length: %d\r\n\r\n".formatted(body.length());
     }
 
-    static String chunk(String data) {
+    /** Returns a chunk of a body. */
+    public static String chunk(String data) {
         return Integer.toHexString(data.length()) + "\r\n" + data + "\r\n";
     }
 
-    static byte[] bytes(String text) {
+    /** Returns text as it is sent. */
+    public static byte[] bytes(String text) {
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
 
--- /dev/null
+++ b/src/test/java/org/orioleshed/soak/Facts.java
@@ -0,0 +1,94 @@
+package org.orioleshed.soak;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** What the checks look up in a history that is over. */
+final class Facts {
+    /** A fault is no longer felt after this time. */
+    static final long STABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+
+    /** A host that stopped is started again within this time. */
+    private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+
+    private final History history;
+    private final Map<String, Call> calls = new HashMap<>();
+    private final Map<String, List<Run>> runs = new HashMap<>();
+    private final List<History.Stop> stops;
+
+    Facts(History history) {
+        this.history = history;
+        this.stops = history.stops();
+        history.calls().forEach(call -> calls.put(call.id(), call));
+        for (Run run : history.runs()) {
+            runs.computeIfAbsent(run.id(), id -> new java.util.ArrayList<>()).add(run);
+        }
+    }
+
+    History history() {
+        return history;
+    }
+
+    Map<String, Call> calls() {
+        return calls;
+    }
+
+    /** Returns the arrivals of a call at servers. */
+    List<Run> runs(String id) {
+        return runs.getOrDefault(id, List.of());
+    }
+
+    /** Returns how often a call was worked on. */
+    long timesRun(String id) {
+        return runs(id).stream().filter(Run::hasRun).count();
+    }
+
+    List<History.Stop> stops() {
+        return stops;
+    }
+
+    /** Returns whether no unplanned fault was felt in a span. */
+    boolean isCalm(long fromNanos, long toNanos) {
+        return history.isCalm(fromNanos - STABLE_NANOS, toNanos);
+    }
+
+    /** Returns whether a host, and what it needs, had neither a fault nor a stop in a span. */
+    boolean isInTouch(int host, long fromNanos, long toNanos) {
+        long feltNanos = fromNanos - STABLE_NANOS;
+        return history.isCalm(host, feltNanos, toNanos)
+                && stops.stream()
+                        .filter(it -> it.host() == host)
+                        .noneMatch(
+                                it ->
+                                        it.signalNanos() <= toNanos
+                                                && it.endNanos() + RESTART_NANOS >= feltNanos);
+    }
+
+    /** Returns all that is known of a call. */
+    String story(String id) {
+        StringBuilder story = new StringBuilder();
+        Call call = calls.get(id);
+        if (call != null) {
+            story.append(
+                    "  %7d to %d ms: caller %s%n"
+                            .formatted(
+                                    history.millis(call.sentNanos()),
+                                    history.millis(call.endNanos()),
+                                    call));
+        }
+        for (Run run : runs(id)) {
+            story.append(
+                    "  %7d ms: arrived, %s, work from %s to %s%n"
+                            .formatted(
+                                    history.millis(run.arrivedNanos()),
+                                    run,
+                                    run.hasRun() ? history.millis(run.beganNanos()) : "never",
+                                    run.endNanos() == Long.MAX_VALUE
+                                            ? "no end"
+                                            : history.millis(run.endNanos())));
+        }
+        return story.toString();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/soak/FaultProxy.java
@@ -0,0 +1,138 @@
+package org.orioleshed.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Passes connections on to an address, and refuses, resets, silences or delays them on demand. */
+final class FaultProxy implements AutoCloseable {
+    private static final int BACKLOG = 200;
+    private static final int BUFFER_BYTES = 16_384;
+    private static final long POLL_MILLIS = 10;
+
+    /** What happens to connections. */
+    enum Mode {
+        PASS,
+        /** New connections are reset. */
+        REFUSE,
+        /** Bytes and new connections wait. */
+        SILENCE
+    }
+
+    private final ServerSocket listener;
+    private final InetSocketAddress target;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private volatile Mode mode = Mode.PASS;
+    private volatile long delayMillis;
+
+    FaultProxy(InetSocketAddress target) throws IOException {
+        this.target = target;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    InetSocketAddress address() {
+        return (InetSocketAddress) listener.getLocalSocketAddress();
+    }
+
+    void mode(Mode newMode) {
+        mode = newMode;
+    }
+
+    /** Holds all bytes up for a time. */
+    void delay(long millis) {
+        delayMillis = millis;
+    }
+
+    /** Resets all connections that are open. */
+    void reset() {
+        open.forEach(FaultProxy::reset);
+    }
+
+    private static void reset(Socket socket) {
+        try {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        } catch (IOException e) {
+            // It is closed already.
+            return;
+        }
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket caller = listener.accept();
+                Thread.ofVirtual().start(() -> join(caller));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void join(Socket caller) {
+        if (mode == Mode.REFUSE) {
+            reset(caller);
+            return;
+        }
+        try {
+            open.add(caller);
+            awaitPassing();
+            Socket server = new Socket(target.getAddress(), target.getPort());
+            server.setTcpNoDelay(true);
+            caller.setTcpNoDelay(true);
+            open.add(server);
+            Thread.ofVirtual().start(() -> pump(caller, server));
+            pump(server, caller);
+        } catch (IOException e) {
+            reset(caller);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            open.remove(caller);
+        }
+    }
+
+    private void pump(Socket from, Socket to) {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        try {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+                awaitPassing();
+                out.write(buffer, 0, read);
+            }
+            awaitPassing();
+            to.shutdownOutput();
+        } catch (IOException e) {
+            reset(from);
+            reset(to);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            open.remove(from);
+        }
+    }
+
+    private void awaitPassing() throws InterruptedException {
+        if (delayMillis > 0) {
+            Thread.sleep(delayMillis);
+        }
+        while (mode == Mode.SILENCE) {
+            Thread.sleep(POLL_MILLIS);
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        mode = Mode.REFUSE;
+        listener.close();
+        reset();
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/soak/HostProcess.java
@@ -0,0 +1,118 @@
+package org.orioleshed.soak;
+
+import java.io.BufferedReader;
+import java.io.BufferedWriter;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One life of a host: a process of the product's program, whose log lines get the time. */
+final class HostProcess {
+    private static final List<String> OPTIONS =
+            List.of(
+                    "-Xmx96m",
+                    "-Xss256k",
+                    "-XX:+UseSerialGC",
+                    "-XX:TieredStopAtLevel=1",
+                    "-Xshare:auto",
+                    "-XX:MaxDirectMemorySize=48m",
+                    "-Dio.netty.allocator.numHeapArenas=1",
+                    "-Dio.netty.allocator.numDirectArenas=1");
+
+    private final Process process;
+    private final Thread reader;
+    private final Path log;
+    private final History history;
+
+    HostProcess(Path settings, Path log, History history) throws IOException {
+        this.log = log;
+        this.history = history;
+        ProcessBuilder builder = new ProcessBuilder();
+        builder.command().add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        builder.command().addAll(OPTIONS);
+        builder.command().addAll(List.of("-cp", classPath(), HostMain.class.getName()));
+        builder.environment().put("ORIOLESHED_BOOT", settings.toString());
+        builder.environment().remove("JAVA_TOOL_OPTIONS");
+        builder.redirectErrorStream(true);
+        process = builder.start();
+        reader = Thread.ofPlatform().daemon().name("log").start(this::copyLog);
+    }
+
+    /** The classes where the test runner hides them in a manifest. */
+    private static String classPath() {
+        String tests = System.getProperty("surefire.test.class.path");
+        return tests == null ? System.getProperty("java.class.path") : tests;
+    }
+
+    private void copyLog() {
+        try (BufferedReader in =
+                        new BufferedReader(
+                                new InputStreamReader(
+                                        process.getInputStream(), StandardCharsets.UTF_8));
+                BufferedWriter out =
+                        Files.newBufferedWriter(
+                                log, StandardOpenOption.CREATE, StandardOpenOption.APPEND)) {
+            out.write("%7d started pid=%d%n".formatted(nowMillis(), process.pid()));
+            for (String line = in.readLine(); line != null; line = in.readLine()) {
+                out.write("%7d %s%n".formatted(nowMillis(), line));
+            }
+            out.write("%7d ended%n".formatted(nowMillis()));
+        } catch (IOException e) {
+            history.problem("log " + log + ": " + e.getMessage());
+        }
+    }
+
+    private long nowMillis() {
+        return history.millis(System.nanoTime());
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    boolean isAlive() {
+        return process.isAlive();
+    }
+
+    void terminate() {
+        var unused = process.toHandle().destroy();
+    }
+
+    void kill() {
+        var unused = process.toHandle().destroyForcibly();
+    }
+
+    /** Sends a signal for which the runtime has no call. */
+    void signal(String name) {
+        if (!isAlive()) {
+            return;
+        }
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+        } catch (IOException e) {
+            history.problem("signal " + name + ": " + e.getMessage());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    boolean awaitEnd(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends it and waits until its log is whole. */
+    void close() {
+        kill();
+        try {
+            process.waitFor();
+            reader.join(TimeUnit.SECONDS.toMillis(2));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/soak/Prober.java
@@ -0,0 +1,95 @@
+package org.orioleshed.soak;
+
+import java.io.IOException;
+import java.util.Random;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Asks hosts directly: which configuration is in force, and whether all kinds are served again. */
+final class Prober {
+    private static final long EACH_MILLIS = 400;
+    private static final int TOKENS = 1;
+    private static final long DEADLINE_MILLIS = 3_000;
+    private static final long AGAIN_MILLIS = 200;
+
+    /** Within this time after all faults every kind is served again at every host. */
+    private static final long RECOVER_SECONDS = 12;
+
+    private final SoakFleet fleet;
+    private final History history;
+    private final long seed;
+    private final AtomicInteger made = new AtomicInteger();
+    private volatile boolean over;
+
+    Prober(SoakFleet fleet, History history, long seed) {
+        this.fleet = fleet;
+        this.history = history;
+        this.seed = seed;
+    }
+
+    void start() {
+        for (SoakHost host : fleet.hosts()) {
+            Thread.ofVirtual().start(() -> probe(host));
+        }
+    }
+
+    void stop() {
+        over = true;
+    }
+
+    private void probe(SoakHost host) {
+        Random random = new Random(seed * 100 + host.index());
+        try {
+            while (!over) {
+                host.checkAlive();
+                if (host.isUp()) {
+                    int route = Math.max(0, fleet.operator().version() - random.nextInt(3));
+                    int life = host.life();
+                    String prefix = Operator.routePrefix(route);
+                    Call call = ask(host, CallKind.IDEMPOTENT, prefix);
+                    history.add(new History.Probe(host.index(), life, route, call));
+                }
+                Thread.sleep(EACH_MILLIS);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private Call ask(SoakHost host, CallKind kind, String prefix) {
+        Call.Ask ask =
+                new Call.Ask(
+                        kind,
+                        Work.of(prefix, 1, 1),
+                        Operator.PLAIN_KEY,
+                        TOKENS,
+                        DEADLINE_MILLIS,
+                        Long.MAX_VALUE);
+        String id = "s%d-p%d".formatted(seed, made.incrementAndGet());
+        Call call = new Call(id, ask, host.index(), false);
+        try (CallerSocket socket = new CallerSocket(host.callers())) {
+            socket.make(call);
+        } catch (IOException e) {
+            call.ended(Call.End.UNSENT, e.toString(), System.nanoTime());
+        }
+        history.add(call);
+        return call;
+    }
+
+    /** Notes what is not served again in time after the end of all faults. */
+    void checkRecovery() throws InterruptedException {
+        long endNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(RECOVER_SECONDS);
+        for (SoakHost host : fleet.hosts()) {
+            for (CallKind kind : CallKind.values()) {
+                Call call = ask(host, kind, Callers.prefix(kind));
+                while (!call.succeeded() && System.nanoTime() < endNanos) {
+                    Thread.sleep(AGAIN_MILLIS);
+                    call = ask(host, kind, Callers.prefix(kind));
+                }
+                if (!call.succeeded()) {
+                    history.problem("RECOVER: not served again: " + call);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/orioleshed/soak/SoakHost.java
@@ -0,0 +1,160 @@
+package org.orioleshed.soak;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A host over all of its lives, and the way from it to the store. */
+final class SoakHost implements AutoCloseable {
+    private final int index;
+    private final List<String> ips;
+    private final String zone;
+    private final Path directory;
+    private final FaultProxy store;
+    private final History history;
+    private int retrySlack = 40;
+    private HostProcess process;
+    private volatile int life;
+    private volatile boolean up;
+    private volatile long signalNanos;
+
+    SoakHost(
+            int index,
+            HostAddresses addresses,
+            String zone,
+            Path directory,
+            FaultProxy store,
+            History history) {
+        this.index = index;
+        this.ips = addresses.ips();
+        this.zone = zone;
+        this.directory = directory;
+        this.store = store;
+        this.history = history;
+    }
+
+    int index() {
+        return index;
+    }
+
+    String zone() {
+        return zone;
+    }
+
+    /** Returns how often it was started; 0 before. */
+    int life() {
+        return life;
+    }
+
+    /** Returns whether it runs and was not told to stop. */
+    boolean isUp() {
+        return up;
+    }
+
+    /** Returns when it was told to stop; 0 where it was not. */
+    long signalNanos() {
+        return signalNanos;
+    }
+
+    FaultProxy store() {
+        return store;
+    }
+
+    Path log() {
+        return directory.resolve("host-%d.log".formatted(index));
+    }
+
+    InetSocketAddress callers() {
+        return new InetSocketAddress(ips.get(index), HostAddresses.CALLERS_PORT);
+    }
+
+    InetSocketAddress ready() {
+        return new InetSocketAddress(ips.get(index), HostAddresses.READY_PORT);
+    }
+
+    synchronized void start() throws IOException {
+        Path settings = writeSettings();
+        life++;
+        signalNanos = 0;
+        process = new HostProcess(settings, log(), history);
+        up = true;
+    }
+
+    private Path writeSettings() throws IOException {
+        Path settings = directory.resolve("host-%d.json".formatted(index));
+        HostSettings.write(settings, ips, index, zone, store.address(), retrySlack);
+        return settings;
+    }
+
+    /** Changes the settings file, and tells the process so where {@code signals}. */
+    synchronized void changeSettings(boolean signals) throws IOException {
+        retrySlack++;
+        writeSettings();
+        if (signals) {
+            process.signal("HUP");
+        }
+    }
+
+    /** Stops it as planned, with the hard end after the grace period; false where it was down. */
+    boolean stop() throws InterruptedException {
+        HostProcess stopping;
+        long beforeNanos;
+        synchronized (this) {
+            if (!up) {
+                return false;
+            }
+            up = false;
+            stopping = process;
+            beforeNanos = System.nanoTime();
+            stopping.terminate();
+        }
+        long afterNanos = System.nanoTime();
+        signalNanos = afterNanos;
+        long graceMillis = TimeUnit.SECONDS.toMillis(HostSettings.GRACE_SECONDS);
+        if (!stopping.awaitEnd(graceMillis)) {
+            stopping.kill();
+        }
+        stopping.close();
+        history.add(
+                new History.Stop(index, beforeNanos, afterNanos, System.nanoTime(), graceMillis));
+        return true;
+    }
+
+    /** Ends it without a word; false where it was down or leaves. */
+    synchronized boolean kill() {
+        if (!up) {
+            return false;
+        }
+        up = false;
+        process.close();
+        return true;
+    }
+
+    /** Freezes the process and returns it, to be continued; null where it was down or leaves. */
+    synchronized HostProcess freeze() {
+        if (!up) {
+            return null;
+        }
+        process.signal("STOP");
+        return process;
+    }
+
+    /** Notes a process that ended though nobody ended it. */
+    synchronized void checkAlive() {
+        if (up && !process.isAlive()) {
+            up = false;
+            history.problem("host %d ended by itself in life %d".formatted(index, life));
+        }
+    }
+
+    @Override
+    public synchronized void close() throws IOException {
+        up = false;
+        if (process != null) {
+            process.close();
+        }
+        store.close();
+    }
+}
