--- a/src/test/java/org/orioleshed/soak/Facts.java
+++ b/src/test/java/org/orioleshed/soak/Facts.java
@@ -77,20 +77,26 @@
         Call call = calls.get(id);
         if (call != null) {
             story.append(
-                    "  %7d to %d ms: caller %s%n"
+                    "  %7d to %d ms: caller %s host=%d kept=%s end=%s status=%d %s%n"
                             .formatted(
                                     history.millis(call.sentNanos()),
                                     history.millis(call.endNanos()),
-                                    call));
+                                    call.ask().work().path(),
+                                    call.host(),
+                                    call.kept(),
+                                    call.end(),
+                                    call.status(),
+                                    call.detail()));
         }
         for (Run run : runs(id)) {
             story.append(
-                    "  %7d ms: arrived, work from %d to %d ms, %s%n"
+                    "  %7d ms: arrived at %s, work from %d to %d ms, %s%n"
                             .formatted(
                                     history.millis(run.arrivedNanos()),
+                                    run.server(),
                                     run.hasRun() ? history.millis(run.beganNanos()) : -1,
                                     history.millis(run.endNanos()),
-                                    run));
+                                    run.end()));
         }
         return story.toString();
     }
--- a/src/test/java/org/orioleshed/soak/FaultSoakTest.java
+++ b/src/test/java/org/orioleshed/soak/FaultSoakTest.java
@@ -16,8 +16,12 @@
 public class FaultSoakTest {
     private static final String SEEDS_PROPERTY = "soak.seeds";
 
-    /** One of each profile; then those that once found a fault. */
-    private static final String USUAL_SEEDS = "4,5,7";
+    /**
+     * All that operators plan, under more load than places: found requests that a stopping host
+     * dropped while they waited, and ones that it took too late (1). The same under usual load:
+     * found ones that it took too late (4). All faults at once (7).
+     */
+    private static final String USUAL_SEEDS = "1,4,7";
 
     @DataProvider
     public Object[][] seeds() {
--- a/src/test/java/org/orioleshed/soak/Prober.java
+++ b/src/test/java/org/orioleshed/soak/Prober.java
@@ -1,5 +1,7 @@
 package org.orioleshed.soak;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -18,6 +20,7 @@
     private final History history;
     private final long seed;
     private final AtomicInteger made = new AtomicInteger();
+    private final List<Thread> threads = new ArrayList<>();
     private volatile boolean over;
 
     Prober(SoakFleet fleet, History history, long seed) {
@@ -28,12 +31,16 @@
 
     void start() {
         for (SoakHost host : fleet.hosts()) {
-            Thread.ofVirtual().start(() -> probe(host));
+            threads.add(Thread.ofVirtual().start(() -> probe(host)));
         }
     }
 
-    void stop() {
+    /** Ends the questions; returns when the last one is answered. */
+    void stop() throws InterruptedException {
         over = true;
+        for (Thread thread : threads) {
+            thread.join();
+        }
     }
 
     private void probe(SoakHost host) {
--- a/src/test/java/org/orioleshed/soak/Soak.java
+++ b/src/test/java/org/orioleshed/soak/Soak.java
@@ -94,15 +94,25 @@
 
     private String report(Facts facts, List<String> logLines) {
         StringBuilder report = new StringBuilder(summary()).append('\n');
-        for (Findings.Broken broken : found.all().stream().limit(MOST_TOLD).toList()) {
-            report.append(broken).append('\n').append(facts.story(broken.callId()));
-            String word = "request=%s ".formatted(broken.callId());
-            logLines.stream()
-                    .filter(line -> line.contains(word))
-                    .forEach(line -> report.append(line).append('\n'));
+        int told = 0;
+        for (Findings.Broken broken : found.all()) {
+            report.append(broken).append('\n');
+            if (told++ < MOST_TOLD) {
+                tell(broken.callId(), facts, logLines, report);
+            }
         }
         report.append("faults:\n");
         history.faults().forEach(it -> report.append("  ").append(it).append('\n'));
         return report.toString();
     }
+
+    /** Tells the story of a call, also from the hosts' own logs. */
+    private static void tell(
+            String callId, Facts facts, List<String> logLines, StringBuilder report) {
+        report.append(facts.story(callId));
+        String word = "request=%s ".formatted(callId);
+        logLines.stream()
+                .filter(line -> line.contains(word))
+                .forEach(line -> report.append(line).append('\n'));
+    }
 }
