--- a/src/test/java/org/orioleshed/soak/Facts.java
+++ b/src/test/java/org/orioleshed/soak/Facts.java
@@ -9,7 +9,7 @@
 /** What the checks look up in a history that is over. */
 final class Facts {
     /** A fault is no longer felt after this time. */
-    static final long STABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
+    private static final long STABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(3_000);
 
     /** A host that stopped is started again within this time. */
     private static final long RESTART_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
@@ -56,19 +56,21 @@
 
     /** Returns whether no unplanned fault was felt in a span. */
     boolean isCalm(long fromNanos, long toNanos) {
-        return history.isCalm(fromNanos - STABLE_NANOS, toNanos);
+        return history.all(History.Impairment.class).stream()
+                .noneMatch(it -> it.isWithin(fromNanos - STABLE_NANOS, toNanos));
     }
 
     /** Returns whether a host, and what it needs, had neither a fault nor a stop in a span. */
     boolean isInTouch(int host, long fromNanos, long toNanos) {
         long feltNanos = fromNanos - STABLE_NANOS;
-        return history.isCalm(host, feltNanos, toNanos)
-                && stops.stream()
-                        .filter(it -> it.host() == host)
-                        .noneMatch(
-                                it ->
-                                        it.signalNanos() <= toNanos
-                                                && it.endNanos() + RESTART_NANOS >= feltNanos);
+        boolean stopped =
+                stops.stream()
+                        .filter(it -> it.host() == host && it.signalNanos() <= toNanos)
+                        .anyMatch(it -> it.endNanos() + RESTART_NANOS >= feltNanos);
+        return !stopped
+                && history.all(History.Impairment.class).stream()
+                        .filter(it -> it.host() == host || it.host() < 0)
+                        .noneMatch(it -> it.isWithin(feltNanos, toNanos));
     }
 
     /** Returns all that is known of a call. */
--- a/src/test/java/org/orioleshed/soak/History.java
+++ b/src/test/java/org/orioleshed/soak/History.java
@@ -11,7 +11,11 @@
     private final long beginNanos = System.nanoTime();
 
     /** An unplanned fault; {@code host} is -1 where it concerns all of them. */
-    record Impairment(String what, int host, long fromNanos, long toNanos) {}
+    record Impairment(String what, int host, long fromNanos, long toNanos) {
+        boolean isWithin(long beginNanos, long endNanos) {
+            return fromNanos <= endNanos && toNanos >= beginNanos;
+        }
+    }
 
     /**
      * A planned stop of a host.
@@ -48,19 +52,6 @@
         return all.stream().filter(type::isInstance).map(type::cast).toList();
     }
 
-    /** Returns whether any unplanned fault was within a span of time. */
-    boolean isCalm(long fromNanos, long toNanos) {
-        return all(Impairment.class).stream()
-                .noneMatch(it -> it.fromNanos() <= toNanos && it.toNanos() >= fromNanos);
-    }
-
-    /** Returns whether no unplanned fault of a host, or of all, was within a span of time. */
-    boolean isCalm(int host, long fromNanos, long toNanos) {
-        return all(Impairment.class).stream()
-                .filter(it -> it.host() == host || it.host() < 0)
-                .noneMatch(it -> it.fromNanos() <= toNanos && it.toNanos() >= fromNanos);
-    }
-
     /** Returns a moment as milliseconds of this soak. */
     long millis(long nanos) {
         return TimeUnit.NANOSECONDS.toMillis(nanos - beginNanos);
--- a/src/test/java/org/orioleshed/soak/HostProcess.java
+++ b/src/test/java/org/orioleshed/soak/HostProcess.java
@@ -24,6 +24,8 @@
                     "-Dio.netty.allocator.numHeapArenas=1",
                     "-Dio.netty.allocator.numDirectArenas=1");
 
+    private static final long LOG_END_MILLIS = 2_000;
+
     private final Process process;
     private final Thread reader;
     private final Path log;
@@ -79,10 +81,6 @@
         var unused = process.toHandle().destroy();
     }
 
-    void kill() {
-        var unused = process.toHandle().destroyForcibly();
-    }
-
     /** Sends a signal for which the runtime has no call. */
     void signal(String name) {
         if (!isAlive()) {
@@ -97,18 +95,14 @@
         }
     }
 
-    boolean awaitEnd(long millis) throws InterruptedException {
-        return process.waitFor(millis, TimeUnit.MILLISECONDS);
-    }
-
-    /** Ends it and waits until its log is whole. */
-    void close() {
-        kill();
+    /** Waits for its end, ends it hard after a time, and waits until its log is whole. */
+    void endWithin(long millis) throws InterruptedException {
         try {
-            process.waitFor();
-            reader.join(TimeUnit.SECONDS.toMillis(2));
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+            var unused = process.waitFor(millis, TimeUnit.MILLISECONDS);
+        } finally {
+            var unused = process.toHandle().destroyForcibly();
         }
+        process.waitFor();
+        reader.join(LOG_END_MILLIS);
     }
 }
--- a/src/test/java/org/orioleshed/soak/SoakHost.java
+++ b/src/test/java/org/orioleshed/soak/SoakHost.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** A host over all of its lives, and the way from it to the store. */
@@ -99,39 +100,36 @@
         }
     }
 
+    private synchronized Optional<HostProcess> takeDown() {
+        Optional<HostProcess> running = Optional.ofNullable(up ? process : null);
+        up = false;
+        return running;
+    }
+
     /** Stops it as planned, with the hard end after the grace period; false where it was down. */
     boolean stop() throws InterruptedException {
-        HostProcess stopping;
-        long beforeNanos;
-        synchronized (this) {
-            if (!up) {
-                return false;
-            }
-            up = false;
-            stopping = process;
-            beforeNanos = System.nanoTime();
-            stopping.terminate();
+        Optional<HostProcess> running = takeDown();
+        if (running.isEmpty()) {
+            return false;
         }
+        long beforeNanos = System.nanoTime();
+        running.get().terminate();
         long afterNanos = System.nanoTime();
         signalNanos = afterNanos;
         long graceMillis = TimeUnit.SECONDS.toMillis(HostSettings.GRACE_SECONDS);
-        if (!stopping.awaitEnd(graceMillis)) {
-            stopping.kill();
-        }
-        stopping.close();
+        running.get().endWithin(graceMillis);
         history.add(
                 new History.Stop(index, beforeNanos, afterNanos, System.nanoTime(), graceMillis));
         return true;
     }
 
     /** Ends it without a word; false where it was down or leaves. */
-    synchronized boolean kill() {
-        if (!up) {
-            return false;
+    boolean kill() throws InterruptedException {
+        Optional<HostProcess> running = takeDown();
+        if (running.isPresent()) {
+            running.get().endWithin(0);
         }
-        up = false;
-        process.close();
-        return true;
+        return running.isPresent();
     }
 
     /** Freezes the process and returns it, to be continued; null where it was down or leaves. */
@@ -151,11 +149,16 @@
         }
     }
 
+    /** Ends the process, also one that leaves. */
     @Override
     public synchronized void close() throws IOException {
         up = false;
-        if (process != null) {
-            process.close();
+        try {
+            if (process != null) {
+                process.endWithin(0);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
         store.close();
     }
