--- a/src/test/java/org/orioleshed/platform/LeavingTest.java
+++ b/src/test/java/org/orioleshed/platform/LeavingTest.java
@@ -77,6 +77,12 @@
         }
     }
 
+    private Caller call(String request) throws IOException {
+        Caller caller = new Caller(fleet.connect());
+        caller.send(request);
+        return caller;
+    }
+
     private Thread stop() {
         Thread stopping = Thread.ofVirtual().start(fleet::stop);
         Fleet.await(() -> fleet.log().contains("event=leaving"));
@@ -89,13 +95,11 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 8, LONG_GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 400, 10));
-        Caller running = new Caller(fleet.connect());
-        running.send(request("/s/x", "r1", ""));
+        Caller running = call(request("/s/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         Thread stopping = stop();
         Thread.sleep(2_900);
-        Caller caller = new Caller(fleet.connect());
-        caller.send(request("/s/x", "r2", ""));
+        Caller caller = call(request("/s/x", "r2", ""));
         stopping.join();
         caller.settle();
         assertEquals(caller.status(), "503", fleet.log());
@@ -107,8 +111,7 @@
     public void aStreamThatTheBalancerStillSentIsServed() throws Exception {
         fleet.first.script(Script.streaming(1, 30, 10));
         Thread stopping = stop();
-        Caller caller = new Caller(fleet.connect());
-        caller.send(request("/s/x", "r1", ""));
+        Caller caller = call(request("/s/x", "r1", ""));
         stopping.join();
         caller.settle();
         assertEquals(caller.status(), "200");
@@ -121,13 +124,11 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 1, GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 500, 10));
-        Caller running = new Caller(fleet.connect());
-        running.send(request("/s/x", "r1", ""));
+        Caller running = call(request("/s/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         fleet.second.script((request, out, in) -> false);
         fleet.addSecond();
-        Caller waiting = new Caller(fleet.connect());
-        waiting.send(request("/i/x", "r2", ""));
+        Caller waiting = call(request("/i/x", "r2", ""));
         Fleet.await(() -> fleet.second.requests.size() == 1);
         stop().join();
         Fleet.await(() -> !waiting.answer().isEmpty());
@@ -141,8 +142,7 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 8, LONG_GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 280, 10));
-        Caller kept = new Caller(fleet.connect());
-        kept.send(request("/s/x", "r1", "").replace("Connection: close\r\n", ""));
+        Caller kept = call(request("/s/x", "r1", "").replace("Connection: close\r\n", ""));
         Fleet.await(() -> !kept.answer().isEmpty());
         stop().join();
         assertTrue(kept.answer().endsWith("0\r\n\r\n"), fleet.log());
@@ -184,8 +184,7 @@
                     Thread.sleep(20_000);
                     return false;
                 });
-        Caller caller = new Caller(fleet.connect());
-        caller.send(request("/o/x", "r1", "").replace("Ms: 5000", "Ms: 20000"));
+        Caller caller = call(request("/o/x", "r1", "").replace("Ms: 5000", "Ms: 20000"));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         fleet.holdUp(900);
         fleet.stop();
@@ -199,11 +198,9 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 1, GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 500, 10));
-        Caller running = new Caller(fleet.connect());
-        running.send(request("/s/x", "r1", ""));
+        Caller running = call(request("/s/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
-        Caller waiting = new Caller(fleet.connect());
-        waiting.send(request("/o/x", "r2", ""));
+        Caller waiting = call(request("/o/x", "r2", ""));
         Fleet.await(() -> fleet.requestsRead() == 2);
         stop().join();
         waiting.settle();
@@ -219,8 +216,7 @@
                     Thread.sleep(TIMEOUT_MILLIS);
                     return false;
                 });
-        Caller caller = new Caller(fleet.connect());
-        caller.send(request("/o/x", "r1", ""));
+        Caller caller = call(request("/o/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         stop().join();
         caller.settle();
@@ -231,8 +227,7 @@
     public void aCallThatEndsBeforeItsHostIsServed() throws Exception {
         String quick = request("/o/x", "r1", "").replace("Ms: 5000", "Ms: 600");
         Thread stopping = stop();
-        Caller caller = new Caller(fleet.connect());
-        caller.send(quick);
+        Caller caller = call(quick);
         stopping.join();
         caller.settle();
         assertEquals(caller.status(), "200");
@@ -245,16 +240,13 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 8, 5_500);
         fleet.first.script(Script.streaming(1, 290, 10));
-        Caller kept = new Caller(fleet.connect());
-        kept.send(request("/s/x", "long", "").replace("Connection: close\r\n", ""));
+        Caller kept = call(request("/s/x", "long", "").replace("Connection: close\r\n", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         Thread stopping = stop();
         Thread.sleep(2_600);
         fleet.first.script(Script.answering(200, "ok"));
-        Caller quick = new Caller(fleet.connect());
-        quick.send(request("/o/x", "quick", "").replace("Ms: 5000", "Ms: 600"));
-        Caller patient = new Caller(fleet.connect());
-        patient.send(request("/o/x", "patient", ""));
+        Caller quick = call(request("/o/x", "quick", "").replace("Ms: 5000", "Ms: 600"));
+        Caller patient = call(request("/o/x", "patient", ""));
         stopping.join();
         quick.settle();
         patient.settle();
