--- a/src/test/java/org/orioleshed/platform/LeavingTest.java
+++ b/src/test/java/org/orioleshed/platform/LeavingTest.java
@@ -95,7 +95,7 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 8, LONG_GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 400, 10));
-        Caller running = call(request("/s/x", "r1", ""));
+        var unused = call(request("/s/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         Thread stopping = stop();
         Thread.sleep(2_900);
@@ -124,7 +124,7 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 1, GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 500, 10));
-        Caller running = call(request("/s/x", "r1", ""));
+        var unused = call(request("/s/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         fleet.second.script((request, out, in) -> false);
         fleet.addSecond();
@@ -198,7 +198,7 @@
         fleet.close();
         fleet = Fleet.with(TIMEOUT_MILLIS, 1, GRACE_MILLIS);
         fleet.first.script(Script.streaming(1, 500, 10));
-        Caller running = call(request("/s/x", "r1", ""));
+        var unused = call(request("/s/x", "r1", ""));
         Fleet.await(() -> fleet.first.requests.size() == 1);
         Caller waiting = call(request("/o/x", "r2", ""));
         Fleet.await(() -> fleet.requestsRead() == 2);
