Peers: a connection on which nothing waits is quiet

Cause: each open connection to a peer sent a sign of life every 500 ms, which the peer answered. A host pings a random other every 300 ms, so at 95 hosts it keeps 33 connections or more in each direction: some hundred frames a second for a host, each with its system calls, whatever the load. Ruled out as the main cost, by profiles of idle hosts (org.orioleshed.soak.HostCost): log lines (0.5% of the data thread), class loading, one hot method. Change: a sign of life is sent, and silence judged, only while a message waits for its acknowledgement.

--- a/src/main/java/org/orioleshed/peer/PeerLane.java
+++ b/src/main/java/org/orioleshed/peer/PeerLane.java
@@ -27,6 +27,10 @@
     private boolean open;
     private long lastHeardNanos;
     private long lastUsedNanos;
+
+    /** When the oldest frame that waits for its acknowledgement was sent. */
+    private long waitingSinceNanos;
+
     private long downSinceNanos;
     private long nextDialNanos;
 
@@ -58,10 +62,14 @@
                 && millis(nowNanos - downSinceNanos) > limits.giveUpMillis()) {
             return false;
         }
+        boolean first = window.isEmpty();
         Frame frame = window.add(kind, body);
         if (frame == null) {
             return false;
         }
+        if (first) {
+            waitingSinceNanos = nowNanos;
+        }
         lastUsedNanos = nowNanos;
         if (open) {
             writtenSequence = frame.getSequence();
@@ -81,18 +89,18 @@
     }
 
     /**
-     * Sends a sign of life, gives up a silent connection, redials; to be called at the alive
-     * interval.
+     * Asks for what is not acknowledged, gives up a connection that stays silent to that, redials;
+     * to be called at the alive interval. A connection on which nothing waits costs nothing.
      */
     synchronized void tick(long nowNanos) {
-        if (open && millis(nowNanos - lastHeardNanos) > limits.silenceMillis()) {
+        if (open && isSilent(nowNanos)) {
             drop(nowNanos);
         }
         if (open && millis(nowNanos - lastUsedNanos) > limits.idleMillis()) {
             drop(nowNanos);
         }
         if (open) {
-            FrameHandler.write(channel, Frame.newBuilder().setKind(Frame.Kind.ALIVE).build());
+            askForAcknowledgement();
             return;
         }
         if (window.isEmpty()) {
@@ -105,6 +113,17 @@
         dial(nowNanos);
     }
 
+    private boolean isSilent(long nowNanos) {
+        long sinceNanos = nowNanos - Math.max(lastHeardNanos, waitingSinceNanos);
+        return !window.isEmpty() && millis(sinceNanos) > limits.silenceMillis();
+    }
+
+    private void askForAcknowledgement() {
+        if (!window.isEmpty()) {
+            FrameHandler.write(channel, Frame.newBuilder().setKind(Frame.Kind.ALIVE).build());
+        }
+    }
+
     synchronized void close() {
         if (channel != null) {
             channel.close();
--- a/src/main/java/org/orioleshed/peer/PeerLimits.java
+++ b/src/main/java/org/orioleshed/peer/PeerLimits.java
@@ -6,8 +6,10 @@
  * @param maxFrameBytes the longest frame, in bytes
  * @param maxPendingBytes the most bytes that wait on one lane for the other side's acknowledgement
  * @param bulkBytes the size from which a message goes on the bulk lane, in bytes
- * @param aliveIntervalMillis how often an idle connection sends a sign of life, in milliseconds
- * @param silenceMillis how long a connection may be silent before it is replaced, in milliseconds
+ * @param aliveIntervalMillis how often a connection asks for what is not acknowledged, in
+ *     milliseconds
+ * @param silenceMillis how long a connection may be silent while something waits on it before it is
+ *     replaced, in milliseconds
  * @param giveUpMillis how long a link may be down before what waits on it is dropped, in
  *     milliseconds
  * @param idleMillis how long a connection without messages stays open, in milliseconds
