--- /dev/null
+++ b/src/test/java/org/orioleshed/soak/HostCost.java
@@ -0,0 +1,100 @@
+package org.orioleshed.soak;
+
+import java.io.IOException;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Measures what a host's process costs beside others, thread by thread; run by hand: {@code
+ * HostCost HOSTS SECONDS REQUESTS_PER_SECOND_AND_HOST}.
+ */
+public final class HostCost {
+    private static final int PLACES = 12;
+    private static final int EVENTS = 12;
+    private static final long PAUSE_MILLIS = 30;
+    private static final long DEADLINE_MILLIS = 5_000;
+    private static final int PROMPT_TOKENS = 100;
+    private static final double TICKS_PER_SECOND = 100;
+
+    private HostCost() {}
+
+    /** Runs the measurement. */
+    public static void main(String[] arguments) throws IOException, InterruptedException {
+        int hosts = Integer.parseInt(arguments[0]);
+        int seconds = Integer.parseInt(arguments[1]);
+        double rate = Double.parseDouble(arguments[2]);
+        Path directory = Files.createTempDirectory("host-cost");
+        History history = new History();
+        try (SoakFleet fleet = new SoakFleet(directory, hosts, PLACES, history)) {
+            fleet.start();
+            print("start", hosts);
+            AtomicInteger answered = new AtomicInteger();
+            long pauseMillis = (long) (1_000 / rate);
+            for (SoakHost host : fleet.hosts()) {
+                Thread.ofVirtual().start(() -> call(host, pauseMillis, answered));
+            }
+            Thread.sleep(seconds * 1_000L);
+            print("after %d s, %d answers".formatted(seconds, answered.get()), hosts);
+        }
+        System.exit(0);
+    }
+
+    private static void call(SoakHost host, long pauseMillis, AtomicInteger answered) {
+        for (int number = 0; ; number++) {
+            CallKind kind = CallKind.ALL.get(number % CallKind.ALL.size());
+            Work work = Work.of(kind.prefix(), EVENTS, PAUSE_MILLIS);
+            Call.Ask ask =
+                    Call.Ask.staying(
+                            kind, work, Operator.PLAIN_KEY, PROMPT_TOKENS, DEADLINE_MILLIS);
+            String id = "c%d-%d".formatted(host.index(), number);
+            Thread.ofVirtual()
+                    .start(
+                            () -> {
+                                if (CallerSocket.makeAlone(id, ask, host).succeeded()) {
+                                    answered.incrementAndGet();
+                                }
+                            });
+            try {
+                Thread.sleep(pauseMillis);
+            } catch (InterruptedException e) {
+                return;
+            }
+        }
+    }
+
+    private static void print(String when, int hosts) throws IOException {
+        Map<String, Double> total = new TreeMap<>();
+        for (ProcessHandle child : ProcessHandle.current().children().toList()) {
+            for (Path task : tasks(child.pid())) {
+                add(Files.readString(task.resolve("stat")), total);
+            }
+        }
+        double sum = total.values().stream().mapToDouble(it -> it).sum();
+        System.out.printf("%s: %.0f ms a host%n", when, sum / hosts);
+        total.entrySet().stream()
+                .filter(entry -> entry.getValue() > hosts)
+                .forEach(e -> System.out.printf("  %8.1f %s%n", e.getValue() / hosts, e.getKey()));
+    }
+
+    private static List<Path> tasks(long pid) throws IOException {
+        List<Path> result = new ArrayList<>();
+        try (DirectoryStream<Path> tasks =
+                Files.newDirectoryStream(Path.of("/proc/%d/task".formatted(pid)))) {
+            tasks.forEach(result::add);
+        }
+        return result;
+    }
+
+    private static void add(String stat, Map<String, Double> total) {
+        String name = stat.substring(stat.indexOf('(') + 1, stat.lastIndexOf(')'));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ", -1);
+        long ticks = Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+        total.merge(name, ticks * 1_000 / TICKS_PER_SECOND, Double::sum);
+    }
+}
--- a/src/test/java/org/orioleshed/soak/HostProcess.java
+++ b/src/test/java/org/orioleshed/soak/HostProcess.java
@@ -1,5 +1,6 @@
 package org.orioleshed.soak;
 
+import com.google.common.base.Splitter;
 import java.io.BufferedReader;
 import java.io.BufferedWriter;
 import java.io.IOException;
@@ -8,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -24,6 +26,9 @@
                     "-Dio.netty.allocator.numHeapArenas=1",
                     "-Dio.netty.allocator.numDirectArenas=1");
 
+    /** What runs a host's main class, for measurements of other runtimes and options. */
+    private static final String COMMAND = System.getProperty("soak.command", "");
+
     private static final long LOG_END_MILLIS = 2_000;
 
     private final Process process;
@@ -35,9 +40,8 @@
         this.log = log;
         this.history = history;
         ProcessBuilder builder = new ProcessBuilder();
-        builder.command().add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        builder.command().addAll(OPTIONS);
-        builder.command().addAll(List.of("-cp", classPath(), HostMain.class.getName()));
+        builder.command().addAll(runtime());
+        builder.command().add(HostMain.class.getName());
         builder.environment().put("ORIOLESHED_BOOT", settings.toString());
         builder.environment().remove("JAVA_TOOL_OPTIONS");
         builder.redirectErrorStream(true);
@@ -45,6 +49,17 @@
         reader = Thread.ofPlatform().daemon().name("log").start(this::copyLog);
     }
 
+    private static List<String> runtime() {
+        if (!COMMAND.isEmpty()) {
+            return Splitter.on(' ').omitEmptyStrings().splitToList(COMMAND);
+        }
+        List<String> command = new ArrayList<>();
+        command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        command.addAll(OPTIONS);
+        command.addAll(List.of("-cp", classPath()));
+        return command;
+    }
+
     /** The classes where the test runner hides them in a manifest. */
     private static String classPath() {
         String tests = System.getProperty("surefire.test.class.path");
--- a/src/test/java/org/orioleshed/soak/Soak.java
+++ b/src/test/java/org/orioleshed/soak/Soak.java
@@ -27,7 +27,7 @@
 
     /** Plays it and returns the story of what went wrong; empty where nothing did. */
     String play() throws IOException, InterruptedException {
-        try (SoakFleet fleet = new SoakFleet(directory, plan.places(), history)) {
+        try (SoakFleet fleet = new SoakFleet(directory, SoakFleet.HOSTS, plan.places(), history)) {
             fleet.start();
             play(fleet);
         }
--- a/src/test/java/org/orioleshed/soak/SoakFleet.java
+++ b/src/test/java/org/orioleshed/soak/SoakFleet.java
@@ -27,12 +27,12 @@
     private final List<SoakServer> everStarted = new CopyOnWriteArrayList<>();
 
     /** Makes the fleet; nothing is started yet. */
-    SoakFleet(Path directory, int places, History history) throws IOException {
+    SoakFleet(Path directory, int hostCount, int places, History history) throws IOException {
         this.history = history;
         this.places = places;
         this.operator = new Operator(store, history);
-        List<String> ips = HostAddresses.choose(HOSTS);
-        for (int host = 0; host < HOSTS; host++) {
+        List<String> ips = HostAddresses.choose(hostCount);
+        for (int host = 0; host < hostCount; host++) {
             Files.deleteIfExists(directory.resolve(SoakHost.logName(host)));
             FaultProxy toStore = new FaultProxy(store.address());
             String zone = ZONES.get(host % ZONES.size());
