Gateway: the work at hand decides how often a host wakes

Cause: each host woke 50 times a second, with two schedulers that walked empty maps; 22% of the data thread's samples of 24 idle hosts. Change: every 20 ms while a request waits for its place, 50 ms while requests are at servers, 100 ms else; runs that are overdue are looked for every 200 ms.

--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -33,6 +33,8 @@
     /** A run of which nothing was heard for this long after its deadline is forgotten. */
     private static final long FORGET_MILLIS = 1_500;
 
+    private static final long FORGET_PERIOD_NANOS = 200 * NANOS_PER_MILLI;
+
     private final Map<ServiceId, PoolState> pools = new HashMap<>();
     private final Map<RunKey, ServerState> runs = new HashMap<>();
     private final CrashTracker crashes = new CrashTracker();
@@ -42,6 +44,7 @@
     private double placeShare = 1;
     private long order;
     private long nowNanos;
+    private long forgotNanos = Long.MIN_VALUE / 2;
 
     /**
      * Makes a scheduler without servers.
@@ -356,6 +359,10 @@
     }
 
     private void forgetOverdue() {
+        if (runs.isEmpty() || nowNanos - forgotNanos < FORGET_PERIOD_NANOS) {
+            return;
+        }
+        forgotNanos = nowNanos;
         List<RunKey> overdue =
                 runs.entrySet().stream()
                         .filter(entry -> isOverdue(entry.getValue().runs().get(entry.getKey())))
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -67,6 +67,7 @@
     private Scheduler asHome;
     private final HomeLink home;
     private BiConsumer<MoveOrder, MoveOutcome> recorder = (order, outcome) -> {};
+    private Runnable whenAsked = () -> {};
     private final QuotaHandOver handOver = new QuotaHandOver();
     private boolean followed;
     private long tickedNanos;
@@ -146,6 +147,7 @@
             wanted.atHome = true;
             if (toHome(new DispatchEvent.Asked(run, ask))) {
                 home.asked(nowNanos);
+                whenAsked.run();
                 return;
             }
         }
@@ -301,6 +303,12 @@
         wanted.placee.granted(grant.run(), grant.server(), "by=" + by + " " + grant.why());
     }
 
+    /** Returns whether requests wait for a place, this host's or, at the home, others'. */
+    boolean isPlacing() {
+        return !pending.isEmpty() || asHome.waiting() > 0 || own.waiting() > 0;
+    }
+
+    /** Does what is due; to be called every 20 ms while requests wait, and every 100 ms else. */
     void tick() {
         long nowNanos = clock.getAsLong();
         shareAsHome();
@@ -348,6 +356,13 @@
         recorder.accept(move.order(), move.outcome());
     }
 
+    /**
+     * Takes what is called when the home was asked for a place, which it may not answer in time.
+     */
+    void whenAsked(Runnable newWhenAsked) {
+        whenAsked = newWhenAsked;
+    }
+
     /** Takes what records outcomes of moves. */
     void recorder(BiConsumer<MoveOrder, MoveOutcome> newRecorder) {
         recorder = newRecorder;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -47,8 +47,14 @@
 
 /** One entry host's data path. Owns the data thread, on which all of its state lives. */
 public final class Gateway implements RequestAcceptor, GatewayContext, FleetView.Listener {
-    private static final int TICK_MILLIS = 20;
-    private static final int SLOW_TICKS = 5;
+    /** While a request waits for its place, which the home may not give in time. */
+    private static final long PLACING_TICK_MILLIS = 20;
+
+    /** While requests are at servers. */
+    private static final long BUSY_TICK_MILLIS = 50;
+
+    private static final long IDLE_TICK_MILLIS = 100;
+    private static final long SLOW_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(IDLE_TICK_MILLIS);
 
     /** A connection within a region takes a few milliseconds; a lost packet costs a second. */
     private static final int CONNECT_TIMEOUT_MILLIS = 300;
@@ -88,7 +94,8 @@
     private boolean keptClosed;
     private Channel front;
     private long nextRun;
-    private int ticks;
+    private final Ticker ticker = new Ticker(loop, this::tick, this::pauseMillis);
+    private long slowTickNanos;
 
     /**
      * Opens the address for peers.
@@ -142,6 +149,7 @@
                         options.movePolicy(),
                         System::nanoTime,
                         log::add);
+        dispatcher.whenAsked(ticker::wake);
         this.spread =
                 new CatalogSpread(
                         member,
@@ -181,11 +189,9 @@
                     fleet.registered(options.leastHosts());
                     fleet.seed(options.seeds());
                     fleetChanged();
+                    ticker.wake();
                 });
         follower.start(newer -> loop.execute(() -> take(newer)));
-        var unused =
-                loop.scheduleWithFixedDelay(
-                        this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Takes what records outcomes of moves; to be called before the start. */
@@ -258,7 +264,10 @@
         try {
             switch (kind) {
                 case MEMBERSHIP -> fleet.received(from, body);
-                case DISPATCH -> dispatcher.received(from, body);
+                case DISPATCH -> {
+                    dispatcher.received(from, body);
+                    ticker.wake();
+                }
                 case CATALOG -> spread.received(from, body);
                 case ROUTING, REQUEST, SETTINGS, MOVE -> {}
             }
@@ -293,11 +302,11 @@
 
     private void tickNow() {
         long nowNanos = System.nanoTime();
-        ticks++;
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
         spread.tick();
-        if (ticks % SLOW_TICKS == 0) {
+        if (nowNanos - slowTickNanos >= SLOW_TICK_NANOS) {
+            slowTickNanos = nowNanos;
             fleet.tick();
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeOld(nowNanos));
@@ -307,6 +316,13 @@
         }
     }
 
+    private long pauseMillis() {
+        if (dispatcher.isPlacing() || leaving.begun()) {
+            return PLACING_TICK_MILLIS;
+        }
+        return exchanges.isEmpty() ? IDLE_TICK_MILLIS : BUSY_TICK_MILLIS;
+    }
+
     /** Stops gracefully: finishes what runs, within the grace period; returns at the end. */
     public void stop() {
         // The grace period counts from here, also where the data thread hears of it late.
@@ -328,6 +344,7 @@
                 "event=leaving running=%d connections=%d"
                         .formatted(exchanges.size(), callers.size()));
         fleet.leave();
+        ticker.wake();
     }
 
     private void leave(long nowNanos) {
@@ -497,6 +514,7 @@
     @Override
     public void started(Exchange exchange) {
         exchanges.add(exchange);
+        ticker.wake();
     }
 
     @Override
