Servers: what they say of themselves in answers, and answers without end

Who finds all servers left alone hears so at once. Bytes without end: the codec reads blank lines, interim answers and answers to other requests for ever, and a refusal's or a stream's body too; each is bounded in bytes now and closes its connection. A stream that drips bytes without a whole event counts as silent. An answer without an id on a connection that was in use before is not taken for the next one's.

--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -53,6 +53,13 @@
                             .build()
                             .toByteArray();
             case DispatchEvent.QuotasHanded handed -> write(handed);
+            case DispatchEvent.ServerLeaving leaving ->
+                    Dispatch.newBuilder()
+                            .setKind(Dispatch.Kind.SERVER_LEAVING)
+                            .setServer(leaving.server().value())
+                            .setMillis(leaving.bornMillis())
+                            .build()
+                            .toByteArray();
             case DispatchEvent.HostGone gone -> throw new IllegalArgumentException("not sent");
             case DispatchEvent.ServersChanged changed ->
                     throw new IllegalArgumentException("not sent");
@@ -158,6 +165,11 @@
         if (wire.getKind() == Dispatch.Kind.QUOTAS_HANDED) {
             return new DispatchMessage.ToHome(readQuotas(wire));
         }
+        if (wire.getKind() == Dispatch.Kind.SERVER_LEAVING) {
+            return new DispatchMessage.ToHome(
+                    new DispatchEvent.ServerLeaving(
+                            new ServerId(wire.getServer()), wire.getMillis()));
+        }
         RunKey run = new RunKey(new HostId(wire.getOrigin()), wire.getRun());
         return switch (wire.getKind()) {
             case ASKED ->
@@ -180,7 +192,7 @@
                     new DispatchMessage.FromHome(
                             new DispatchAction.Refuse(
                                     run, read(wire.getReason()), wire.getMillis()));
-            case FOLLOWS, QUOTAS_HANDED, UNKNOWN, UNRECOGNIZED ->
+            case FOLLOWS, QUOTAS_HANDED, SERVER_LEAVING, UNKNOWN, UNRECOGNIZED ->
                     throw new BadMessageException("unknown kind");
         };
     }
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -32,6 +32,15 @@
     /** A host is gone, and its runs with it. */
     record HostGone(HostId host) implements DispatchEvent {}
 
+    /**
+     * A server told a host in an answer that it leaves.
+     *
+     * @param server the server
+     * @param bornMillis which start of it, as {@link
+     *     org.orioleshed.catalog.PoolServer#bornMillis()}
+     */
+    record ServerLeaving(ServerId server, long bornMillis) implements DispatchEvent {}
+
     /** The servers in force. */
     record ServersChanged(List<PoolServer> servers) implements DispatchEvent {
         /** Copies the list. */
--- a/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
@@ -7,7 +7,7 @@
      *
      * @param event one of {@link DispatchEvent.Asked}, {@link DispatchEvent.Withdrawn}, {@link
      *     DispatchEvent.Placed}, {@link DispatchEvent.First}, {@link DispatchEvent.Ended}, {@link
-     *     DispatchEvent.QuotasHanded}
+     *     DispatchEvent.QuotasHanded}, {@link DispatchEvent.ServerLeaving}
      */
     record ToHome(DispatchEvent event) implements DispatchMessage {}
 
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -62,7 +62,7 @@
         return pool.servers().values().stream()
                 .anyMatch(
                         server ->
-                                !server.server().draining()
+                                !server.isLeaving()
                                         && move.isTarget(server.server().version()) == target);
     }
 
@@ -91,7 +91,7 @@
         boolean someStay = false;
         for (ServerState server : pool.servers().values()) {
             places += isUsable(server) ? limit(server) : 0;
-            someStay |= !server.server().draining();
+            someStay |= !server.isLeaving();
         }
         return places == 0 && someStay ? 1 : places;
     }
@@ -101,7 +101,7 @@
     }
 
     private boolean isUsable(ServerState server) {
-        return !server.server().draining()
+        return !server.isLeaving()
                 && !server.isHeldOff(nowNanos)
                 && !server.isSilent(SILENT_MILLIS, nowNanos);
     }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -72,6 +72,7 @@
             case DispatchEvent.Ended ended -> end(ended.run(), ended.end());
             case DispatchEvent.HostGone gone -> forget(gone.host());
             case DispatchEvent.ServersChanged changed -> take(changed.servers());
+            case DispatchEvent.ServerLeaving leaving -> leave(leaving);
             case DispatchEvent.LimitsChanged changed -> limit(changed);
             case DispatchEvent.ShareChanged changed -> share(changed);
             case DispatchEvent.QuotasHanded handed -> quotas.takeOver(handed.parts());
@@ -114,7 +115,7 @@
             refuse(run, ask, Reason.QUOTA, (double) quotas.millisUntil(ask));
             return;
         }
-        if (pool.servers().isEmpty()) {
+        if (ask.excluded().containsAll(pool.servers().keySet())) {
             turnAway(run, ask, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
             return;
         }
@@ -280,6 +281,15 @@
         pools.values().forEach(this::serve);
     }
 
+    private void leave(DispatchEvent.ServerLeaving leaving) {
+        for (PoolState pool : pools.values()) {
+            ServerState server = pool.servers().get(leaving.server());
+            if (server != null && server.server().bornMillis() == leaving.bornMillis()) {
+                server.leave();
+            }
+        }
+    }
+
     private void put(PoolServer server) {
         PoolState pool = pool(server.service());
         ServerState known = pool.servers().get(server.id());
@@ -341,7 +351,7 @@
         for (ServerState server : pool.servers().values()) {
             boolean target = move.isTarget(server.server().version());
             oldRuns += target ? 0 : server.running();
-            newServers |= target && !server.server().draining();
+            newServers |= target && !server.isLeaving();
         }
         move.decide(nowNanos, oldRuns, newServers);
     }
--- a/src/main/java/org/orioleshed/dispatch/ServerState.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -28,6 +28,7 @@
     private double faultRate;
     private long faultNanos;
     private int faultsInRow;
+    private boolean toldLeaving;
     private long heldUntilNanos = Long.MIN_VALUE;
     private long lastSignNanos;
     private long pendingTokens;
@@ -44,9 +45,20 @@
     }
 
     void update(PoolServer newer) {
+        toldLeaving &= newer.draining() || !server.draining();
         server = newer;
     }
 
+    /** The server told a host that it leaves; its entry may say so later, or take it back. */
+    void leave() {
+        toldLeaving = true;
+    }
+
+    /** Returns whether it takes no new requests for good. */
+    boolean isLeaving() {
+        return toldLeaving || server.draining();
+    }
+
     int running() {
         return runs.size();
     }
--- a/src/main/java/org/orioleshed/gateway/AnswerFacts.java
+++ b/src/main/java/org/orioleshed/gateway/AnswerFacts.java
@@ -8,5 +8,14 @@
  * @param notRun whether the server states that it did not run the request
  * @param keepMillis how long the server keeps the idle connection, in milliseconds; negative where
  *     it does not say
+ * @param leaving whether the server states that it is about to leave
+ * @param restMillis how long the server wants nothing from this host, in milliseconds; 0 where it
+ *     states nothing of the kind
  */
-public record AnswerFacts(String id, boolean signed, boolean notRun, long keepMillis) {}
+public record AnswerFacts(
+        String id,
+        boolean signed,
+        boolean notRun,
+        long keepMillis,
+        boolean leaving,
+        long restMillis) {}
--- a/src/main/java/org/orioleshed/gateway/CallDialect.java
+++ b/src/main/java/org/orioleshed/gateway/CallDialect.java
@@ -10,8 +10,12 @@
     /** Returns what a caller's header fields say. */
     CallFacts read(HttpHeaders headers);
 
-    /** Returns what a server's header fields say. */
-    AnswerFacts readAnswer(HttpHeaders headers);
+    /**
+     * Returns what a server's header fields say.
+     *
+     * @param status the answer's status
+     */
+    AnswerFacts readAnswer(int status, HttpHeaders headers);
 
     /**
      * Returns the header fields for a server: the caller's, less those of its connection and those
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
@@ -61,6 +62,7 @@
     private final Followers followers = new Followers();
     private final Quotas.Slack slack;
     private final MovePolicy movePolicy;
+    private final ServerNotices notices = new ServerNotices();
     private final CatalogFeed feed = new CatalogFeed();
     private final Map<MoveOrder, MoveOutcome> told = new HashMap<>();
     private final Scheduler own;
@@ -181,6 +183,31 @@
         }
     }
 
+    /** Returns the servers that want nothing from this host now. */
+    Set<ServerId> avoided() {
+        return notices.avoided(clock.getAsLong());
+    }
+
+    /** Returns whether a server leaves, or wants nothing from this host now. */
+    boolean avoids(PoolServer server) {
+        return server.draining() || notices.avoids(server, clock.getAsLong());
+    }
+
+    /**
+     * Takes what an answer says of its server; returns whether it is new that the server leaves.
+     */
+    boolean noticed(PoolServer server, AnswerFacts facts) {
+        boolean leaves = notices.note(server, facts, clock.getAsLong());
+        if (leaves) {
+            tellAll(leaving(server));
+        }
+        return leaves;
+    }
+
+    private static DispatchEvent leaving(PoolServer server) {
+        return new DispatchEvent.ServerLeaving(server.id(), server.bornMillis());
+    }
+
     private void tellAll(DispatchEvent event) {
         tellHome(event);
         fromOwn(own.on(clock.getAsLong(), event));
@@ -469,6 +496,7 @@
             takeOverQuotas();
         }
         followed |= home.id().isPresent() && !home.isSelf();
+        notices.leaving().forEach(server -> tellHome(leaving(server)));
         active.forEach(
                 (run, at) ->
                         tellHome(
@@ -493,6 +521,7 @@
     void changed(CatalogSnapshot newer) {
         long nowNanos = clock.getAsLong();
         feed.changed(newer, nowNanos);
+        notices.changed(newer.servers());
         fromOwn(feed.to(own, false, nowNanos));
         fromHome(feed.to(asHome, true, nowNanos));
     }
--- a/src/main/java/org/orioleshed/gateway/EventFramer.java
+++ b/src/main/java/org/orioleshed/gateway/EventFramer.java
@@ -99,6 +99,11 @@
         complete = 0;
     }
 
+    /** Returns the bytes of the event that is not whole yet. */
+    int pendingBytes() {
+        return pending.size();
+    }
+
     /** Returns the id of the last whole event. */
     Optional<String> lastId() {
         return Optional.ofNullable(lastId);
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -203,7 +203,18 @@
                 model ? facts.likelyTokens() : 0,
                 tenancy.map(WorkspaceConfig::quota).orElse(Quota.NONE).units(facts.statedTokens()),
                 content,
-                excluded);
+                excluded());
+    }
+
+    /** Returns the servers that had the request, and those that want nothing from this host now. */
+    private Set<ServerId> excluded() {
+        Set<ServerId> avoided = context.dispatcher().avoided();
+        if (avoided.isEmpty()) {
+            return excluded;
+        }
+        Set<ServerId> all = new HashSet<>(excluded);
+        all.addAll(avoided);
+        return all;
     }
 
     private long callerLeftMillis(long nowNanos) {
@@ -237,7 +248,7 @@
             return;
         }
         Optional<PoolServer> known = context.dispatcher().server(id);
-        if (known.isEmpty() || known.get().draining()) {
+        if (known.isEmpty() || context.dispatcher().avoids(known.get())) {
             context.dispatcher().ended(run, new RunEnd(RunEnd.Outcome.MISDIRECTED, 0, 0, 0));
             excluded.add(id);
             rule.notSent();
@@ -327,6 +338,20 @@
         again(true, outcome + ":" + detail);
     }
 
+    @Override
+    public void noticed(ServerTry which, AnswerFacts answer) {
+        if (answer.restMillis() > 0) {
+            context.log(
+                    "event=server_rests request=%s server=%s rest_ms=%d"
+                            .formatted(facts.id(), which.server().id(), answer.restMillis()));
+        }
+        if (context.dispatcher().noticed(which.server(), answer)) {
+            context.log(
+                    "event=server_leaving request=%s server=%s"
+                            .formatted(facts.id(), which.server().id()));
+        }
+    }
+
     @Override
     public void events(ServerTry which, HttpResponse head, byte[] events) {
         if (!which.hasEvents() || state != State.SENT) {
--- a/src/main/java/org/orioleshed/gateway/ServerCall.java
+++ b/src/main/java/org/orioleshed/gateway/ServerCall.java
@@ -8,6 +8,9 @@
     /** No connection came about; nothing was sent. */
     void unreachable(String detail);
 
+    /** What any answer on the connection says of its server, whichever request it answers. */
+    void noticed(AnswerFacts facts);
+
     /** The head of the answer. */
     void head(HttpResponse response, AnswerFacts facts);
 
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -24,6 +24,7 @@
 
     private final ServerPool pool;
     private final CallDialect dialect;
+    private final AnswerLimit limit;
     private Channel channel;
     private ServerCall call;
     private String id;
@@ -31,11 +32,18 @@
     private boolean written;
     private boolean failed;
     private boolean reusable;
+    private int calls;
     private long keepMillis;
 
-    ServerConnection(ServerPool pool, CallDialect dialect) {
+    /**
+     * Makes one for a channel that is not open yet.
+     *
+     * @param limit counts the channel's bytes before they are decoded
+     */
+    ServerConnection(ServerPool pool, CallDialect dialect, AnswerLimit limit) {
         this.pool = pool;
         this.dialect = dialect;
+        this.limit = limit;
     }
 
     @Override
@@ -46,6 +54,8 @@
     /** Sends a request; {@code requestId} is the id that its answer must bear. */
     void send(FullHttpRequest request, String requestId, ServerCall newCall) {
         call = newCall;
+        calls++;
+        limit.begin();
         id = requestId;
         reading = Reading.HEAD;
         reusable = true;
@@ -109,12 +119,18 @@
         if (response.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             return;
         }
-        AnswerFacts facts = dialect.readAnswer(response.headers());
+        AnswerFacts facts = dialect.readAnswer(response.status().code(), response.headers());
+        call.noticed(facts);
         if (!facts.id().isEmpty() && !facts.id().equals(id)) {
             reading = Reading.STRAY_BODY;
             reusable = false;
             return;
         }
+        if (facts.id().isEmpty() && calls > 1) {
+            lose("an answer without an id on a connection that was in use before");
+            return;
+        }
+        limit.answered();
         reading = Reading.BODY;
         keepMillis = facts.keepMillis();
         reusable &= HttpUtil.isKeepAlive(response) && written;
--- a/src/main/java/org/orioleshed/gateway/ServerPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerPool.java
@@ -75,7 +75,8 @@
     }
 
     private void connect(FullHttpRequest request, String id, ServerCall call, Sending sending) {
-        ServerConnection connection = new ServerConnection(this, dialect);
+        AnswerLimit limit = new AnswerLimit();
+        ServerConnection connection = new ServerConnection(this, dialect, limit);
         ChannelFuture future =
                 bootstrap
                         .clone()
@@ -83,7 +84,7 @@
                                 new ChannelInitializer<Channel>() {
                                     @Override
                                     protected void initChannel(Channel channel) {
-                                        channel.pipeline().addLast(codec()).addLast(connection);
+                                        channel.pipeline().addLast(limit, codec(), connection);
                                     }
                                 })
                         .option(ChannelOption.TCP_NODELAY, true)
--- a/src/main/java/org/orioleshed/gateway/ServerTry.java
+++ b/src/main/java/org/orioleshed/gateway/ServerTry.java
@@ -20,6 +20,14 @@
     /** An answer of a plain call is held whole up to this size. */
     private static final int MAX_ANSWER_BYTES = 16 << 20;
 
+    /** What a part of an answer counts beside its content: parts of a byte each must end, too. */
+    private static final int PART_BYTES = 64;
+
+    private static final int MAX_EVENT_BYTES = 1 << 20;
+
+    /** More of the body of a refusal is not read; its connection is closed instead. */
+    private static final int MAX_REFUSAL_BYTES = 64 << 10;
+
     private enum Reading {
         WHOLE,
         EVENTS,
@@ -35,11 +43,13 @@
     private final ByteArrayOutputStream whole = new ByteArrayOutputStream();
     private final long sentNanos;
     private final int eventsBefore;
-    private long lastByteNanos;
+    private long lastProgressNanos;
     private long firstMillis;
     private Reading reading = Reading.WHOLE;
     private HttpResponse head;
     private AnswerFacts facts;
+    private long answerBytes;
+    private long skippedBytes;
     private boolean over;
 
     /** Hears what comes of a try, on the data thread. */
@@ -47,6 +57,9 @@
         /** Whole events of a stream; {@code head} is the answer's. */
         void events(ServerTry which, HttpResponse head, byte[] events);
 
+        /** What an answer says of its server. */
+        void noticed(ServerTry which, AnswerFacts facts);
+
         /** The stream is complete. */
         void streamEnded(ServerTry which, HttpResponse head, byte[] rest);
 
@@ -79,7 +92,7 @@
         this.framer = framer;
         this.listener = listener;
         this.sentNanos = nowNanos;
-        this.lastByteNanos = nowNanos;
+        this.lastProgressNanos = nowNanos;
         this.eventsBefore = framer.events();
     }
 
@@ -104,8 +117,9 @@
         return firstMillis;
     }
 
+    /** Returns how long no whole event, or no part of a plain answer, has come, in milliseconds. */
     long silentMillis(long nowNanos) {
-        return (nowNanos - lastByteNanos) / NANOS_PER_MILLI;
+        return (nowNanos - lastProgressNanos) / NANOS_PER_MILLI;
     }
 
     /** Ends the try at once, also at the server; the listener hears nothing more. */
@@ -128,6 +142,11 @@
         }
     }
 
+    @Override
+    public void noticed(AnswerFacts answered) {
+        listener.noticed(this, answered);
+    }
+
     @Override
     public void head(HttpResponse response, AnswerFacts answered) {
         head = response;
@@ -148,30 +167,54 @@
 
     @Override
     public void content(ByteBuf bytes) {
-        lastByteNanos = System.nanoTime();
-        if (over || reading == Reading.NOT_RUN) {
+        if (over) {
             return;
         }
-        if (reading == Reading.EVENTS) {
-            pass(framer.feed(bytes));
-            return;
+        switch (reading) {
+            case NOT_RUN -> skip(bytes);
+            case EVENTS -> pass(framer.feed(bytes));
+            case WHOLE -> keep(bytes);
         }
-        if (whole.size() + bytes.readableBytes() > MAX_ANSWER_BYTES) {
-            cancel();
-            listener.broken(this, RunEnd.Outcome.BROKEN, "answer_too_long");
+    }
+
+    /** The body of a refusal says nothing; one without end ends with its connection. */
+    private void skip(ByteBuf bytes) {
+        skippedBytes += bytes.readableBytes();
+        if (skippedBytes > MAX_REFUSAL_BYTES) {
+            sending.cancel();
+            end();
+        }
+    }
+
+    private void keep(ByteBuf bytes) {
+        answerBytes += bytes.readableBytes() + PART_BYTES;
+        if (answerBytes > MAX_ANSWER_BYTES) {
+            breakOff("answer_too_long");
             return;
         }
+        lastProgressNanos = System.nanoTime();
         byte[] copy = new byte[bytes.readableBytes()];
         bytes.readBytes(copy);
         whole.writeBytes(copy);
     }
 
+    /** Gives up an answer that never ends, by closing its connection. */
+    private void breakOff(String detail) {
+        cancel();
+        listener.broken(this, RunEnd.Outcome.BROKEN, detail);
+    }
+
     private void pass(byte[] events) {
+        if (framer.pendingBytes() > MAX_EVENT_BYTES) {
+            breakOff("event_too_long");
+            return;
+        }
         if (events.length == 0) {
             return;
         }
+        lastProgressNanos = System.nanoTime();
         if (firstMillis == 0) {
-            firstMillis = Math.max(1, (lastByteNanos - sentNanos) / NANOS_PER_MILLI);
+            firstMillis = Math.max(1, (lastProgressNanos - sentNanos) / NANOS_PER_MILLI);
         }
         listener.events(this, head, events);
     }
--- a/src/test/java/org/orioleshed/platform/PlatformDialectTest.java
+++ b/src/test/java/org/orioleshed/platform/PlatformDialectTest.java
@@ -93,8 +93,10 @@
                         .set("X-Request-Id", "9c")
                         .set("X-Response-Signature", "s")
                         .set("Keep-Alive", "timeout=5, max=9");
-        assertEquals(dialect.readAnswer(headers), new AnswerFacts("9c", true, false, 5_000));
-        assertTrue(dialect.readAnswer(headers.set("X-Not-Executed", "1")).notRun());
+        assertEquals(
+                dialect.readAnswer(200, headers),
+                new AnswerFacts("9c", true, false, 5_000, false, 0));
+        assertTrue(dialect.readAnswer(200, headers.set("X-Not-Executed", "1")).notRun());
     }
 
     @Test
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
@@ -0,0 +1,170 @@
+package org.orioleshed.platform;
+
+import static org.orioleshed.platform.Fleet.request;
+import static org.orioleshed.platform.WorkerFake.bytes;
+import static org.orioleshed.platform.WorkerFake.chunk;
+import static org.orioleshed.platform.WorkerFake.head;
+import static org.orioleshed.platform.WorkerFake.length;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import org.orioleshed.platform.WorkerFake.Script;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Tests of what servers say of themselves in their answers, on sockets. */
+public class ServerNoticesTest {
+    private static final String LEAVING = "Server-Leaving: 1\r\n";
+    private static final String NOT_RUN = "X-Not-Executed: 1\r\n";
+    private static final int CALLS = 12;
+    private static final long PATIENCE_NANOS = 20_000_000_000L;
+
+    private Fleet fleet;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        fleet = new Fleet(4_000, 100_000);
+        fleet.addSecond();
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        fleet.close();
+    }
+
+    @DataProvider
+    Object[][] answers() {
+        Script success =
+                (request, out, in) -> {
+                    out.write(bytes(head(request, 200, true) + LEAVING + length("ok") + "ok"));
+                    return true;
+                };
+        Script failure =
+                (request, out, in) -> {
+                    out.write(bytes(head(request, 500, true) + LEAVING + length("")));
+                    return true;
+                };
+        Script refusal =
+                (request, out, in) -> {
+                    out.write(bytes(head(request, 503, false) + NOT_RUN + LEAVING + length("")));
+                    return true;
+                };
+        Script stream =
+                (request, out, in) -> {
+                    out.write(bytes(head(request, 200, true) + LEAVING + WorkerFake.STREAM));
+                    out.write(bytes(chunk("id: 1\ndata: e1\n\n") + "0\r\n\r\n"));
+                    return true;
+                };
+        return new Object[][] {
+            {success, "/o/x"}, {failure, "/o/x"}, {refusal, "/o/x"}, {stream, "/s/x"}
+        };
+    }
+
+    @Test(dataProvider = "answers")
+    public void aServerThatSaysThatItLeavesGetsNothingMore(Script leaving, String path)
+            throws IOException {
+        fleet.first.script(leaving);
+        callUntilFirstHas(1, path);
+        for (int call = 0; call < CALLS; call++) {
+            fleet.send(request(path, "later-" + call, ""));
+        }
+        assertEquals(fleet.first.requests.size(), 1);
+    }
+
+    private void callUntilFirstHas(int requests, String path) throws IOException {
+        long endNanos = System.nanoTime() + PATIENCE_NANOS;
+        for (int call = 0; fleet.first.requests.size() < requests; call++) {
+            assertTrue(System.nanoTime() < endNanos, "the first server is never chosen");
+            fleet.send(request(path, "early-" + call, ""));
+        }
+    }
+
+    @Test
+    public void anotherStartOfTheServerIsUsedAgain() throws IOException {
+        fleet.first.script(
+                (request, out, in) -> {
+                    out.write(bytes(head(request, 200, true) + LEAVING + length("ok") + "ok"));
+                    return true;
+                });
+        callUntilFirstHas(1, "/o/x");
+        fleet.first.script(Script.answering(200, "ok"));
+        fleet.store.put(
+                "servers/i-1",
+                fleet.first.entry("pool", 8).replace("{", "{\"born\":1790000000000,"));
+        fleet.store.delete("servers/i-2");
+        Fleet.await(() -> fleet.log().contains("event=server_gone key=servers/i-2"));
+        callUntilFirstHas(2, "/o/x");
+        assertEquals(fleet.first.requests.size(), 2);
+    }
+
+    @DataProvider
+    Object[][] rests() {
+        return new Object[][] {{"30"}, {"30.5"}, {"1e300"}};
+    }
+
+    /** One that is sent already may still arrive, and one more is allowed. */
+    @Test(dataProvider = "rests")
+    public void aServerThatWantsToRestIsLeftAlone(String seconds) throws IOException {
+        fleet.first.script(
+                (request, out, in) -> {
+                    out.write(
+                            bytes(
+                                    head(request, 503, false)
+                                            + NOT_RUN
+                                            + "Retry-After: %s\r\n".formatted(seconds)
+                                            + length("")));
+                    return true;
+                });
+        callUntilFirstHas(1, "/i/x");
+        for (int call = 0; call < CALLS; call++) {
+            String answer = fleet.send(request("/i/x", "later-" + call, ""));
+            assertTrue(answer.startsWith("HTTP/1.1 200"), answer);
+        }
+        assertEquals(fleet.first.requests.size(), 1);
+    }
+
+    @DataProvider
+    Object[][] noRests() {
+        return new Object[][] {{"-5"}, {"soon"}, {"NaN"}, {"0"}};
+    }
+
+    @Test(dataProvider = "noRests")
+    public void whatIsNoTimeIsNoRest(String value) throws IOException {
+        fleet.first.script(
+                (request, out, in) -> {
+                    out.write(
+                            bytes(
+                                    head(request, 503, false)
+                                            + NOT_RUN
+                                            + "Retry-After: %s\r\n".formatted(value)
+                                            + length("")));
+                    return true;
+                });
+        callUntilFirstHas(2, "/i/x");
+        assertEquals(fleet.first.requests.size(), 2);
+    }
+
+    @Test
+    public void callersHearAtOnceWhenAllServersRest() throws IOException {
+        Script resting =
+                (request, out, in) -> {
+                    out.write(
+                            bytes(
+                                    head(request, 503, false)
+                                            + NOT_RUN
+                                            + "Retry-After: 30\r\n"
+                                            + length("")));
+                    return true;
+                };
+        fleet.first.script(resting);
+        fleet.second.script(resting);
+        fleet.send(request("/i/x", "r1", ""));
+        String answer = fleet.send(request("/i/x", "r2", ""));
+        assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
+        assertTrue(answer.contains("Retry-After: "), answer);
+        assertTrue(fleet.first.requests.size() + fleet.second.requests.size() <= 2);
+    }
+}
