A caller that left while its host was held up is not served

Change: a host that was held up for 250 ms or more looks once more at all connections before it serves what it read. Test: GatewayPathTest.aCallerThatLeftUnreadIsNotServed.

--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -83,7 +83,18 @@
 
     void start() {
         context.started(this);
-        context.snapshot().usable().ifPresent(this::serve);
+        if (context.isLate()) {
+            // Who waited unread may have left, and that is read only after the request.
+            context.soon(this::serveIfKnown);
+        } else {
+            serveIfKnown();
+        }
+    }
+
+    private void serveIfKnown() {
+        if (state == State.WAITING_FOR_CONFIG) {
+            context.snapshot().usable().ifPresent(this::serve);
+        }
     }
 
     /** Returns whether a server has the request. */
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -54,6 +54,16 @@
     private static final long BUSY_TICK_MILLIS = 50;
 
     private static final long IDLE_TICK_MILLIS = 100;
+
+    /** A tick that is later than this tells of a host that got no processor. */
+    private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
+
+    /** What waited unread while the host was held up is read within this time. */
+    private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+
+    /** The loop reads all that waits before it runs what is due this much later. */
+    private static final long SOON_MILLIS = 5;
+
     private static final long SLOW_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(IDLE_TICK_MILLIS);
 
     /** A connection within a region takes a few milliseconds; a lost packet costs a second. */
@@ -95,6 +105,8 @@
     private Channel front;
     private long nextRun;
     private final Ticker ticker = new Ticker(loop, this::tick, this::pauseMillis);
+    private long tickedNanos = System.nanoTime();
+    private long lateNanos = tickedNanos - CATCH_UP_NANOS;
     private long slowTickNanos;
 
     /**
@@ -302,6 +314,10 @@
 
     private void tickNow() {
         long nowNanos = System.nanoTime();
+        if (nowNanos - tickedNanos > LATE_NANOS) {
+            lateNanos = nowNanos;
+        }
+        tickedNanos = nowNanos;
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
         spread.tick();
@@ -517,6 +533,17 @@
         ticker.wake();
     }
 
+    @Override
+    public boolean isLate() {
+        long nowNanos = System.nanoTime();
+        return nowNanos - tickedNanos > LATE_NANOS || nowNanos - lateNanos < CATCH_UP_NANOS;
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        var unused = loop.schedule(task, SOON_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
     @Override
     public void finished(Exchange exchange, int status, long totalMillis) {
         exchanges.remove(exchange);
--- a/src/main/java/org/orioleshed/gateway/GatewayContext.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayContext.java
@@ -42,6 +42,12 @@
 
     void started(Exchange exchange);
 
+    /** Returns whether this host was held up, so that what it reads now may have waited long. */
+    boolean isLate();
+
+    /** Runs a task after what waits unread on all connections. */
+    void soon(Runnable task);
+
     /** Notes an end; {@code status} is 0 where the caller got no answer. */
     void finished(Exchange exchange, int status, long totalMillis);
 
--- a/src/test/java/org/orioleshed/platform/GatewayPathTest.java
+++ b/src/test/java/org/orioleshed/platform/GatewayPathTest.java
@@ -317,6 +317,21 @@
         Fleet.await(() -> ended.get() == 1);
     }
 
+    /** The host gets no processor for a time, and the caller leaves before it is read. */
+    @Test
+    public void aCallerThatLeftUnreadIsNotServed() throws Exception {
+        String kept = request("/s/x", "r1", "").replace("Connection: close\r\n", "");
+        try (Socket socket = fleet.connect()) {
+            socket.getOutputStream().write(bytes(kept));
+            Fleet.await(() -> log().contains("event=done request=r1"));
+            fleet.holdUp(600);
+            socket.getOutputStream().write(bytes(kept.replace("r1", "r2")));
+        }
+        Fleet.await(() -> log().contains("event=done request=r2"));
+        assertEquals(fleet.first.requests.size(), 1);
+        assertEquals(status(fleet.send(request("/s/x", "r3", ""))), "200");
+    }
+
     @Test
     public void theRoutesTimeoutIsAnswered() throws IOException {
         fleet.first.script(
