--- a/src/main/java/org/orioleshed/peer/PeerLane.java
+++ b/src/main/java/org/orioleshed/peer/PeerLane.java
@@ -190,8 +190,14 @@
     }
 
     private synchronized void closed(Channel which) {
-        if (which == channel) {
-            drop(System.nanoTime());
+        if (which != channel) {
+            return;
+        }
+        long nowNanos = System.nanoTime();
+        drop(nowNanos);
+        if (!window.isEmpty()) {
+            // The peer may be back already; what waits should not wait for the next tick.
+            dial(nowNanos);
         }
     }
 
