--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -9,6 +9,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.RouteId;
@@ -53,6 +54,12 @@
         assertSame(new DispatchEvent.Ended(new RunKey(new HostId("h"), 7), end));
     }
 
+    @Property(tries = 50, seed = "5")
+    void noticesOfLeavingServersArriveAsSent(@ForAll @LongRange long born)
+            throws BadMessageException {
+        assertSame(new DispatchEvent.ServerLeaving(new ServerId("i-1"), born));
+    }
+
     @Property(tries = 50, seed = "4")
     void quotasArriveAsHandedOver(@ForAll @DoubleRange(min = -20, max = 1) double part)
             throws BadMessageException {
--- a/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -56,6 +56,47 @@
         assertNull(pools.serverOf(3));
     }
 
+    /**
+     * Half of a pool leaves and says so in its answers, before the store does or while it is away.
+     */
+    @Test
+    public void aServerThatToldAHostThatItLeavesGetsNothingFromAnyHost() {
+        Pools pools = new Pools().server("a", 8).server("b", 1);
+        pools.tell(new DispatchEvent.ServerLeaving(new ServerId("a"), 1));
+        pools.ask(1, 0).ask(2, 0);
+        assertEquals(pools.serverOf(1), "b");
+        assertNull(pools.serverOf(2));
+        pools.end(1, Outcome.ANSWERED);
+        assertEquals(pools.serverOf(2), "b");
+    }
+
+    @Test
+    public void aServerThatLeavesIsUsedAgainOnlyWhenItsEntryTakesThatBack() {
+        Pools pools = new Pools().server("a", 8);
+        pools.tell(new DispatchEvent.ServerLeaving(new ServerId("a"), 1));
+        pools.server("a", 8, Pools.NEAR, false).ask(1, 0);
+        assertNotNull(pools.refusalOf(1));
+        pools.server("a", 8, Pools.NEAR, true).server("a", 8, Pools.NEAR, false).ask(2, 0);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
+    @Test
+    public void aNoticeOfAnEarlierStartOfTheServerCountsForNothing() {
+        Pools pools = new Pools().server("a", 8);
+        pools.tell(new DispatchEvent.ServerLeaving(new ServerId("a"), 0)).ask(1, 0);
+        assertEquals(pools.serverOf(1), "a");
+    }
+
+    /** All servers of a pool want nothing from the host that asks. */
+    @Test
+    public void whoMayUseNoServerHearsSoAtOnce() {
+        Pools pools = new Pools().server("a", 8).server("b", 8);
+        Set<ServerId> all = Set.of(new ServerId("a"), new ServerId("b"));
+        pools.ask(1, Pools.ask(0, 600, 10_000, 1_000, 100, all));
+        assertEquals(pools.refusalOf(1).reason(), DispatchAction.Reason.NO_SERVER);
+        assertEquals(pools.scheduler.waiting(), 0);
+    }
+
     @Test
     public void longPromptsGoToDifferentServers() {
         Pools pools = new Pools().server("a", 8).server("b", 8);
--- a/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
+++ b/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
@@ -100,6 +100,14 @@
         assertEquals(fleet.first.requests.size(), 2);
     }
 
+    private static Script resting(String retryAfter) {
+        return (request, out, in) -> {
+            String fields = NOT_RUN + "Retry-After: %s\r\n".formatted(retryAfter);
+            out.write(bytes(head(request, 503, false) + fields + length("")));
+            return true;
+        };
+    }
+
     @DataProvider
     Object[][] rests() {
         return new Object[][] {{"30"}, {"30.5"}, {"1e300"}};
@@ -108,16 +116,7 @@
     /** One that is sent already may still arrive, and one more is allowed. */
     @Test(dataProvider = "rests")
     public void aServerThatWantsToRestIsLeftAlone(String seconds) throws IOException {
-        fleet.first.script(
-                (request, out, in) -> {
-                    out.write(
-                            bytes(
-                                    head(request, 503, false)
-                                            + NOT_RUN
-                                            + "Retry-After: %s\r\n".formatted(seconds)
-                                            + length("")));
-                    return true;
-                });
+        fleet.first.script(resting(seconds));
         callUntilFirstHas(1, "/i/x");
         for (int call = 0; call < CALLS; call++) {
             String answer = fleet.send(request("/i/x", "later-" + call, ""));
@@ -133,34 +132,15 @@
 
     @Test(dataProvider = "noRests")
     public void whatIsNoTimeIsNoRest(String value) throws IOException {
-        fleet.first.script(
-                (request, out, in) -> {
-                    out.write(
-                            bytes(
-                                    head(request, 503, false)
-                                            + NOT_RUN
-                                            + "Retry-After: %s\r\n".formatted(value)
-                                            + length("")));
-                    return true;
-                });
+        fleet.first.script(resting(value));
         callUntilFirstHas(2, "/i/x");
         assertEquals(fleet.first.requests.size(), 2);
     }
 
     @Test
     public void callersHearAtOnceWhenAllServersRest() throws IOException {
-        Script resting =
-                (request, out, in) -> {
-                    out.write(
-                            bytes(
-                                    head(request, 503, false)
-                                            + NOT_RUN
-                                            + "Retry-After: 30\r\n"
-                                            + length("")));
-                    return true;
-                };
-        fleet.first.script(resting);
-        fleet.second.script(resting);
+        fleet.first.script(resting("30"));
+        fleet.second.script(resting("30"));
         fleet.send(request("/i/x", "r1", ""));
         String answer = fleet.send(request("/i/x", "r2", ""));
         assertTrue(answer.startsWith("HTTP/1.1 503"), answer);
