Tests: a closed fleet's store client ends

Gateways of earlier tests in the same process lived on and called the port of their closed store, which the soak's server had got since. Ruled out: the product (no host sent them). Change: Fleet.close ends the store client.

--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -208,6 +208,8 @@
 
     @Override
     public void close() throws IOException {
+        // A client that lives on would call whatever gets the store's port next.
+        var unused = node.storeLoop().shutdownGracefully(0, 0, TimeUnit.SECONDS);
         store.close();
         first.close();
         second.close();
