--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -97,6 +97,6 @@
     /** The recorded outcome of a move. */
     record MoveSettled(MoveOrder order, MoveOutcome outcome) implements DispatchEvent {}
 
-    /** Time passed; comes at least every 50 ms while anything waits or runs. */
+    /** Time passed; comes at least every 20 ms while anything waits, and every 100 ms else. */
     record Tick() implements DispatchEvent {}
 }
--- a/src/main/java/org/orioleshed/peer/PeerLane.java
+++ b/src/main/java/org/orioleshed/peer/PeerLane.java
@@ -28,7 +28,7 @@
     private long lastHeardNanos;
     private long lastUsedNanos;
 
-    /** When the oldest frame that waits for its acknowledgement was sent. */
+    /** When frames began to wait for their acknowledgement after none did. */
     private long waitingSinceNanos;
 
     private long downSinceNanos;
