Servers' limits are read, and logged by the hosts that see them

Nothing is decided by them yet. Seen by the hosts from now on: event=server_limit, one line for each change. What is no decimal number says nothing.

--- a/src/main/java/org/orioleshed/gateway/AnswerFacts.java
+++ b/src/main/java/org/orioleshed/gateway/AnswerFacts.java
@@ -1,5 +1,7 @@
 package org.orioleshed.gateway;
 
+import org.orioleshed.dispatch.StatedLimit;
+
 /**
  * What a server's header fields say of its answer.
  *
@@ -11,6 +13,7 @@
  * @param leaving whether the server states that it is about to leave
  * @param restMillis how long the server wants nothing from this host, in milliseconds; 0 where it
  *     states nothing of the kind
+ * @param limit how many requests the server takes from all hosts together
  */
 public record AnswerFacts(
         String id,
@@ -18,4 +21,5 @@
         boolean notRun,
         long keepMillis,
         boolean leaving,
-        long restMillis) {}
+        long restMillis,
+        StatedLimit limit) {}
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -193,15 +193,13 @@
         return server.draining() || notices.avoids(server, clock.getAsLong());
     }
 
-    /**
-     * Takes what an answer says of its server; returns whether it is new that the server leaves.
-     */
-    boolean noticed(PoolServer server, AnswerFacts facts) {
-        boolean leaves = notices.note(server, facts, clock.getAsLong());
-        if (leaves) {
+    /** Takes what an answer says of its server, and returns what is new in it. */
+    ServerNotices.News noticed(PoolServer server, AnswerFacts facts) {
+        ServerNotices.News news = notices.note(server, facts, clock.getAsLong());
+        if (news.leaves()) {
             tellAll(leaving(server));
         }
-        return leaves;
+        return news;
     }
 
     private static DispatchEvent leaving(PoolServer server) {
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -356,11 +356,17 @@
                     "event=server_rests request=%s server=%s rest_ms=%d"
                             .formatted(facts.id(), which.server().id(), answer.restMillis()));
         }
-        if (context.dispatcher().noticed(which.server(), answer)) {
+        ServerNotices.News news = context.dispatcher().noticed(which.server(), answer);
+        if (news.leaves()) {
             context.log(
                     "event=server_leaving request=%s server=%s"
                             .formatted(facts.id(), which.server().id()));
         }
+        if (news.limit()) {
+            context.log(
+                    "event=server_limit request=%s server=%s per_second=%s"
+                            .formatted(facts.id(), which.server().id(), answer.limit()));
+        }
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/ServerNotices.java
+++ b/src/main/java/org/orioleshed/gateway/ServerNotices.java
@@ -6,12 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.ServerId;
 
 /**
- * What servers told this host in their answers: that they leave, and until when they want nothing
- * from it. Answers the load pattern of servers that say so before the store does, or while it is
- * away.
+ * What servers told this host in their answers: that they leave, until when they want nothing from
+ * it, and how many requests they take from all hosts together. Answers the load pattern of servers
+ * that say so before the store does, or while it is away.
  */
 final class ServerNotices {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -25,6 +26,7 @@
         private PoolServer server;
         private boolean leaving;
         private long restUntilNanos;
+        private StatedLimit limit = StatedLimit.NONE;
 
         Notice(PoolServer server, long nowNanos) {
             this.server = server;
@@ -34,19 +36,33 @@
         boolean isInForce(long nowNanos) {
             return leaving || restUntilNanos - nowNanos > 0;
         }
+
+        boolean isNewLimit(StatedLimit stated) {
+            if (stated instanceof StatedLimit.Unknown || stated.equals(limit)) {
+                return false;
+            }
+            limit = stated;
+            return true;
+        }
     }
 
     /**
-     * Takes what an answer said.
+     * What is new to this host in an answer.
      *
-     * @return whether it is new that the server leaves
+     * @param leaves whether the server says for the first time that it leaves
+     * @param limit whether the server's limit is another one than before
      */
-    boolean note(PoolServer server, AnswerFacts facts, long nowNanos) {
-        if (!facts.leaving() && facts.restMillis() <= 0) {
-            return false;
-        }
+    record News(boolean leaves, boolean limit) {
+        private static final News NOTHING = new News(false, false);
+    }
+
+    /** Takes what an answer said, and returns what is new in it. */
+    News note(PoolServer server, AnswerFacts facts, long nowNanos) {
         Notice notice = notices.get(server.id());
         if (notice == null || !notice.server.sameStart(server)) {
+            if (saysNothing(facts)) {
+                return News.NOTHING;
+            }
             notice = new Notice(server, nowNanos);
             notices.put(server.id(), notice);
         }
@@ -55,9 +71,14 @@
         if (untilNanos - notice.restUntilNanos > 0) {
             notice.restUntilNanos = untilNanos;
         }
-        boolean isNew = facts.leaving() && !notice.leaving;
+        boolean leaves = facts.leaving() && !notice.leaving;
         notice.leaving |= facts.leaving();
-        return isNew;
+        return new News(leaves, notice.isNewLimit(facts.limit()));
+    }
+
+    private static boolean saysNothing(AnswerFacts facts) {
+        boolean limited = facts.limit() instanceof StatedLimit.Rate;
+        return !facts.leaving() && facts.restMillis() <= 0 && !limited;
     }
 
     /** Returns whether a start of a server is to get nothing from this host now. */
--- a/src/test/java/org/orioleshed/platform/PlatformDialectTest.java
+++ b/src/test/java/org/orioleshed/platform/PlatformDialectTest.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
+import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.gateway.AnswerFacts;
 import org.orioleshed.gateway.CallDialect.ServerOrder;
 import org.orioleshed.gateway.CallFacts;
@@ -95,10 +96,33 @@
                         .set("Keep-Alive", "timeout=5, max=9");
         assertEquals(
                 dialect.readAnswer(200, headers),
-                new AnswerFacts("9c", true, false, 5_000, false, 0));
+                new AnswerFacts("9c", true, false, 5_000, false, 0, StatedLimit.NONE));
         assertTrue(dialect.readAnswer(200, headers.set("X-Not-Executed", "1")).notRun());
     }
 
+    @DataProvider
+    Object[][] limits() {
+        return new Object[][] {
+            {"4.2", new StatedLimit.Rate(4.2)},
+            {"1.3", new StatedLimit.Rate(1.3)},
+            {"0", new StatedLimit.Rate(0)},
+            {"0.25", new StatedLimit.Rate(0.25)},
+            {"999999999999", new StatedLimit.Rate(999_999_999_999.0)},
+            {"-1", StatedLimit.UNKNOWN},
+            {"NaN", StatedLimit.UNKNOWN},
+            {"1e999", StatedLimit.UNKNOWN},
+            {"9".repeat(400), StatedLimit.UNKNOWN},
+            {"", StatedLimit.UNKNOWN},
+            {"soon", StatedLimit.UNKNOWN}
+        };
+    }
+
+    @Test(dataProvider = "limits")
+    public void readsTheLimitOfAServerAndNothingThatIsNone(String stated, StatedLimit limit) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Server-Limit", stated);
+        assertEquals(dialect.readAnswer(503, headers).limit(), limit);
+    }
+
     @Test
     public void ownAnswersBearNoSignatureAndSayWhenToComeBack() {
         HttpHeaders headers = new DefaultHttpHeaders();
