--- a/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
+++ b/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
@@ -20,6 +20,9 @@
     private static final String LEAVING = "Server-Leaving: 1\r\n";
     private static final String NOT_RUN = "X-Not-Executed: 1\r\n";
     private static final int CALLS = 12;
+    private static final double LIMIT_PER_SECOND = 0.5;
+    private static final long SLOWER_MILLIS = 40;
+    private static final int CALLS_BEYOND_THE_LIMIT = 60;
     private static final long PATIENCE_NANOS = 20_000_000_000L;
 
     private Fleet fleet;
@@ -35,26 +38,26 @@
         fleet.close();
     }
 
-    @DataProvider
-    Object[][] answers() {
+    /** Returns answers of each kind that bear a header field, and the paths that get them. */
+    private static Object[][] answersWith(String field) {
         Script success =
                 (request, out, in) -> {
-                    out.write(bytes(head(request, 200, true) + LEAVING + length("ok") + "ok"));
+                    out.write(bytes(head(request, 200, true) + field + length("ok") + "ok"));
                     return true;
                 };
         Script failure =
                 (request, out, in) -> {
-                    out.write(bytes(head(request, 500, true) + LEAVING + length("")));
+                    out.write(bytes(head(request, 500, true) + field + length("")));
                     return true;
                 };
         Script refusal =
                 (request, out, in) -> {
-                    out.write(bytes(head(request, 503, false) + NOT_RUN + LEAVING + length("")));
+                    out.write(bytes(head(request, 503, false) + NOT_RUN + field + length("")));
                     return true;
                 };
         Script stream =
                 (request, out, in) -> {
-                    out.write(bytes(head(request, 200, true) + LEAVING + WorkerFake.STREAM));
+                    out.write(bytes(head(request, 200, true) + field + WorkerFake.STREAM));
                     out.write(bytes(chunk("id: 1\ndata: e1\n\n") + "0\r\n\r\n"));
                     return true;
                 };
@@ -63,7 +66,12 @@
         };
     }
 
-    @Test(dataProvider = "answers")
+    @DataProvider
+    Object[][] leavings() {
+        return answersWith(LEAVING);
+    }
+
+    @Test(dataProvider = "leavings")
     public void aServerThatSaysThatItLeavesGetsNothingMore(Script leaving, String path)
             throws IOException {
         fleet.first.script(leaving);
@@ -100,6 +108,32 @@
         assertEquals(fleet.first.requests.size(), 2);
     }
 
+    @DataProvider
+    Object[][] limits() {
+        return answersWith("Server-Limit: " + LIMIT_PER_SECOND + "\r\n");
+    }
+
+    /** Incident LIMIT: a server that named a limit got requests as before. */
+    @Test(dataProvider = "limits")
+    public void aServerThatNamesALimitGetsNoMoreThanThat(Script limited, String path)
+            throws IOException {
+        fleet.first.script(limited);
+        fleet.second.script(
+                (request, out, in) -> {
+                    Thread.sleep(SLOWER_MILLIS);
+                    return Script.answering(200, "ok").play(request, out, in);
+                });
+        callUntilFirstHas(1, path);
+        long sinceNanos = System.nanoTime();
+        for (int call = 0; call < CALLS_BEYOND_THE_LIMIT; call++) {
+            fleet.send(request(path, "later-" + call, ""));
+        }
+        double seconds = (System.nanoTime() - sinceNanos) / 1e9;
+        double allowed = 1.5 * LIMIT_PER_SECOND * seconds + 5;
+        int got = fleet.first.requests.size();
+        assertTrue(got <= allowed, got + " requests in " + seconds + " s");
+    }
+
     private static Script resting(String retryAfter) {
         return (request, out, in) -> {
             String fields = NOT_RUN + "Retry-After: %s\r\n".formatted(retryAfter);
