A server that names how many requests it takes gets no more than that from all hosts together

Callers saw nothing yet: the server in need was sent requests as before, and would have failed them in time.

Cause: no host read the field, and nothing in the product could have kept such a bound: the home knows places and memory of a server, and hosts know what one server told one host (that it leaves, that it rests), but no rate of a server for the whole fleet existed.

Why it works: all placing goes through the home; it counts every request to such a server in a bucket that fills at the named rate and begins empty. What answers say reaches it with the run's first event or end. Hosts without a home leave such servers alone.

Before: ServerNoticesTest.aServerThatNamesALimitGetsNoMoreThanThat 3 of 4 red (known red until now). After: green, with ServerRateTest (24 cases) and HostsTest.noServerGetsMoreThanTheLimitThatItNamedUnderFaults (200 seeds of five hosts under kills, cuts and losses). Only answers to one's own request are taken as the server's word; one of another instance at the address (421) says nothing of it any more.

--- a/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
+++ b/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
@@ -21,10 +21,10 @@
     private static final double LEAST_PART = 0.1;
 
     private final PoolState pool;
-    private final int places;
+    private final double places;
     private final long nowNanos;
 
-    AdmissionRule(PoolState pool, int places, long nowNanos) {
+    AdmissionRule(PoolState pool, double places, long nowNanos) {
         this.pool = pool;
         this.places = places;
         this.nowNanos = nowNanos;
--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -43,12 +43,12 @@
             case DispatchEvent.Withdrawn withdrawn ->
                     start(Dispatch.Kind.WITHDRAWN, withdrawn.run()).build().toByteArray();
             case DispatchEvent.First first ->
-                    start(Dispatch.Kind.FIRST, first.run())
+                    write(first.limit(), start(Dispatch.Kind.FIRST, first.run()))
                             .setMillis(first.firstMillis())
                             .build()
                             .toByteArray();
             case DispatchEvent.Ended ended ->
-                    start(Dispatch.Kind.ENDED, ended.run())
+                    write(ended.end().limit(), start(Dispatch.Kind.ENDED, ended.run()))
                             .setEnd(write(ended.end()))
                             .build()
                             .toByteArray();
@@ -60,6 +60,14 @@
                             .setMillis(leaving.bornMillis())
                             .build()
                             .toByteArray();
+            case DispatchEvent.ServerLimited limited ->
+                    Dispatch.newBuilder()
+                            .setKind(Dispatch.Kind.SERVER_LIMITED)
+                            .setServer(limited.server().value())
+                            .setMillis(limited.bornMillis())
+                            .setLimitPerSecond(limited.limit().perSecond())
+                            .build()
+                            .toByteArray();
             case DispatchEvent.HostGone gone -> throw new IllegalArgumentException("not sent");
             case DispatchEvent.ServersChanged changed ->
                     throw new IllegalArgumentException("not sent");
@@ -113,6 +121,14 @@
                 .setOrigin(run.origin().value());
     }
 
+    private static Dispatch.Builder write(StatedLimit limit, Dispatch.Builder wire) {
+        return switch (limit) {
+            case StatedLimit.Rate rate -> wire.setLimitPerSecond(rate.perSecond());
+            case StatedLimit.None none -> wire.setUnlimited(true);
+            case StatedLimit.Unknown unknown -> wire;
+        };
+    }
+
     private static Dispatch.Reason write(DispatchAction.Reason reason) {
         return switch (reason) {
             case QUOTA -> Dispatch.Reason.QUOTA;
@@ -170,6 +186,13 @@
                     new DispatchEvent.ServerLeaving(
                             new ServerId(wire.getServer()), wire.getMillis()));
         }
+        if (wire.getKind() == Dispatch.Kind.SERVER_LIMITED) {
+            return new DispatchMessage.ToHome(
+                    new DispatchEvent.ServerLimited(
+                            new ServerId(wire.getServer()),
+                            wire.getMillis(),
+                            new StatedLimit.Rate(wire.getLimitPerSecond())));
+        }
         RunKey run = new RunKey(new HostId(wire.getOrigin()), wire.getRun());
         return switch (wire.getKind()) {
             case ASKED ->
@@ -180,9 +203,11 @@
                             new DispatchEvent.Placed(
                                     run, read(wire.getAsk()), new ServerId(wire.getServer())));
             case FIRST ->
-                    new DispatchMessage.ToHome(new DispatchEvent.First(run, wire.getMillis()));
+                    new DispatchMessage.ToHome(
+                            new DispatchEvent.First(run, wire.getMillis(), readLimit(wire)));
             case ENDED ->
-                    new DispatchMessage.ToHome(new DispatchEvent.Ended(run, read(wire.getEnd())));
+                    new DispatchMessage.ToHome(
+                            new DispatchEvent.Ended(run, read(wire.getEnd(), readLimit(wire))));
             case GRANT ->
                     new DispatchMessage.FromHome(
                             new DispatchAction.Grant(
@@ -192,11 +217,19 @@
                     new DispatchMessage.FromHome(
                             new DispatchAction.Refuse(
                                     run, read(wire.getReason()), wire.getMillis()));
-            case FOLLOWS, QUOTAS_HANDED, SERVER_LEAVING, UNKNOWN, UNRECOGNIZED ->
+            case FOLLOWS, QUOTAS_HANDED, SERVER_LEAVING, SERVER_LIMITED, UNKNOWN, UNRECOGNIZED ->
                     throw new BadMessageException("unknown kind");
         };
     }
 
+    private static StatedLimit readLimit(Dispatch wire) {
+        return switch (wire.getStatedLimitCase()) {
+            case LIMIT_PER_SECOND -> new StatedLimit.Rate(wire.getLimitPerSecond());
+            case UNLIMITED -> StatedLimit.NONE;
+            case STATEDLIMIT_NOT_SET -> StatedLimit.UNKNOWN;
+        };
+    }
+
     private static DispatchEvent.QuotasHanded readQuotas(Dispatch wire) {
         Map<WorkspaceId, Double> parts = new HashMap<>();
         for (Dispatch.QuotaPart quota : wire.getQuotasList()) {
@@ -235,11 +268,12 @@
                 wire.getExcludedList().stream().map(ServerId::new).collect(Collectors.toSet()));
     }
 
-    private static RunEnd read(Dispatch.End wire) {
+    private static RunEnd read(Dispatch.End wire, StatedLimit limit) {
         return new RunEnd(
                 RunEnd.Outcome.valueOf(wire.getOutcome().name()),
                 wire.getEvents(),
                 wire.getFirstMillis(),
-                wire.getTotalMillis());
+                wire.getTotalMillis(),
+                limit);
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -23,8 +23,19 @@
     /** A request was placed by another scheduler. */
     record Placed(RunKey run, Ask ask, ServerId server) implements DispatchEvent {}
 
-    /** A run's first event came, {@code firstMillis} milliseconds after it was sent. */
-    record First(RunKey run, long firstMillis) implements DispatchEvent {}
+    /**
+     * A run's first event came.
+     *
+     * @param run the run
+     * @param firstMillis the time since it was sent, in milliseconds
+     * @param limit what the answer says of how many requests its server takes
+     */
+    record First(RunKey run, long firstMillis, StatedLimit limit) implements DispatchEvent {
+        /** Makes one that says nothing of the server's limit. */
+        public First(RunKey run, long firstMillis) {
+            this(run, firstMillis, StatedLimit.UNKNOWN);
+        }
+    }
 
     /** A run ended. */
     record Ended(RunKey run, RunEnd end) implements DispatchEvent {}
@@ -41,6 +52,17 @@
      */
     record ServerLeaving(ServerId server, long bornMillis) implements DispatchEvent {}
 
+    /**
+     * A server told a host some time ago how many requests it takes.
+     *
+     * @param server the server
+     * @param bornMillis which start of it, as {@link
+     *     org.orioleshed.catalog.PoolServer#bornMillis()}
+     * @param limit how many
+     */
+    record ServerLimited(ServerId server, long bornMillis, StatedLimit.Rate limit)
+            implements DispatchEvent {}
+
     /** The servers in force. */
     record ServersChanged(List<PoolServer> servers) implements DispatchEvent {
         /** Copies the list. */
--- a/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
@@ -7,7 +7,8 @@
      *
      * @param event one of {@link DispatchEvent.Asked}, {@link DispatchEvent.Withdrawn}, {@link
      *     DispatchEvent.Placed}, {@link DispatchEvent.First}, {@link DispatchEvent.Ended}, {@link
-     *     DispatchEvent.QuotasHanded}, {@link DispatchEvent.ServerLeaving}
+     *     DispatchEvent.QuotasHanded}, {@link DispatchEvent.ServerLeaving}, {@link
+     *     DispatchEvent.ServerLimited}
      */
     record ToHome(DispatchEvent event) implements DispatchMessage {}
 
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -33,12 +33,16 @@
     /** Longer than this without a first event, and longer than thrice the expected time. */
     private static final long SILENT_MILLIS = 700;
 
+    private static final double MILLIS_PER_SECOND = 1_000;
+
     private final PoolState pool;
+    private final ServerRates rates;
     private final double share;
     private final long nowNanos;
 
-    Placement(PoolState pool, double share, long nowNanos) {
+    Placement(PoolState pool, ServerRates rates, double share, long nowNanos) {
         this.pool = pool;
+        this.rates = rates;
         this.share = share;
         this.nowNanos = nowNanos;
     }
@@ -84,18 +88,29 @@
 
     /**
      * Returns the places of servers that are well; one where all of them are held off for a moment,
-     * and none where all are leaving.
+     * and none where all are leaving. One that takes few requests counts by the places that these
+     * keep.
+     *
+     * @param busyMillis how long a request keeps its place
      */
-    int usablePlaces() {
-        int places = 0;
+    double usablePlaces(double busyMillis) {
+        double places = 0;
         boolean someStay = false;
         for (ServerState server : pool.servers().values()) {
-            places += isUsable(server) ? limit(server) : 0;
-            someStay |= !server.isLeaving();
+            double takes = takenPlaces(server, busyMillis);
+            places += isUsable(server) ? takes : 0;
+            someStay |= !server.isLeaving() && takes > 0;
         }
         return places == 0 && someStay ? 1 : places;
     }
 
+    private double takenPlaces(ServerState server, double busyMillis) {
+        double most = limit(server);
+        return rates.of(server.server())
+                .map(rate -> Math.min(most, rate.perSecond() * busyMillis / MILLIS_PER_SECOND))
+                .orElse(most);
+    }
+
     private boolean maySend(ServerState server, Ask ask) {
         return isUsable(server) && !ask.excluded().contains(server.server().id());
     }
@@ -107,7 +122,7 @@
     }
 
     private boolean hasRoom(ServerState server, Ask ask) {
-        if (server.running() >= limit(server)) {
+        if (server.running() >= limit(server) || !takesOne(server)) {
             return false;
         }
         long memory = pool.declared().map(Pool::memoryTokens).orElse(0L);
@@ -115,6 +130,11 @@
         return memory == 0 || server.running() == 0 || needed <= memory * MEMORY_PART;
     }
 
+    /** Returns whether the rate that a server has named, if any, leaves room for a request. */
+    private boolean takesOne(ServerState server) {
+        return rates.of(server.server()).map(rate -> rate.hasRoom(nowNanos)).orElse(true);
+    }
+
     private int limit(ServerState server) {
         return Math.max(1, (int) (server.server().slots() * share));
     }
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -125,6 +125,14 @@
         return speed.firstMillis(ask.promptTokens()) + events * speed.eventMillis();
     }
 
+    /** Returns the same for those who wait, on average. */
+    double waitersBusyMillis() {
+        return waiters.values().stream()
+                .mapToDouble(waiter -> busyMillis(waiter.ask()))
+                .average()
+                .orElse(0);
+    }
+
     private int eventTokens() {
         return declared().map(Pool::eventTokens).orElse(1);
     }
--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -46,20 +46,28 @@
     /** Who gives out quotas. */
     public enum Giver {
         /** The home of the pools. */
-        HOME(1, 1),
+        HOME(1, 1, 1),
         /**
          * A host that does not hear the home. Answers the load pattern of a home that falls silent
          * just after it gave out the bursts, or goes on giving out beyond a cut that it has not
-         * noticed: bursts are not given out again, and the rate by a third only.
+         * noticed: bursts are not given out again, the rate by a third only, and servers that take
+         * few requests are left to the home.
          */
-        STAND_IN(0.35, 0);
+        STAND_IN(0.35, 0, 0);
 
         private final double ratePart;
         private final double burstPart;
+        private final double serverRatePart;
 
-        Giver(double ratePart, double burstPart) {
+        Giver(double ratePart, double burstPart, double serverRatePart) {
             this.ratePart = ratePart;
             this.burstPart = burstPart;
+            this.serverRatePart = serverRatePart;
+        }
+
+        /** Returns the part of the rates that servers name which it gives out. */
+        double serverRatePart() {
+            return serverRatePart;
         }
     }
 
--- a/src/main/java/org/orioleshed/dispatch/RunEnd.java
+++ b/src/main/java/org/orioleshed/dispatch/RunEnd.java
@@ -8,8 +8,16 @@
  * @param firstMillis the time to the first event or to the answer, in milliseconds; 0 where none
  *     came
  * @param totalMillis the whole time at the server, in milliseconds
+ * @param limit what the answer says of how many requests its server takes; unknown where that was
+ *     told with its first event
  */
-public record RunEnd(Outcome outcome, int events, long firstMillis, long totalMillis) {
+public record RunEnd(
+        Outcome outcome, int events, long firstMillis, long totalMillis, StatedLimit limit) {
+    /** Makes one that says nothing of the server's limit. */
+    public RunEnd(Outcome outcome, int events, long firstMillis, long totalMillis) {
+        this(outcome, events, firstMillis, totalMillis, StatedLimit.UNKNOWN);
+    }
+
     /** What came of a run. */
     public enum Outcome {
         /** Its caller left, or it was never sent. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -39,6 +39,7 @@
     private final Map<RunKey, ServerState> runs = new HashMap<>();
     private final CrashTracker crashes = new CrashTracker();
     private final Quotas quotas;
+    private final ServerRates rates;
     private final MovePolicy movePolicy;
     private List<DispatchAction> actions = new ArrayList<>();
     private double placeShare = 1;
@@ -58,6 +59,7 @@
             double firstFill, Quotas.Slack slack, Quotas.Giver giver, MovePolicy movePolicy) {
         this.movePolicy = movePolicy;
         this.quotas = new Quotas(firstFill, slack, giver);
+        this.rates = new ServerRates(giver);
     }
 
     @Override
@@ -68,11 +70,17 @@
             case DispatchEvent.Asked asked -> ask(asked.run(), asked.ask());
             case DispatchEvent.Withdrawn withdrawn -> withdraw(withdrawn.run());
             case DispatchEvent.Placed placed -> placed(placed);
-            case DispatchEvent.First first -> first(first.run(), first.firstMillis());
+            case DispatchEvent.First first -> first(first);
             case DispatchEvent.Ended ended -> end(ended.run(), ended.end());
             case DispatchEvent.HostGone gone -> forget(gone.host());
             case DispatchEvent.ServersChanged changed -> take(changed.servers());
             case DispatchEvent.ServerLeaving leaving -> leave(leaving);
+            case DispatchEvent.ServerLimited limited ->
+                    rates.recalled(
+                            limited.server(),
+                            limited.bornMillis(),
+                            limited.limit().perSecond(),
+                            nowNanos);
             case DispatchEvent.LimitsChanged changed -> limit(changed);
             case DispatchEvent.ShareChanged changed -> share(changed);
             case DispatchEvent.QuotasHanded handed -> quotas.takeOver(handed.parts());
@@ -119,11 +127,12 @@
             turnAway(run, ask, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
             return;
         }
-        Placement placement = new Placement(pool, placeShare, nowNanos);
+        Placement placement = new Placement(pool, rates, placeShare, nowNanos);
         if (isNext(pool, ask) && grant(pool, placement, run, ask)) {
             return;
         }
-        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces(), nowNanos);
+        double places = placement.usablePlaces(pool.busyMillis(ask));
+        AdmissionRule admission = new AdmissionRule(pool, places, nowNanos);
         if (!admission.mayWait(ask)) {
             turnAway(run, ask, Reason.OVERLOAD, admission.waitMillis(ask.rank()));
             return;
@@ -175,6 +184,7 @@
         long reading = engine ? server.pendingTokens() + ask.promptTokens() : 0;
         server.start(run, new Running(ask, nowNanos, reading, true));
         runs.put(run, server);
+        rates.of(server.server()).ifPresent(rate -> rate.sent(nowNanos));
         PoolState pool = pool(ask.service());
         pool.load().add(ask.rank(), pool.busyMillis(ask), nowNanos);
         pool.move().ifPresent(move -> move.sent(server.server().version()));
@@ -215,10 +225,20 @@
         }
     }
 
-    private void first(RunKey run, long firstMillis) {
-        ServerState server = runs.get(run);
-        if (server != null) {
-            server.first(run, firstMillis, pool(server.server().service()).speed(), nowNanos);
+    private void first(DispatchEvent.First first) {
+        ServerState server = runs.get(first.run());
+        if (server == null) {
+            return;
+        }
+        stated(server, first.run(), first.limit());
+        PoolSpeed speed = pool(server.server().service()).speed();
+        server.first(first.run(), first.firstMillis(), speed, nowNanos);
+    }
+
+    private void stated(ServerState server, RunKey run, StatedLimit limit) {
+        Running running = server.runs().get(run);
+        if (running != null) {
+            rates.stated(server.server(), limit, running.sentNanos(), nowNanos);
         }
     }
 
@@ -228,6 +248,7 @@
             return;
         }
         PoolState pool = pool(server.server().service());
+        stated(server, run, end.limit());
         watchCrashes(server, run, end.outcome());
         double slowness = server.slowness(run, end, pool.speed());
         pool.move()
@@ -312,6 +333,7 @@
     private void share(DispatchEvent.ShareChanged changed) {
         placeShare = changed.places();
         quotas.share(changed.quota(), nowNanos);
+        rates.share(changed.quota(), nowNanos);
     }
 
     private void order(DispatchEvent.MoveOrdered ordered) {
@@ -387,8 +409,9 @@
     }
 
     private void giveUp(PoolState pool) {
-        Placement placement = new Placement(pool, placeShare, nowNanos);
-        AdmissionRule admission = new AdmissionRule(pool, placement.usablePlaces(), nowNanos);
+        Placement placement = new Placement(pool, rates, placeShare, nowNanos);
+        double places = placement.usablePlaces(pool.waitersBusyMillis());
+        AdmissionRule admission = new AdmissionRule(pool, places, nowNanos);
         for (QueuedRequest waiter : admission.hopeless()) {
             pool.remove(waiter.run());
             Ask left = waiter.ask().again(waiter.waitedMillis(nowNanos));
@@ -402,7 +425,7 @@
         if (pool.waiting() == 0) {
             return;
         }
-        Placement placement = new Placement(pool, placeShare, nowNanos);
+        Placement placement = new Placement(pool, rates, placeShare, nowNanos);
         int skipped = 0;
         for (QueuedRequest waiter : pool.inOrder()) {
             if (grant(pool, placement, waiter.run(), waiter.ask())) {
--- a/src/main/java/org/orioleshed/dispatch/TokenBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -52,6 +52,18 @@
         return true;
     }
 
+    /** Returns whether the bucket holds so many units. */
+    boolean holds(long wanted, long nowNanos) {
+        fill(nowNanos);
+        return units >= wanted;
+    }
+
+    /** Takes units whether or not they are there; what is missing is owed. */
+    void charge(long used, long nowNanos) {
+        fill(nowNanos);
+        units -= used;
+    }
+
     /**
      * Empties the bucket and returns which part of its burst it held: at most 1, and negative for a
      * debt, which stays.
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -23,6 +23,7 @@
 import org.orioleshed.dispatch.RunEnd;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.Scheduler;
+import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.peer.BadMessageException;
@@ -171,9 +172,9 @@
         }
     }
 
-    /** A run's first event came. */
-    void first(RunKey run, long firstMillis) {
-        tellAll(new DispatchEvent.First(run, firstMillis));
+    /** A run's first event came, in an answer that says this of its server's limit. */
+    void first(RunKey run, long firstMillis, StatedLimit limit) {
+        tellAll(new DispatchEvent.First(run, firstMillis, limit));
     }
 
     /** A run ended. */
@@ -495,6 +496,7 @@
         }
         followed |= home.id().isPresent() && !home.isSelf();
         notices.leaving().forEach(server -> tellHome(leaving(server)));
+        notices.limits().forEach(this::tellHome);
         active.forEach(
                 (run, at) ->
                         tellHome(
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -381,7 +381,7 @@
     private void beginStream(ServerTry which, HttpResponse head) {
         if (which.run().equals(run) && !reported) {
             reported = true;
-            context.dispatcher().first(run, Math.max(1, which.firstMillis()));
+            context.dispatcher().first(run, Math.max(1, which.firstMillis()), which.limit());
         }
         if (!streaming) {
             streaming = true;
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -120,7 +121,9 @@
             return;
         }
         AnswerFacts facts = dialect.readAnswer(response.status().code(), response.headers());
-        call.noticed(facts);
+        if (!response.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST)) {
+            call.noticed(facts);
+        }
         if (!facts.id().isEmpty() && !facts.id().equals(id)) {
             reading = Reading.STRAY_BODY;
             reusable = false;
--- a/src/main/java/org/orioleshed/gateway/ServerNotices.java
+++ b/src/main/java/org/orioleshed/gateway/ServerNotices.java
@@ -3,9 +3,12 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.ServerId;
 
@@ -37,6 +40,13 @@
             return leaving || restUntilNanos - nowNanos > 0;
         }
 
+        Optional<DispatchEvent.ServerLimited> limited() {
+            return limit instanceof StatedLimit.Rate rate
+                    ? Optional.of(
+                            new DispatchEvent.ServerLimited(server.id(), server.bornMillis(), rate))
+                    : Optional.empty();
+        }
+
         boolean isNewLimit(StatedLimit stated) {
             if (stated instanceof StatedLimit.Unknown || stated.equals(limit)) {
                 return false;
@@ -110,6 +120,11 @@
                 .toList();
     }
 
+    /** Returns how many requests servers said that they take. */
+    List<DispatchEvent.ServerLimited> limits() {
+        return notices.values().stream().flatMap(notice -> notice.limited().stream()).toList();
+    }
+
     private static boolean isSameStart(PoolServer server, Map<ServerId, PoolServer> present) {
         PoolServer now = present.get(server.id());
         return now != null && server.sameStart(now);
--- a/src/main/java/org/orioleshed/gateway/ServerTry.java
+++ b/src/main/java/org/orioleshed/gateway/ServerTry.java
@@ -8,6 +8,7 @@
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunEnd;
 import org.orioleshed.dispatch.RunKey;
+import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.Payload;
 
 /**
@@ -117,6 +118,11 @@
         return firstMillis;
     }
 
+    /** Returns what the answer says of how many requests its server takes. */
+    StatedLimit limit() {
+        return facts == null ? StatedLimit.UNKNOWN : facts.limit();
+    }
+
     /** Returns how long no whole event, or no part of a plain answer, has come, in milliseconds. */
     long silentMillis(long nowNanos) {
         return (nowNanos - lastProgressNanos) / NANOS_PER_MILLI;
@@ -131,7 +137,8 @@
     /** Returns how the run ended, for those who learn from it. */
     RunEnd end(RunEnd.Outcome outcome) {
         long totalMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
-        return new RunEnd(outcome, framer.events() - eventsBefore, firstMillis, totalMillis);
+        StatedLimit limit = hasEvents() ? StatedLimit.UNKNOWN : limit();
+        return new RunEnd(outcome, framer.events() - eventsBefore, firstMillis, totalMillis, limit);
     }
 
     @Override
--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -5,8 +5,11 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.DoubleRange;
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.LongRange;
@@ -54,6 +57,30 @@
         assertSame(new DispatchEvent.Ended(new RunKey(new HostId("h"), 7), end));
     }
 
+    @Provide
+    Arbitrary<StatedLimit> limits() {
+        return Arbitraries.oneOf(
+                Arbitraries.of(StatedLimit.NONE, StatedLimit.UNKNOWN),
+                Arbitraries.doubles().between(0, 1e18).map(StatedLimit.Rate::new));
+    }
+
+    @Property(tries = 100, seed = "6")
+    void limitsArriveAsStated(@ForAll("limits") StatedLimit limit) throws BadMessageException {
+        RunKey run = new RunKey(new HostId("h"), 7);
+        assertSame(new DispatchEvent.First(run, 20, limit));
+        assertSame(
+                new DispatchEvent.Ended(run, new RunEnd(RunEnd.Outcome.FAILED, 0, 12, 345, limit)));
+    }
+
+    @Property(tries = 50, seed = "7")
+    void limitsArriveAsRecalled(
+            @ForAll @LongRange long born, @ForAll @DoubleRange(max = 1e9) double perSecond)
+            throws BadMessageException {
+        assertSame(
+                new DispatchEvent.ServerLimited(
+                        new ServerId("i-1"), born, new StatedLimit.Rate(perSecond)));
+    }
+
     @Property(tries = 50, seed = "5")
     void noticesOfLeavingServersArriveAsSent(@ForAll @LongRange long born)
             throws BadMessageException {
--- a/src/test/java/org/orioleshed/dispatch/Pools.java
+++ b/src/test/java/org/orioleshed/dispatch/Pools.java
@@ -26,13 +26,17 @@
     static final HostId HOST = new HostId("10.0.0.1");
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    final Scheduler scheduler =
-            new Scheduler(1, Quotas.Slack.NONE, Quotas.Giver.HOME, MovePolicy.DEFAULT);
+    final Scheduler scheduler;
     final List<DispatchAction> actions = new ArrayList<>();
     private final List<PoolServer> servers = new ArrayList<>();
     private long nowNanos = 1_000_000_000L;
 
     Pools() {
+        this(Quotas.Giver.HOME);
+    }
+
+    Pools(Quotas.Giver giver) {
+        scheduler = new Scheduler(1, Quotas.Slack.NONE, giver, MovePolicy.DEFAULT);
         pool(1_000_000);
     }
 
@@ -54,19 +58,30 @@
 
     Pools server(String id, int slots, FailureDomain domain, boolean draining) {
         servers.removeIf(server -> server.id().value().equals(id));
-        servers.add(
-                new PoolServer(
-                        new ServerId(id),
-                        SERVICE,
-                        new InetSocketAddress("10.0.1.1", 80),
-                        domain,
-                        new VersionId("v1"),
-                        slots,
-                        draining,
-                        1));
+        servers.add(server(id, slots, domain, draining, 1));
         return tell(new DispatchEvent.ServersChanged(servers));
     }
 
+    /** Puts a server that started at another time. */
+    Pools serverBorn(String id, int slots, long bornMillis) {
+        servers.removeIf(server -> server.id().value().equals(id));
+        servers.add(server(id, slots, NEAR, false, bornMillis));
+        return tell(new DispatchEvent.ServersChanged(servers));
+    }
+
+    private static PoolServer server(
+            String id, int slots, FailureDomain domain, boolean draining, long bornMillis) {
+        return new PoolServer(
+                new ServerId(id),
+                SERVICE,
+                new InetSocketAddress("10.0.1.1", 80),
+                domain,
+                new VersionId("v1"),
+                slots,
+                draining,
+                bornMillis);
+    }
+
     Pools gone(String id) {
         servers.removeIf(server -> server.id().value().equals(id));
         return tell(new DispatchEvent.ServersChanged(servers));
@@ -84,6 +99,14 @@
         return tell(new DispatchEvent.First(key(run), millis));
     }
 
+    Pools first(int run, StatedLimit limit) {
+        return tell(new DispatchEvent.First(key(run), 80, limit));
+    }
+
+    Pools end(int run, RunEnd.Outcome outcome, StatedLimit limit) {
+        return tell(new DispatchEvent.Ended(key(run), new RunEnd(outcome, 10, 80, 400, limit)));
+    }
+
     Pools end(int run, RunEnd.Outcome outcome) {
         return tell(new DispatchEvent.Ended(key(run), new RunEnd(outcome, 10, 80, 400)));
     }
@@ -144,6 +167,15 @@
                 .orElse(null);
     }
 
+    /** Returns how many runs were granted a server. */
+    long grantsOf(String server) {
+        return actions.stream()
+                .filter(DispatchAction.Grant.class::isInstance)
+                .map(DispatchAction.Grant.class::cast)
+                .filter(grant -> grant.server().value().equals(server))
+                .count();
+    }
+
     /** Returns the runs in the order in which they were granted. */
     List<Long> granted() {
         return actions.stream()
--- a/src/test/java/org/orioleshed/gateway/HostsTest.java
+++ b/src/test/java/org/orioleshed/gateway/HostsTest.java
@@ -42,6 +42,12 @@
     /** The operators count a quota in windows of this length. */
     private static final long WINDOW_NANOS = 8_000_000_000L;
 
+    /** Requests a second that a server names. */
+    private static final double[] LIMITS = {0.3, 1.3, 4.2, 12};
+
+    /** The operators count what goes to a server in windows of this length. */
+    private static final long LIMIT_WINDOW_NANOS = 4_000_000_000L;
+
     /** Longer than a request waits. */
     private static final long LAST_MILLIS = 12_000;
 
@@ -96,6 +102,51 @@
         checkAllAnswered(all);
     }
 
+    /** A server names a limit while hosts die, the network parts and messages are lost. */
+    @Test(dataProvider = "seeds")
+    public void noServerGetsMoreThanTheLimitThatItNamedUnderFaults(long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        double perSecond = LIMITS[(int) (seed % LIMITS.length)];
+        SteppedHosts all = start(seed);
+        all.limit("servers/0", perSecond);
+        for (int i = 0; i < STEPS; i++) {
+            int kind = random.nextBoolean() ? 0 : random.nextInt(KINDS);
+            step(all, kind, random.nextInt(1 << 20));
+        }
+        heal(all);
+        all.run(LAST_MILLIS);
+        checkLimit(all.sent(), perSecond);
+        checkAllAnswered(all);
+    }
+
+    /**
+     * Over all hosts that know of the limit, no more goes to its server than operators tolerate.
+     */
+    private static void checkLimit(List<Sent> sent, double perSecond) {
+        double allowed = 1.5 * perSecond * LIMIT_WINDOW_NANOS / 1e9 + 5;
+        List<Sent> counted =
+                sent.stream()
+                        .filter(Sent::limitKnown)
+                        .filter(one -> one.server().value().equals("servers/0"))
+                        .toList();
+        int first = 0;
+        for (int last = 0; last < counted.size(); last++) {
+            long atNanos = counted.get(last).atNanos();
+            while (atNanos - counted.get(first).atNanos() >= LIMIT_WINDOW_NANOS) {
+                first++;
+            }
+            if (last - first + 1 > allowed) {
+                throw new AssertionError(
+                        "%d requests, %.1f allowed, at %d ms: %s"
+                                .formatted(
+                                        last - first + 1,
+                                        allowed,
+                                        atNanos / 1_000_000,
+                                        givers(counted.subList(first, last + 1))));
+            }
+        }
+    }
+
     private static void leaveOrEnd(SteppedHosts all, int number) {
         SteppedHost host = all.get(number);
         if (host.dead) {
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -19,6 +19,7 @@
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RunEnd;
 import org.orioleshed.dispatch.RunKey;
+import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -38,6 +39,9 @@
      */
     private static final Quotas.Slack SLACK = new Quotas.Slack(0.04, 400);
 
+    /** Operators count what a host sends a server from this long after it saw the limit. */
+    private static final long LIMIT_SPREAD_NANOS = 500_000_000;
+
     private static final RunEnd DONE = new RunEnd(RunEnd.Outcome.ANSWERED, 5, 50, 200);
 
     final HostId id;
@@ -56,6 +60,7 @@
     private final SteppedHosts all;
     private final Map<RunKey, Long> endNanos = new HashMap<>();
     private final Map<RunKey, Long> units = new HashMap<>();
+    private final Map<ServerId, Long> limitsSeenNanos = new HashMap<>();
     private CatalogSnapshot snapshot = CatalogSnapshot.NOTHING;
     private boolean wasAway;
     private boolean listed;
@@ -63,7 +68,8 @@
     private long runMillis;
 
     /** A request that went to a server. */
-    record Sent(RunKey run, ServerId server, String by, long units, long atNanos) {}
+    record Sent(
+            RunKey run, ServerId server, String by, long units, long atNanos, boolean limitKnown) {}
 
     SteppedHost(
             SteppedHosts all,
@@ -243,13 +249,28 @@
             dispatcher.ended(run, new RunEnd(RunEnd.Outcome.MISDIRECTED, 0, 0, 0));
             return;
         }
-        sent.add(new Sent(run, server, by, units.get(run), all.nowNanos()));
-        dispatcher.first(run, 20);
+        sent.add(new Sent(run, server, by, units.get(run), all.nowNanos(), knowsLimit(server)));
+        answer(run, known.get());
         if (runMillis > 0) {
             endNanos.put(run, all.nowNanos() + runMillis * 1_000_000);
         }
     }
 
+    private boolean knowsLimit(ServerId server) {
+        Long since = limitsSeenNanos.get(server);
+        return since != null && all.nowNanos() - since >= LIMIT_SPREAD_NANOS;
+    }
+
+    private void answer(RunKey run, PoolServer server) {
+        StatedLimit limit = all.limitOf(server.id());
+        if (limit instanceof StatedLimit.Rate) {
+            limitsSeenNanos.putIfAbsent(server.id(), all.nowNanos());
+        }
+        AnswerFacts facts = new AnswerFacts("", true, false, -1, false, 0, limit);
+        dispatcher.noticed(server, facts);
+        dispatcher.first(run, 20, limit);
+    }
+
     @Override
     public void refused(RunKey run, DispatchAction.Reason reason, long retryAfterMillis) {
         told.add(run.number() + " " + reason);
--- a/src/test/java/org/orioleshed/gateway/SteppedHosts.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHosts.java
@@ -10,9 +10,11 @@
 import java.util.SplittableRandom;
 import java.util.stream.Stream;
 import org.orioleshed.catalog.PlainDecoder;
+import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Payload;
+import org.orioleshed.model.ServerId;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.store.Store;
@@ -32,6 +34,7 @@
     private final List<Letter> letters = new ArrayList<>();
     private final Map<String, Store.Entry> store = new HashMap<>();
     private final List<Event> history = new ArrayList<>();
+    private final Map<ServerId, Double> limits = new HashMap<>();
     private long nowNanos = 1_000_000_000L;
     private long incarnations = 1_000;
     private int cutOff;
@@ -133,6 +136,17 @@
         mostDelayNanos = delayMillis * 1_000_000;
     }
 
+    /** Has a server name how many requests a second it takes. */
+    void limit(String server, double perSecond) {
+        limits.put(new ServerId(server), perSecond);
+    }
+
+    /** Returns what a server's answers say of how many requests it takes. */
+    StatedLimit limitOf(ServerId server) {
+        Double perSecond = limits.get(server);
+        return perSecond == null ? StatedLimit.NONE : new StatedLimit.Rate(perSecond);
+    }
+
     /** Writes a key of the store. */
     void put(String key, String value) {
         Store.Entry entry = new Store.Entry(key, Payload.of(value), history.size() + 1L);
