What is known of a server outlasts an entry that is away for a while

A heartbeat that comes late takes the entry away; when it was back, its runs counted as none (it got up to twice its places), and its word that it leaves was forgotten, at the home and at the hosts, so that it got new requests. Cause: states and notices were dropped with the entry. They are set aside now, bounded in number, and taken up by the same start. SchedulerTest.aServerThatStartedAnewHasNoneOfTheOldRuns took the same birth before and after for another start, which its name does not say; it has four cases with other or unstated births in its place.

--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -63,7 +63,7 @@
 
     /** Returns whether any server of the new, or of the old, version takes calls. */
     private boolean hasVersion(VersionMove move, boolean target) {
-        return pool.servers().values().stream()
+        return pool.servers().all().stream()
                 .anyMatch(
                         server ->
                                 !server.isLeaving()
@@ -73,7 +73,7 @@
     private Optional<ServerState> best(Ask ask, Predicate<ServerState> allowed) {
         ServerState best = null;
         double bestScore = Double.POSITIVE_INFINITY;
-        for (ServerState server : pool.servers().values()) {
+        for (ServerState server : pool.servers().all()) {
             if (!allowed.test(server) || !maySend(server, ask) || !hasRoom(server, ask)) {
                 continue;
             }
@@ -96,7 +96,7 @@
     double usablePlaces(double busyMillis) {
         double places = 0;
         boolean someStay = false;
-        for (ServerState server : pool.servers().values()) {
+        for (ServerState server : pool.servers().all()) {
             double takes = takenPlaces(server, busyMillis);
             places += isUsable(server) ? takes : 0;
             someStay |= !server.isLeaving() && takes > 0;
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -9,11 +9,10 @@
 import java.util.Optional;
 import java.util.TreeSet;
 import org.orioleshed.catalog.Pool;
-import org.orioleshed.model.ServerId;
 
 /** One pool: its servers, its speed, and who waits for it. */
 final class PoolState {
-    private final Map<ServerId, ServerState> servers = new HashMap<>();
+    private final PoolServers servers = new PoolServers();
     private final TreeSet<QueuedRequest> onTime = new TreeSet<>(QueuedRequest.URGENCY);
     private final TreeSet<QueuedRequest> late = new TreeSet<>(QueuedRequest.URGENCY);
     private final Map<RunKey, QueuedRequest> waiters = new HashMap<>();
@@ -22,7 +21,7 @@
     private Pool declared;
     private VersionMove move;
 
-    Map<ServerId, ServerState> servers() {
+    PoolServers servers() {
         return servers;
     }
 
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -123,7 +123,7 @@
             refuse(run, ask, Reason.QUOTA, (double) quotas.millisUntil(ask));
             return;
         }
-        if (ask.excluded().containsAll(pool.servers().keySet())) {
+        if (ask.excluded().containsAll(pool.servers().ids())) {
             turnAway(run, ask, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
             return;
         }
@@ -219,10 +219,9 @@
             return;
         }
         quotas.charge(placed.ask());
-        ServerState server = pool.servers().get(placed.server());
-        if (server != null) {
-            start(server, placed.run(), placed.ask());
-        }
+        pool.servers()
+                .get(placed.server())
+                .ifPresent(server -> start(server, placed.run(), placed.ask()));
     }
 
     private void first(DispatchEvent.First first) {
@@ -294,35 +293,30 @@
             put(server);
         }
         for (PoolState pool : pools.values()) {
-            Set<ServerId> gone = new HashSet<>(pool.servers().keySet());
-            gone.removeAll(present);
-            gone.forEach(server -> crashes.missed(server, nowNanos));
-            pool.servers().keySet().retainAll(present);
+            pool.servers().retain(present).forEach(server -> crashes.missed(server, nowNanos));
         }
         pools.values().forEach(this::serve);
     }
 
     private void leave(DispatchEvent.ServerLeaving leaving) {
         for (PoolState pool : pools.values()) {
-            ServerState server = pool.servers().get(leaving.server());
-            if (server != null && server.server().bornMillis() == leaving.bornMillis()) {
-                server.leave();
-            }
+            pool.servers()
+                    .get(leaving.server())
+                    .filter(server -> server.server().bornMillis() == leaving.bornMillis())
+                    .ifPresent(ServerState::leave);
         }
     }
 
     private void put(PoolServer server) {
         PoolState pool = pool(server.service());
-        ServerState known = pool.servers().get(server.id());
-        if (known != null && known.server().sameStart(server)) {
-            known.update(server);
-            return;
+        for (PoolState other : pools.values()) {
+            if (other != pool) {
+                other.servers().forget(server.id());
+            }
         }
-        if (known != null) {
+        if (pool.servers().put(server, nowNanos)) {
             crashes.missed(server.id(), nowNanos);
         }
-        pools.values().forEach(other -> other.servers().remove(server.id()));
-        pool.servers().put(server.id(), new ServerState(server, nowNanos));
     }
 
     private void limit(DispatchEvent.LimitsChanged changed) {
@@ -370,7 +364,7 @@
         VersionMove move = pool.move().get();
         int oldRuns = 0;
         boolean newServers = false;
-        for (ServerState server : pool.servers().values()) {
+        for (ServerState server : pool.servers().all()) {
             boolean target = move.isTarget(server.server().version());
             oldRuns += target ? 0 : server.running();
             newServers |= target && !server.isLeaving();
--- a/src/main/java/org/orioleshed/gateway/ServerNotices.java
+++ b/src/main/java/org/orioleshed/gateway/ServerNotices.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,7 +24,9 @@
     /** A server that wants to be left alone for longer is not believed beyond this. */
     private static final long MAX_REST_MILLIS = 600_000;
 
-    private final Map<ServerId, Notice> notices = new HashMap<>();
+    private static final int MAX_NOTICES = 4_096;
+
+    private final Map<ServerId, Notice> notices = new LinkedHashMap<>();
 
     private static final class Notice {
         private PoolServer server;
@@ -75,6 +78,9 @@
             }
             notice = new Notice(server, nowNanos);
             notices.put(server.id(), notice);
+            while (notices.size() > MAX_NOTICES) {
+                notices.remove(notices.keySet().iterator().next());
+            }
         }
         long restMillis = Math.clamp(facts.restMillis(), 0, MAX_REST_MILLIS);
         long untilNanos = nowNanos + restMillis * NANOS_PER_MILLI;
@@ -125,14 +131,14 @@
         return notices.values().stream().flatMap(notice -> notice.limited().stream()).toList();
     }
 
-    private static boolean isSameStart(PoolServer server, Map<ServerId, PoolServer> present) {
+    private static boolean isOther(PoolServer server, Map<ServerId, PoolServer> present) {
         PoolServer now = present.get(server.id());
-        return now != null && server.sameStart(now);
+        return now != null && !server.sameStart(now);
     }
 
     /**
-     * The servers in force changed. A notice ends when its server is gone, has started anew, or
-     * takes back in its entry that it leaves.
+     * The servers in force changed. A notice ends when its server has started anew, or takes back
+     * in its entry that it leaves; it outlasts an entry that is away.
      */
     void changed(Collection<PoolServer> servers) {
         if (notices.isEmpty()) {
@@ -140,9 +146,9 @@
         }
         Map<ServerId, PoolServer> present = new HashMap<>();
         servers.forEach(server -> present.put(server.id(), server));
-        notices.values().removeIf(notice -> !isSameStart(notice.server, present));
+        notices.values().removeIf(notice -> isOther(notice.server, present));
         for (Notice notice : notices.values()) {
-            PoolServer now = present.get(notice.server.id());
+            PoolServer now = present.getOrDefault(notice.server.id(), notice.server);
             if (notice.server.draining() && !now.draining()) {
                 notice.leaving = false;
             }
--- a/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -80,6 +80,26 @@
         assertEquals(pools.serverOf(2), "a");
     }
 
+    /** A heartbeat that comes late takes the entry away for a while; the runs go on. */
+    @Test
+    public void aServerWhoseEntryVanishesForAWhileKeepsItsRuns() {
+        Pools pools = new Pools().server("a", 1).ask(1, 0);
+        pools.gone("a").server("a", 1).ask(2, 0);
+        assertNull(pools.serverOf(2));
+        pools.end(1, Outcome.ANSWERED);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
+    @Test
+    public void aServerThatToldThatItLeavesStaysSoWhenItsEntryComesBack() {
+        Pools pools = new Pools().server("a", 8);
+        pools.tell(new DispatchEvent.ServerLeaving(new ServerId("a"), 1));
+        pools.gone("a").server("a", 8).ask(1, 0);
+        assertNotNull(pools.refusalOf(1));
+        pools.gone("a").serverBorn("a", 8, 2).ask(2, 0);
+        assertEquals(pools.serverOf(2), "a");
+    }
+
     @Test
     public void aNoticeOfAnEarlierStartOfTheServerCountsForNothing() {
         Pools pools = new Pools().server("a", 8);
@@ -158,9 +178,16 @@
         assertEquals(pools.scheduler.running(), 1);
     }
 
-    @Test
-    public void aServerThatStartedAnewHasNoneOfTheOldRuns() {
-        Pools pools = new Pools().server("a", 1).ask(1, 0).gone("a").server("a", 1).ask(2, 0);
+    @DataProvider
+    public static Object[][] births() {
+        return new Object[][] {{1L, 2L}, {0L, 0L}, {1L, 0L}, {0L, 1L}};
+    }
+
+    /** One that does not state its birth may have started anew while its entry was away. */
+    @Test(dataProvider = "births")
+    public void aServerThatStartedAnewHasNoneOfTheOldRuns(long before, long after) {
+        Pools pools = new Pools().serverBorn("a", 1, before).ask(1, 0).gone("a");
+        pools.serverBorn("a", 1, after).ask(2, 0);
         assertEquals(pools.serverOf(2), "a");
     }
 
--- a/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
+++ b/src/test/java/org/orioleshed/platform/ServerNoticesTest.java
@@ -82,6 +82,26 @@
         assertEquals(fleet.first.requests.size(), 1);
     }
 
+    /** Late heartbeats take an entry away for a while. */
+    @Test
+    public void aNoticeOutlastsAnEntryThatVanishesForAWhile() throws IOException {
+        fleet.first.script(
+                (request, out, in) -> {
+                    out.write(bytes(head(request, 200, true) + LEAVING + length("ok") + "ok"));
+                    return true;
+                });
+        callUntilFirstHas(1, "/o/x");
+        fleet.store.delete("servers/i-1");
+        Fleet.await(() -> fleet.log().contains("event=server_gone key=servers/i-1"));
+        int known = fleet.log().split("event=server_known server=i-1 ", -1).length;
+        fleet.store.put("servers/i-1", fleet.first.entry("pool", 8));
+        Fleet.await(() -> fleet.log().split("event=server_known server=i-1 ", -1).length > known);
+        for (int call = 0; call < CALLS; call++) {
+            fleet.send(request("/o/x", "later-" + call, ""));
+        }
+        assertEquals(fleet.first.requests.size(), 1);
+    }
+
     private void callUntilFirstHas(int requests, String path) throws IOException {
         long endNanos = System.nanoTime() + PATIENCE_NANOS;
         for (int call = 0; fleet.first.requests.size() < requests; call++) {
