--- a/src/test/java/org/orioleshed/soak/Fault.java
+++ b/src/test/java/org/orioleshed/soak/Fault.java
@@ -19,6 +19,9 @@
     /** A server is gone without a word, and another one comes. */
     record LoseServer(int choice, long entryMillis) implements Fault {}
 
+    /** A server names for a while how many requests a second it takes. */
+    record LimitServer(int choice, double perSecond, long millis) implements Fault {}
+
     record CutServer(int choice, FaultProxy.Mode mode, long millis) implements Fault {}
 
     /** The store is away for one host, or for all where {@code host} is -1. */
--- a/src/test/java/org/orioleshed/soak/FaultPlan.java
+++ b/src/test/java/org/orioleshed/soak/FaultPlan.java
@@ -18,6 +18,13 @@
     private static final int FULL_PLACES = 2;
     private static final int USUAL_PLACES = 7;
     private static final int FULL_PRESSERS = 40;
+    private static final double[] LIMITS_PER_SECOND = {0.5, 1.3, 4.2};
+    private static final long MOST_LIMIT_START_MILLIS = 2_000;
+    private static final long LIMIT_MILLIS = 9_000;
+
+    /** Draws of limits stand apart, so that the other faults of a seed stay what they were. */
+    private static final long LIMITS_OF_SEED = 1_000_003;
+
     private static final long SPAN_MILLIS = 11_000;
     private static final long FIRST_STOP_MILLIS = 800;
     private static final long LEAST_STOP_STEP_MILLIS = 1_200;
@@ -50,6 +57,7 @@
         if (profile == Profile.UNPLANNED || profile == Profile.ALL) {
             addBreaks(random, profile == Profile.ALL ? 7 : 10, steps);
         }
+        addLimits(new Random(seed + LIMITS_OF_SEED), steps);
         steps.sort(Comparator.comparingLong(Step::atMillis));
         boolean full = profile == Profile.FULL || (profile == Profile.ALL && random.nextBoolean());
         return new FaultPlan(
@@ -87,6 +95,13 @@
         }
     }
 
+    private static void addLimits(Random random, List<Step> steps) {
+        int server = random.nextInt(SoakFleet.SERVERS);
+        double perSecond = LIMITS_PER_SECOND[random.nextInt(LIMITS_PER_SECOND.length)];
+        long atMillis = random.nextInt((int) MOST_LIMIT_START_MILLIS);
+        steps.add(new Step(atMillis, new Fault.LimitServer(server, perSecond, LIMIT_MILLIS)));
+    }
+
     private static void addBreaks(Random random, int count, List<Step> steps) {
         for (int i = 0; i < count; i++) {
             steps.add(new Step(at(random), broken(random)));
--- a/src/test/java/org/orioleshed/soak/FaultPlayer.java
+++ b/src/test/java/org/orioleshed/soak/FaultPlayer.java
@@ -49,6 +49,7 @@
                 case Fault.WriteConfig it -> fleet.operator().writeNext();
                 case Fault.DrainServer it -> drain(it);
                 case Fault.LoseServer it -> lose(it);
+                case Fault.LimitServer it -> limit(it);
                 case Fault.CutServer it -> cutServer(it);
                 case Fault.CutStore it -> cutStore(it);
             }
@@ -116,6 +117,16 @@
         impaired("server lost " + server.id(), ALL, fromNanos);
     }
 
+    private void limit(Fault.LimitServer fault) throws InterruptedException {
+        SoakServer server = fleet.server(fault.choice());
+        long fromNanos = System.nanoTime();
+        server.limit(fault.perSecond());
+        Thread.sleep(fault.millis());
+        server.noLimit();
+        history.add(
+                new History.Limit(server.id(), fault.perSecond(), fromNanos, System.nanoTime()));
+    }
+
     private void cutServer(Fault.CutServer fault) throws InterruptedException {
         SoakServer server = fleet.server(fault.choice());
         cut(List.of(server.proxy()), fault.mode(), fault.millis(), "server " + server.id(), ALL);
--- a/src/test/java/org/orioleshed/soak/History.java
+++ b/src/test/java/org/orioleshed/soak/History.java
@@ -31,6 +31,9 @@
     /** A server's word that it is leaving, with when it was acknowledged. */
     record Drain(String server, long acknowledgedNanos) {}
 
+    /** A server named a limit. */
+    record Limit(String server, double perSecond, long fromNanos, long toNanos) {}
+
     /** A question for the route that only some configurations have. */
     record Probe(int host, int life, int route, Call call) {}
 
@@ -74,6 +77,13 @@
                     "%7d ms: configuration %d".formatted(millis(it.acknowledgedNanos), it.version);
             case Drain it ->
                     "%7d ms: drain server=%s".formatted(millis(it.acknowledgedNanos), it.server);
+            case Limit it ->
+                    "%7d to %d ms: limit server=%s per_second=%.1f"
+                            .formatted(
+                                    millis(it.fromNanos),
+                                    millis(it.toNanos),
+                                    it.server,
+                                    it.perSecond);
             default -> "";
         };
     }
--- a/src/test/java/org/orioleshed/soak/RunChecks.java
+++ b/src/test/java/org/orioleshed/soak/RunChecks.java
@@ -1,5 +1,7 @@
 package org.orioleshed.soak;
 
+import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +16,10 @@
                             * (1 + HostSettings.QUOTA_OVER)
                     + HostSettings.QUOTA_SLACK_TOKENS;
 
+    private static final long LIMIT_WINDOW_NANOS = TimeUnit.SECONDS.toNanos(4);
+    private static final long LIMIT_STABLE_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final long LIMIT_KNOWN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+
     private final Facts facts;
     private final Findings found;
 
@@ -27,6 +33,7 @@
         facts.calls().values().forEach(this::checkAnswer);
         facts.runs().forEach(this::checkRun);
         facts.history().all(History.Drain.class).forEach(this::checkDrain);
+        facts.history().all(History.Limit.class).forEach(this::checkLimit);
         checkQuota();
     }
 
@@ -68,6 +75,58 @@
         }
     }
 
+    /**
+     * A server that names a limit gets in no window more than half as much again and a few from
+     * hosts that have passed such an answer on.
+     */
+    private void checkLimit(History.Limit limit) {
+        List<Long> counted = new ArrayList<>();
+        for (Run run : facts.runs()) {
+            Call call = facts.calls().get(run.id());
+            if (call != null && run.server().equals(limit.server()) && counts(run, call, limit)) {
+                counted.add(run.arrivedNanos());
+            }
+        }
+        Collections.sort(counted);
+        double allowed = 1.5 * limit.perSecond() * LIMIT_WINDOW_NANOS / 1e9 + 5;
+        int first = 0;
+        for (int last = 0; last < counted.size(); last++) {
+            while (counted.get(last) - counted.get(first) >= LIMIT_WINDOW_NANOS) {
+                first++;
+            }
+            if (last - first + 1 > allowed) {
+                found.add(
+                        "LIMIT",
+                        limit.server(),
+                        "%d requests, %.1f allowed, at %d ms"
+                                .formatted(
+                                        last - first + 1,
+                                        allowed,
+                                        facts.history().millis(counted.get(last))));
+                return;
+            }
+        }
+    }
+
+    private boolean counts(Run run, Call call, History.Limit limit) {
+        long atNanos = run.arrivedNanos();
+        boolean inForce =
+                atNanos > limit.fromNanos() + LIMIT_STABLE_NANOS && atNanos < limit.toNanos();
+        return inForce
+                && facts.isInTouch(call.host(), call.sentNanos(), atNanos)
+                && hasPassedOn(call.host(), atNanos - LIMIT_KNOWN_NANOS, limit);
+    }
+
+    private boolean hasPassedOn(int host, long untilNanos, History.Limit limit) {
+        return facts.runs().stream()
+                .filter(run -> run.server().equals(limit.server()))
+                .filter(run -> run.end() == Run.End.COMPLETE)
+                .filter(run -> run.beganNanos() >= limit.fromNanos())
+                .filter(run -> run.endNanos() <= untilNanos)
+                .map(run -> facts.calls().get(run.id()))
+                .anyMatch(call -> call != null && call.host() == host);
+    }
+
     /** The word counts where the store was well; hosts that started after it are bound as well. */
     private void checkDrain(History.Drain drain) {
         long fromNanos = drain.acknowledgedNanos();
--- a/src/test/java/org/orioleshed/soak/SoakServer.java
+++ b/src/test/java/org/orioleshed/soak/SoakServer.java
@@ -23,6 +23,7 @@
     private final Semaphore free;
     private final AtomicInteger waiting = new AtomicInteger();
     private volatile boolean leaving;
+    private volatile String limitField = "";
 
     SoakServer(String id, String zone, int places, History history) throws IOException {
         this.id = id;
@@ -49,6 +50,19 @@
         leaving = true;
     }
 
+    /** Names a limit in all answers from now on. */
+    void limit(double perSecond) {
+        limitField = "Server-Limit: %.2f\r\n".formatted(perSecond);
+    }
+
+    void noLimit() {
+        limitField = "";
+    }
+
+    private String head(WorkerFake.Request request, int status, boolean signed) {
+        return WorkerFake.head(request, status, signed) + limitField;
+    }
+
     boolean isIdle() {
         return free.availablePermits() == places && waiting.get() == 0;
     }
@@ -96,9 +110,9 @@
         }
     }
 
-    private static void refuse(WorkerFake.Request request, int status, OutputStream out)
+    private void refuse(WorkerFake.Request request, int status, OutputStream out)
             throws IOException {
-        String head = WorkerFake.head(request, status, false);
+        String head = head(request, status, false);
         out.write(WorkerFake.bytes(head + NOT_RUN + WorkerFake.length("")));
     }
 
@@ -118,7 +132,7 @@
     }
 
     /** Works on a request; false where its deadline came before the end. */
-    private static boolean work(WorkerFake.Request request, long endNanos, OutputStream out)
+    private boolean work(WorkerFake.Request request, long endNanos, OutputStream out)
             throws IOException, InterruptedException {
         Work work = Work.read(request.line());
         String path = work.path();
@@ -130,11 +144,10 @@
                 : answer(request, work, endNanos, out);
     }
 
-    private static boolean stream(
-            WorkerFake.Request request, Work work, long endNanos, OutputStream out)
+    private boolean stream(WorkerFake.Request request, Work work, long endNanos, OutputStream out)
             throws IOException, InterruptedException {
         int done = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
-        out.write(WorkerFake.bytes(WorkerFake.head(request, 200, true) + WorkerFake.STREAM));
+        out.write(WorkerFake.bytes(head(request, 200, true) + WorkerFake.STREAM));
         for (int part = done + 1; part <= work.parts(); part++) {
             Thread.sleep(work.pauseMillis());
             if (System.nanoTime() > endNanos) {
@@ -146,16 +159,13 @@
         return true;
     }
 
-    private static boolean answer(
-            WorkerFake.Request request, Work work, long endNanos, OutputStream out)
+    private boolean answer(WorkerFake.Request request, Work work, long endNanos, OutputStream out)
             throws IOException, InterruptedException {
         Thread.sleep(work.millis());
         String body = work.body(request.id(), false);
         int status = System.nanoTime() > endNanos ? 504 : 200;
         String text = status == 200 ? body : "";
-        out.write(
-                WorkerFake.bytes(
-                        WorkerFake.head(request, status, true) + WorkerFake.length(text) + text));
+        out.write(WorkerFake.bytes(head(request, status, true) + WorkerFake.length(text) + text));
         return true;
     }
 
