--- a/src/test/java/org/orioleshed/gateway/DispatcherTest.java
+++ b/src/test/java/org/orioleshed/gateway/DispatcherTest.java
@@ -210,26 +210,28 @@
         assertTrue(units <= burst + tolerated + filledMeanwhile, "units " + units);
     }
 
-    /**
-     * A host that chose the next home before that did so itself told it what it knows too early.
-     */
+    /** A host told the next home of its run before that could be reached, and was home. */
     @Test
     public void aHomeThatBeginsHearsOfTheRunsUnderWay() {
         SteppedHosts three = new SteppedHosts(3, 1, 1);
         three.put("op/config", "1");
         three.put("servers/x", "open");
+        three.restart(1);
         three.run(3_000);
-        three.get(2).ask(1);
+        three.get(1).ask(1);
         three.deliver();
-        three.get(0).dead = true;
-        three.get(2).dispatcher.fleetChanged();
-        three.run(6_000);
-        assertEquals(three.get(1).dispatcher.homeName(), "10.0.0.2");
-        three.get(1).ask(2);
+        three.cutOff(2);
+        three.get(0).leave();
         three.run(100);
-        assertEquals(three.get(1).told, List.of());
-        three.get(2).dispatcher.ended(three.get(2).key(1), DONE);
+        assertEquals(three.get(1).dispatcher.homeName(), "10.0.0.3");
+        three.cutOff(0);
+        three.run(2_000);
+        assertEquals(three.get(2).dispatcher.homeName(), "10.0.0.3");
+        three.get(2).ask(2);
+        three.run(100);
+        assertEquals(three.get(2).told, List.of());
+        three.get(1).dispatcher.ended(three.get(1).key(1), DONE);
         three.deliver();
-        assertEquals(three.get(1).told, List.of("2 x by=self"));
+        assertEquals(three.get(2).told, List.of("2 x by=self"));
     }
 }
