--- a/src/main/java/org/orioleshed/catalog/CatalogState.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogState.java
@@ -142,14 +142,15 @@
         server.ifPresent(
                 it ->
                         log.accept(
-                                "event=server_known server=%s service=%s address=%s draining=%s"
+                                "event=server_known server=%s service=%s version=%s address=%s"
                                                 .formatted(
                                                         it.id(),
                                                         it.service(),
-                                                        it.address(),
-                                                        it.draining())
-                                        + " revision=%d source=%s"
-                                                .formatted(entry.revision(), source)));
+                                                        it.version(),
+                                                        it.address())
+                                        + " draining=%s revision=%d source=%s"
+                                                .formatted(
+                                                        it.draining(), entry.revision(), source)));
     }
 
     private Optional<PoolServer> decode(Store.Entry entry, String source) {
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -12,6 +12,11 @@
 
 /** One pool: its servers, its speed, and who waits for it. */
 final class PoolState {
+    private static final double NANOS_PER_MILLI = 1e6;
+
+    /** A request waits long for its answer after so many times what is usual. */
+    private static final double LONG_WAIT = 2;
+
     private final PoolServers servers = new PoolServers();
     private final TreeSet<QueuedRequest> onTime = new TreeSet<>(QueuedRequest.URGENCY);
     private final TreeSet<QueuedRequest> late = new TreeSet<>(QueuedRequest.URGENCY);
@@ -132,6 +137,60 @@
                 .orElse(0);
     }
 
+    /** A run's first event came; tells the move between versions how long it took. */
+    void firstInMove(ServerState server, RunKey run, long firstMillis) {
+        Running running = server.runs().get(run);
+        if (running != null && running.reading() > 0) {
+            tookInMove(server, running, firstMillis);
+        }
+    }
+
+    private void tookInMove(ServerState server, Running running, long millis) {
+        double slowness = millis / speed.expectedMillis(running);
+        move().ifPresent(it -> it.took(server.server(), running.ask().route(), slowness));
+    }
+
+    /** A run ended; tells the move between versions how. */
+    void endInMove(ServerState server, RunKey run, RunEnd end) {
+        Running running = server.runs().get(run);
+        if (running == null) {
+            return;
+        }
+        boolean plain = running.ask().promptTokens() == 0;
+        if (plain && end.outcome() == RunEnd.Outcome.ANSWERED) {
+            tookInMove(server, running, end.totalMillis());
+        }
+        move().ifPresent(it -> it.ended(server.server(), running.ask().route(), end.outcome()));
+    }
+
+    /** Has the move between versions, if any is under way, decide. */
+    void decideMove(long nowNanos) {
+        if (move == null) {
+            return;
+        }
+        move.nobodyWaits();
+        int oldRuns = 0;
+        boolean newServers = false;
+        for (ServerState server : servers.all()) {
+            boolean target = move.isTarget(server.server().version());
+            oldRuns += target ? 0 : server.running();
+            newServers |= target && !server.isLeaving();
+            tellWaiting(server, nowNanos);
+        }
+        move.decide(nowNanos, oldRuns, newServers);
+    }
+
+    /** Tells the move which requests wait longer for their answers than usual. */
+    private void tellWaiting(ServerState server, long nowNanos) {
+        for (Running run : server.runs().values()) {
+            double millis = (nowNanos - run.sentNanos()) / NANOS_PER_MILLI;
+            double slowness = millis / speed.expectedMillis(run);
+            if (run.waitsForFirst() && slowness > LONG_WAIT) {
+                move.waits(server.server(), run.ask().route(), slowness);
+            }
+        }
+    }
+
     private int eventTokens() {
         return declared().map(Pool::eventTokens).orElse(1);
     }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -37,9 +37,6 @@
     /** Hosts tell a home that begins what they know within this time. */
     private static final long RECALL_NANOS = 2_000 * NANOS_PER_MILLI;
 
-    /** A request waits long for its answer after so many times what is usual. */
-    private static final double LONG_WAIT = 2;
-
     private static final long FORGET_PERIOD_NANOS = 200 * NANOS_PER_MILLI;
 
     private final Map<ServiceId, PoolState> pools = new HashMap<>();
@@ -190,8 +187,12 @@
                                 placement.score(server, ask),
                                 server.faultRate(nowNanos),
                                 pool.waiting());
+        String limit =
+                rates.of(server.server())
+                        .map(rate -> " limit_per_second=%.2f".formatted(rate.perSecond()))
+                        .orElse("");
         start(server, run, ask);
-        actions.add(new DispatchAction.Grant(run, server.server().id(), why));
+        actions.add(new DispatchAction.Grant(run, server.server().id(), why + limit));
         return true;
     }
 
@@ -247,11 +248,7 @@
         }
         stated(server, first.run(), first.limit());
         PoolState pool = pool(server.server().service());
-        Running running = server.runs().get(first.run());
-        if (running != null && running.reading() > 0) {
-            double slowness = first.firstMillis() / pool.speed().expectedMillis(running);
-            tookInMove(pool, server, running, slowness);
-        }
+        pool.firstInMove(server, first.run(), first.firstMillis());
         server.first(first.run(), first.firstMillis(), pool.speed(), nowNanos);
     }
 
@@ -270,31 +267,11 @@
         PoolState pool = pool(server.server().service());
         stated(server, run, end.limit());
         watchCrashes(server, run, end.outcome());
-        endInMove(pool, server, run, end);
+        pool.endInMove(server, run, end);
         server.end(run, end, pool.speed(), nowNanos);
         serve(pool);
     }
 
-    private static void tookInMove(
-            PoolState pool, ServerState server, Running running, double slowness) {
-        pool.move().ifPresent(move -> move.took(server.server(), running.ask().route(), slowness));
-    }
-
-    private static void endInMove(PoolState pool, ServerState server, RunKey run, RunEnd end) {
-        Running running = server.runs().get(run);
-        if (running == null) {
-            return;
-        }
-        boolean plain = running.ask().promptTokens() == 0;
-        if (plain && end.outcome() == RunEnd.Outcome.ANSWERED) {
-            double slowness = end.totalMillis() / pool.speed().expectedMillis(running);
-            tookInMove(pool, server, running, slowness);
-        }
-        pool.move()
-                .ifPresent(
-                        move -> move.ended(server.server(), running.ask().route(), end.outcome()));
-    }
-
     private void watchCrashes(ServerState server, RunKey run, RunEnd.Outcome outcome) {
         Running running = server.runs().get(run);
         if (running == null) {
@@ -448,37 +425,9 @@
         return nowNanos - beganNanos < RECALL_NANOS;
     }
 
-    private void decideMove(PoolState pool) {
-        if (pool.move().isEmpty()) {
-            return;
-        }
-        VersionMove move = pool.move().get();
-        move.nobodyWaits();
-        int oldRuns = 0;
-        boolean newServers = false;
-        for (ServerState server : pool.servers().all()) {
-            boolean target = move.isTarget(server.server().version());
-            oldRuns += target ? 0 : server.running();
-            newServers |= target && !server.isLeaving();
-            tellWaiting(pool, move, server);
-        }
-        move.decide(nowNanos, oldRuns, newServers);
-    }
-
-    /** Tells a move which requests wait longer for their answers than usual. */
-    private void tellWaiting(PoolState pool, VersionMove move, ServerState server) {
-        for (Running run : server.runs().values()) {
-            double millis = (double) (nowNanos - run.sentNanos()) / NANOS_PER_MILLI;
-            double slowness = millis / pool.speed().expectedMillis(run);
-            if (run.waitsForFirst() && slowness > LONG_WAIT) {
-                move.waits(server.server(), run.ask().route(), slowness);
-            }
-        }
-    }
-
     private void tick() {
         forgetOverdue();
-        pools.values().forEach(this::decideMove);
+        pools.values().forEach(pool -> pool.decideMove(nowNanos));
         for (PoolState pool : pools.values()) {
             if (pool.waiting() > 0) {
                 pool.sortLate(nowNanos);
