Hosts recall a server's limit to a home that begins for half a minute only

A host that heard of a limit once and had no answer of that server since would have told each new home of it for ever; the server, long well, would have been held back until its next answer.

--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -525,7 +525,7 @@
     private void tellWhatIsKnown() {
         long nowNanos = clock.getAsLong();
         notices.leaving().forEach(server -> tellHome(leaving(server)));
-        notices.limits().forEach(this::tellHome);
+        notices.limits(nowNanos).forEach(this::tellHome);
         own.recall(self, nowNanos).forEach(this::tellHome);
         active.forEach(
                 (run, at) ->
--- a/src/main/java/org/orioleshed/gateway/ServerNotices.java
+++ b/src/main/java/org/orioleshed/gateway/ServerNotices.java
@@ -24,6 +24,9 @@
     /** A server that wants to be left alone for longer is not believed beyond this. */
     private static final long MAX_REST_MILLIS = 600_000;
 
+    /** A server whose limit still holds is heard of within this time, however few it takes. */
+    private static final long LIMIT_MEMORY_NANOS = 30_000 * NANOS_PER_MILLI;
+
     private static final int MAX_NOTICES = 4_096;
 
     private final Map<ServerId, Notice> notices = new LinkedHashMap<>();
@@ -33,6 +36,7 @@
         private boolean leaving;
         private long restUntilNanos;
         private StatedLimit limit = StatedLimit.NONE;
+        private long limitNanos;
 
         Notice(PoolServer server, long nowNanos) {
             this.server = server;
@@ -43,14 +47,17 @@
             return leaving || restUntilNanos - nowNanos > 0;
         }
 
-        Optional<DispatchEvent.ServerLimited> limited() {
-            return limit instanceof StatedLimit.Rate rate
+        Optional<DispatchEvent.ServerLimited> limited(long nowNanos) {
+            boolean recent = nowNanos - limitNanos < LIMIT_MEMORY_NANOS;
+            return recent && limit instanceof StatedLimit.Rate rate
                     ? Optional.of(
                             new DispatchEvent.ServerLimited(server.id(), server.bornMillis(), rate))
                     : Optional.empty();
         }
 
-        boolean isNewLimit(StatedLimit stated) {
+        /** Takes the limit that an answer states; returns whether it is another than before. */
+        boolean takeLimit(StatedLimit stated, long nowNanos) {
+            limitNanos = nowNanos;
             if (stated instanceof StatedLimit.Unknown || stated.equals(limit)) {
                 return false;
             }
@@ -89,7 +96,7 @@
         }
         boolean leaves = facts.leaving() && !notice.leaving;
         notice.leaving |= facts.leaving();
-        return new News(leaves, notice.isNewLimit(facts.limit()));
+        return new News(leaves, notice.takeLimit(facts.limit(), nowNanos));
     }
 
     private static boolean saysNothing(AnswerFacts facts) {
@@ -126,9 +133,11 @@
                 .toList();
     }
 
-    /** Returns how many requests servers said that they take. */
-    List<DispatchEvent.ServerLimited> limits() {
-        return notices.values().stream().flatMap(notice -> notice.limited().stream()).toList();
+    /** Returns how many requests servers said of late that they take. */
+    List<DispatchEvent.ServerLimited> limits(long nowNanos) {
+        return notices.values().stream()
+                .flatMap(notice -> notice.limited(nowNanos).stream())
+                .toList();
     }
 
     private static boolean isOther(PoolServer server, Map<ServerId, PoolServer> present) {
