--- a/src/main/java/org/orioleshed/dispatch/VersionJudge.java
+++ b/src/main/java/org/orioleshed/dispatch/VersionJudge.java
@@ -32,8 +32,8 @@
     private static final double FAULT_ERRORS = 11;
 
     private static final double ROUTE_ERRORS = 1.3;
-    private static final double OF_SERVERS = 0.7;
-    private static final double OF_SERVERS_IN_PART = 1.25;
+    private static final double ALLOWED_SERVER_ERRORS = 0.7;
+    private static final double ALLOWED_SERVER_ERRORS_IN_PART = 1.25;
     private static final double UNUSUAL_SPREAD = 2;
 
     private static final int LEAST_FAULTS = 3;
@@ -92,7 +92,7 @@
     private static boolean isNoSlower(SpeedShift shift) {
         return shift.samples() >= PROVING_SAMPLES
                 && shift.mean() + PROVED_ERRORS * shift.samplingError()
-                        < HARMFUL_SHIFT + OF_SERVERS * allowance(shift);
+                        < HARMFUL_SHIFT + ALLOWED_SERVER_ERRORS * allowance(shift);
     }
 
     /** Returns whether nothing in what came since a moment speaks against the new version. */
@@ -110,7 +110,8 @@
         boolean slow =
                 shift.samples() >= PART_SAMPLES
                         && shift.mean() + errors * shift.samplingError()
-                                > HARMFUL_PART_SHIFT + OF_SERVERS_IN_PART * allowance(shift);
+                                > HARMFUL_PART_SHIFT
+                                        + ALLOWED_SERVER_ERRORS_IN_PART * allowance(shift);
         return !slow && !seemsToFailMore(part);
     }
 
