--- a/src/test/java/org/orioleshed/soak/Call.java
+++ b/src/test/java/org/orioleshed/soak/Call.java
@@ -38,6 +38,7 @@
      *
      * @param key the workspace's API key
      * @param tokens the prompt tokens
+     * @param parts the parts of the prompt, as in its header; empty for none
      * @param deadlineMillis the deadline, from the time of sending
      * @param cancelAfterMillis the time after which the caller cancels; at or above the deadline
      *     where it does not cancel
@@ -47,14 +48,24 @@
             Work work,
             String key,
             int tokens,
+            String parts,
             long deadlineMillis,
             long cancelAfterMillis) {
         static Request of(CallKind kind, Work work, String key, int tokens, long deadlineMillis) {
-            return new Request(kind, work, key, tokens, deadlineMillis, Long.MAX_VALUE);
+            return new Request(kind, work, key, tokens, "", deadlineMillis, Long.MAX_VALUE);
         }
 
         Request cancelledAfter(long millis) {
-            return new Request(kind, work, key, tokens, deadlineMillis, millis);
+            return new Request(kind, work, key, tokens, parts, deadlineMillis, millis);
+        }
+
+        Request withParts(String newParts) {
+            return new Request(
+                    kind, work, key, tokens, newParts, deadlineMillis, cancelAfterMillis);
+        }
+
+        boolean hasDeadlyPart() {
+            return DeadlyPart.isIn(parts);
         }
     }
 
--- a/src/test/java/org/orioleshed/soak/CallerSocket.java
+++ b/src/test/java/org/orioleshed/soak/CallerSocket.java
@@ -93,6 +93,9 @@
                                 .formatted(request.work().path(), id, request.key())
                         + "X-Token-Counts: %d,0\r\nX-Deadline-Ms: %d\r\n"
                                 .formatted(request.tokens(), request.deadlineMillis())
+                        + (request.parts().isEmpty()
+                                ? ""
+                                : "X-Prompt-Prefix: %s\r\n".formatted(request.parts()))
                         + "Content-Length: 4\r\n\r\nbody";
         return text.getBytes(StandardCharsets.ISO_8859_1);
     }
--- a/src/test/java/org/orioleshed/soak/Callers.java
+++ b/src/test/java/org/orioleshed/soak/Callers.java
@@ -13,6 +13,8 @@
     private static final int CANCELLING_CALLERS = 4;
     private static final int QUOTA_CALLERS = 6;
     private static final int LATE_CALLERS_PER_HOST = 3;
+    private static final int PART_CALLERS = 4;
+    private static final long DEADLY_PART_START_MILLIS = 2_500;
     private static final int REGULAR_TOKENS = 20;
     private static final int LIMITED_TOKENS = 50;
     private static final long DEADLINE_MILLIS = 9_000;
@@ -71,7 +73,7 @@
         void run(Caller caller) throws InterruptedException;
     }
 
-    void start(int overloadCallers) {
+    void start(int overloadCallers, boolean deadlyPart) {
         int index = 0;
         for (int i = 0; i < REGULAR_CALLERS; i++) {
             start(
@@ -90,6 +92,12 @@
             SoakHost host = fleet.hosts().get(i % SoakFleet.HOSTS);
             start(index++, caller -> sendLate(caller, host));
         }
+        if (deadlyPart) {
+            start(index++, this::sendDeadlyPart);
+            for (int i = 0; i < PART_CALLERS; i++) {
+                start(index++, this::sendSoundParts);
+            }
+        }
         for (int i = 0; i < overloadCallers; i++) {
             start(index++, this::overload);
             start(index++, caller -> reuseConnection(caller, LONG_PAUSE_MILLIS));
@@ -180,6 +188,33 @@
         }
     }
 
+    /** Sends requests that all contain the deadly part, no two of them alike, after a while. */
+    private void sendDeadlyPart(Caller caller) throws InterruptedException {
+        Thread.sleep(DEADLY_PART_START_MILLIS);
+        while (!finishing) {
+            Call.Request request = streamRequest(caller.random);
+            callOnNewConnection(
+                    caller, request.withParts(DeadlyPart.deadlyParts(caller.callCount)));
+            pause(caller.random, PAUSE_MILLIS);
+        }
+    }
+
+    /** Sends requests that share their key and first part with those of the deadly part. */
+    private void sendSoundParts(Caller caller) throws InterruptedException {
+        while (!finishing) {
+            Call.Request request = streamRequest(caller.random);
+            String parts = DeadlyPart.soundParts(caller.random.nextInt(1 << 16));
+            retry(caller, callOnNewConnection(caller, request.withParts(parts)));
+            pause(caller.random, PAUSE_MILLIS);
+        }
+    }
+
+    private static Call.Request streamRequest(Random random) {
+        CallKind kind = random.nextBoolean() ? CallKind.STREAM : CallKind.RESUMABLE;
+        Work work = Work.of(kind.prefix(), 2 + random.nextInt(8), 5 + random.nextInt(20));
+        return request(kind, work, Operator.PLAIN_KEY, REGULAR_TOKENS);
+    }
+
     /** Keeps a connection to one host and sends long calls when that host is about to close it. */
     private void sendLate(Caller caller, SoakHost host) throws InterruptedException {
         while (!finishing) {
--- a/src/test/java/org/orioleshed/soak/FaultInjector.java
+++ b/src/test/java/org/orioleshed/soak/FaultInjector.java
@@ -14,9 +14,6 @@
 
     private static final long DRAIN_POLL_MILLIS = 50;
 
-    /** The host index of a fault that concerns all hosts. */
-    private static final int ALL_HOSTS = -1;
-
     private final SoakFleet fleet;
     private final History history;
 
@@ -116,7 +113,7 @@
         server.close();
         Thread.sleep(fault.entryMillis());
         fleet.deregister(server);
-        addImpairment("server lost " + server.id(), ALL_HOSTS, fromNanos);
+        addImpairment("server lost " + server.id(), History.ALL_HOSTS, fromNanos);
     }
 
     private void limit(Fault.LimitServer fault) throws InterruptedException {
@@ -136,13 +133,16 @@
                 fault.mode(),
                 fault.millis(),
                 "server " + server.id(),
-                ALL_HOSTS);
+                History.ALL_HOSTS);
     }
 
     private void impairStore(Fault.ImpairStore fault) throws InterruptedException {
         List<FaultProxy> proxies =
                 fleet.hosts().stream()
-                        .filter(it -> fault.host() == ALL_HOSTS || fault.host() == it.index())
+                        .filter(
+                                it ->
+                                        fault.host() == History.ALL_HOSTS
+                                                || fault.host() == it.index())
                         .map(SoakHost::storeProxy)
                         .toList();
         impair(proxies, fault.mode(), fault.millis(), "store", fault.host());
--- a/src/test/java/org/orioleshed/soak/FaultPlan.java
+++ b/src/test/java/org/orioleshed/soak/FaultPlan.java
@@ -11,8 +11,10 @@
  *
  * @param slots the slots of each server
  * @param overloadCallers the additional callers that exceed the servers' slots
+ * @param deadlyPart whether some requests contain a part that crashes servers
  */
-record FaultPlan(Profile profile, int slots, int overloadCallers, List<Step> steps) {
+record FaultPlan(
+        Profile profile, int slots, int overloadCallers, boolean deadlyPart, List<Step> steps) {
     private static final List<FaultProxy.Mode> IMPAIRMENT_MODES =
             List.of(FaultProxy.Mode.REFUSE, FaultProxy.Mode.SILENCE, FaultProxy.Mode.DELAY);
     private static final int FULL_SLOTS = 2;
@@ -67,9 +69,15 @@
                 profile,
                 full ? FULL_SLOTS : DEFAULT_SLOTS,
                 full ? FULL_OVERLOAD_CALLERS : 0,
+                hasDeadlyPart(seed),
                 List.copyOf(steps));
     }
 
+    /** Returns whether a seed is one of the four in sixteen with a deadly part. */
+    private static boolean hasDeadlyPart(long seed) {
+        return Math.floorMod(seed, 16) / 4 == 2;
+    }
+
     private static void addStops(Random random, List<Step> steps) {
         List<Integer> order = new ArrayList<>();
         for (int host = 0; host < SoakFleet.HOSTS; host++) {
--- a/src/test/java/org/orioleshed/soak/FaultSoakTest.java
+++ b/src/test/java/org/orioleshed/soak/FaultSoakTest.java
@@ -22,9 +22,10 @@
      * 7: planned operations and unplanned faults together. 13: planned operations with more load
      * than slots; found requests that a stopping host accepted too late or dropped from its queue,
      * and once a host that never received a drain. 32: planned operations under normal load; found
-     * requests accepted too late, and once a workspace beyond its quota.
+     * requests accepted too late, and once a workspace beyond its quota. 8: a part of prompts that
+     * crashes servers, beside planned operations.
      */
-    private static final String DEFAULT_SEEDS = "7,13,32";
+    private static final String DEFAULT_SEEDS = "7,8,13,32";
 
     @DataProvider
     public Object[][] seeds() {
--- a/src/test/java/org/orioleshed/soak/History.java
+++ b/src/test/java/org/orioleshed/soak/History.java
@@ -10,7 +10,16 @@
     private final Queue<Object> all = new ConcurrentLinkedQueue<>();
     private final long beginNanos = System.nanoTime();
 
-    /** An unplanned fault; {@code host} is -1 where it concerns all hosts. */
+    /** The host index of a fault that affects all hosts. */
+    static final int ALL_HOSTS = -1;
+
+    /** The host index of a fault that affects requests at servers, but no host. */
+    static final int NO_HOST = -2;
+
+    /**
+     * An unplanned fault; {@code host} is the affected host's index, {@link #ALL_HOSTS} or {@link
+     * #NO_HOST}.
+     */
     record Impairment(String name, int host, long fromNanos, long toNanos) {
         boolean isWithin(long beginNanos, long endNanos) {
             return fromNanos <= endNanos && toNanos >= beginNanos;
@@ -39,6 +48,9 @@
     /** A limit of requests per second that a server stated in its responses. */
     record Limit(String server, double perSecond, long fromNanos, long toNanos) {}
 
+    /** A crash of a server at the start of its answer to a request with the deadly part. */
+    record PartCrash(String server, String callId, long atNanos) {}
+
     /** A call to a route that only some configurations have. */
     record Probe(int host, int startCount, int route, Call call) {}
 
@@ -89,6 +101,9 @@
                                     millis(it.toNanos),
                                     it.server,
                                     it.perSecond);
+            case PartCrash it ->
+                    "%7d ms: deadly part crashed server=%s call=%s"
+                            .formatted(millis(it.atNanos), it.server, it.callId);
             default -> "";
         };
     }
--- a/src/test/java/org/orioleshed/soak/HistoryIndex.java
+++ b/src/test/java/org/orioleshed/soak/HistoryIndex.java
@@ -72,7 +72,7 @@
                         .anyMatch(it -> it.endNanos() + RESTART_NANOS >= effectFromNanos);
         return !stopped
                 && history.all(History.Impairment.class).stream()
-                        .filter(it -> it.host() == host || it.host() < 0)
+                        .filter(it -> it.host() == host || it.host() == History.ALL_HOSTS)
                         .noneMatch(it -> it.isWithin(effectFromNanos, toNanos));
     }
 
--- a/src/test/java/org/orioleshed/soak/Soak.java
+++ b/src/test/java/org/orioleshed/soak/Soak.java
@@ -35,6 +35,7 @@
         new RunChecks(index, findings).check();
         new StopChecks(index, findings).check();
         new ConfigChecks(index, findings).check();
+        new DeadlyPartChecks(index, findings).check();
         history.all(History.Problem.class).forEach(it -> findings.add("PROBLEM", "", it.text()));
         List<String> logLines = logLines();
         logLines.stream()
@@ -50,7 +51,7 @@
         Callers callers = new Callers(fleet, balancer, history, seed);
         Prober prober = new Prober(fleet, history, seed);
         balancer.start();
-        callers.start(plan.overloadCallers());
+        callers.start(plan.overloadCallers(), plan.deadlyPart());
         prober.start();
         Thread.sleep(WARM_UP_MILLIS);
         new FaultInjector(fleet, history).inject(plan.steps());
--- a/src/test/java/org/orioleshed/soak/SoakFleet.java
+++ b/src/test/java/org/orioleshed/soak/SoakFleet.java
@@ -17,6 +17,9 @@
     private static final long START_SECONDS = 60;
     private static final long POLL_MILLIS = 50;
 
+    /** The time for which the entry of a crashed server stays in the store. */
+    private static final long CRASHED_ENTRY_MILLIS = 700;
+
     private final History history;
     private final StoreFake store = new StoreFake();
     private final Operator operator;
@@ -72,7 +75,8 @@
     /** Starts one more server and returns it. */
     synchronized SoakServer addServer() throws IOException {
         String zone = ZONES.get(allServers.size() % ZONES.size());
-        SoakServer server = new SoakServer("i-" + allServers.size(), zone, slots, history);
+        SoakServer server =
+                new SoakServer("i-" + allServers.size(), zone, slots, history, this::crashed);
         allServers.add(server);
         servers.add(server);
         store.put(server.key(), server.entry());
@@ -88,6 +92,34 @@
         return server;
     }
 
+    /** Ends a crashed server and starts another one; the entry of the first is removed later. */
+    private void crashed(SoakServer server) {
+        if (!servers.remove(server)) {
+            return;
+        }
+        var unused = Thread.ofVirtual().start(() -> replaceCrashed(server));
+    }
+
+    private void replaceCrashed(SoakServer server) {
+        long fromNanos = System.nanoTime();
+        try {
+            addServer();
+            server.close();
+            Thread.sleep(CRASHED_ENTRY_MILLIS);
+            deregister(server);
+            history.add(
+                    new History.Impairment(
+                            "server crashed " + server.id(),
+                            History.NO_HOST,
+                            fromNanos,
+                            System.nanoTime()));
+        } catch (IOException e) {
+            history.addProblem("replacing " + server.id() + " failed: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns one of the current servers without replacing it. */
     synchronized SoakServer server(int choice) {
         return servers.get(choice % servers.size());
--- a/src/test/java/org/orioleshed/soak/SoakServer.java
+++ b/src/test/java/org/orioleshed/soak/SoakServer.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
 import org.orioleshed.platform.WorkerFake;
 
 /** A backend server behind a proxy, with a few slots and a short queue, which records its runs. */
@@ -20,16 +21,24 @@
     private final History history;
     private final WorkerFake worker = new WorkerFake();
     private final FaultProxy proxy = new FaultProxy(worker.address());
+    private final Consumer<SoakServer> onCrash;
     private final Semaphore freeSlots;
     private final AtomicInteger waiting = new AtomicInteger();
     private volatile boolean draining;
     private volatile String limitHeader = "";
 
-    SoakServer(String id, String zone, int slots, History history) throws IOException {
+    /**
+     * Starts a server.
+     *
+     * @param onCrash called when a request crashes the server; closes it
+     */
+    SoakServer(String id, String zone, int slots, History history, Consumer<SoakServer> onCrash)
+            throws IOException {
         this.id = id;
         this.zone = zone;
         this.slots = slots;
         this.history = history;
+        this.onCrash = onCrash;
         this.freeSlots = new Semaphore(slots, true);
         worker.script(this::handle);
     }
@@ -146,6 +155,12 @@
 
     private boolean stream(WorkerFake.Request request, Work work, long endNanos, OutputStream out)
             throws IOException, InterruptedException {
+        if (DeadlyPart.isIn(request.headers().getOrDefault("x-prompt-prefix", ""))) {
+            Thread.sleep(work.pauseMillis());
+            history.add(new History.PartCrash(id, request.id(), System.nanoTime()));
+            onCrash.accept(this);
+            return false;
+        }
         int lastSent = Integer.parseInt(request.headers().getOrDefault("last-event-id", "0"));
         out.write(WorkerFake.bytes(head(request, 200, true) + WorkerFake.STREAM));
         for (int part = lastSent + 1; part <= work.parts(); part++) {
