--- a/src/main/java/org/orioleshed/gateway/CatalogPropagation.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogPropagation.java
@@ -28,9 +28,6 @@
     /** How far revisions received from a peer may be ahead of the host's own store watch. */
     private static final long WATCH_LAG_MILLIS = 120;
 
-    /** A peer that has not responded within this time is taken to have lost the request. */
-    private static final long RESPONSE_TIMEOUT_MILLIS = 250;
-
     private final Member self;
     private final PeerPort peers;
     private final FleetView fleet;
@@ -43,8 +40,12 @@
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
     private CatalogUpdate.Revisions receivedRevisions = new CatalogUpdate.Revisions(0, 0);
     private CatalogUpdate.Revisions sentRevisions = new CatalogUpdate.Revisions(0, 0);
-    private CatalogUpdate.Revisions requested = new CatalogUpdate.Revisions(0, 0);
-    private long requestedNanos;
+    private final CatalogFetches fetches = new CatalogFetches();
+
+    /** The last request and the encoded response to it; many hosts send the same request. */
+    private CatalogUpdate.FetchRequest encodedRequest;
+
+    private byte[] encodedChanges;
     private long gossipedNanos;
 
     /** A peer is ahead; compare again once the store watch should have caught up. */
@@ -76,6 +77,7 @@
     /** Takes a newer snapshot of this host. */
     void catalogChanged(CatalogSnapshot newer) {
         snapshot = newer;
+        encodedRequest = null;
         CatalogUpdate.Revisions own = CatalogUpdate.Revisions.of(newer);
         boolean fromStore = !latest(receivedRevisions, own).equals(receivedRevisions);
         if (!own.equals(sentRevisions) && (fromStore || fleet.watchesStore())) {
@@ -103,13 +105,9 @@
     void received(HostId from, byte[] body) throws BadMessageException {
         switch (codec.decode(body)) {
             case CatalogUpdate.Revisions revisions -> receiveRevisions(from, revisions);
-            case CatalogUpdate.FetchRequest fetch -> {
-                CatalogUpdate.Content changes = fetch.changesIn(snapshot);
-                if (!changes.isEmpty()) {
-                    send(from, changes);
-                }
-            }
+            case CatalogUpdate.FetchRequest fetch -> sendChanges(from, fetch);
             case CatalogUpdate.Content content -> {
+                fetches.received(content);
                 content.operators().ifPresent(it -> recordReceived(it.changed(), 0));
                 content.servers().ifPresent(it -> recordReceived(0, it.changed()));
                 adopter.accept(content);
@@ -117,6 +115,17 @@
         }
     }
 
+    private void sendChanges(HostId to, CatalogUpdate.FetchRequest fetch) {
+        if (!fetch.equals(encodedRequest)) {
+            CatalogUpdate.Content changes = fetch.changesIn(snapshot);
+            encodedRequest = fetch;
+            encodedChanges = changes.isEmpty() ? new byte[0] : codec.encode(changes);
+        }
+        if (encodedChanges.length > 0) {
+            peers.send(to, MessageKind.CATALOG, encodedChanges);
+        }
+    }
+
     private void recordReceived(long operators, long servers) {
         receivedRevisions =
                 latest(receivedRevisions, new CatalogUpdate.Revisions(operators, servers));
@@ -152,18 +161,12 @@
     private void followHints(long nowNanos) {
         while (!hints.isEmpty() && nowNanos - hints.peek().dueNanos() >= 0) {
             Hint hint = hints.poll();
-            boolean inFlight =
-                    nowNanos - requestedNanos < RESPONSE_TIMEOUT_MILLIS * NANOS_PER_MILLI
-                            && latest(requested, hint.revisions()).equals(requested);
-            if (!inFlight && isBehind(hint.revisions())) {
-                request(hint, nowNanos);
-            }
+            fetches.next(hint.revisions(), snapshot, nowNanos)
+                    .ifPresent(fetch -> request(hint, fetch));
         }
     }
 
-    private void request(Hint hint, long nowNanos) {
-        requestedNanos = nowNanos;
-        requested = hint.revisions();
+    private void request(Hint hint, CatalogUpdate.FetchRequest fetch) {
         log.accept(
                 "event=catalog_behind from=%s operators_revision=%d own=%d servers_revision=%d own=%d"
                         .formatted(
@@ -172,6 +175,6 @@
                                 snapshot.operators().revision(),
                                 hint.revisions().servers(),
                                 snapshot.entries().revision()));
-        send(hint.from(), CatalogUpdate.FetchRequest.of(snapshot));
+        send(hint.from(), fetch);
     }
 }
--- a/src/main/java/org/orioleshed/gateway/CatalogUpdateCodec.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogUpdateCodec.java
@@ -11,8 +11,14 @@
 import org.orioleshed.store.Store;
 import org.orioleshed.wire.DispatchWire;
 
-/** Encodes catalog updates as protobuf. */
+/** Encodes catalog updates as protobuf, and compresses large ones. */
 final class CatalogUpdateCodec implements MessageCodec<CatalogUpdate> {
+    /** Shorter messages fit into a few packets and gain nothing from compression. */
+    private static final int MIN_COMPRESSED_BYTES = 4 << 10;
+
+    /** A configuration of 2,000 routes has about half a megabyte. */
+    private static final int MAX_DECOMPRESSED_BYTES = 32 << 20;
+
     @Override
     public byte[] encode(CatalogUpdate update) {
         DispatchWire.CatalogUpdate.Builder wire = DispatchWire.CatalogUpdate.newBuilder();
@@ -29,7 +35,15 @@
                 content.servers().ifPresent(change -> wire.setServers(write(change)));
             }
         }
-        return wire.build().toByteArray();
+        byte[] encoded = wire.build().toByteArray();
+        return encoded.length < MIN_COMPRESSED_BYTES ? encoded : encodeCompressed(encoded);
+    }
+
+    private static byte[] encodeCompressed(byte[] encoded) {
+        return DispatchWire.CatalogUpdate.newBuilder()
+                .setCompressed(ByteString.copyFrom(Compression.compress(encoded)))
+                .build()
+                .toByteArray();
     }
 
     private static DispatchWire.CatalogUpdate.Change write(EntryChange change) {
@@ -62,7 +76,14 @@
     @Override
     public CatalogUpdate decode(byte[] bytes) throws BadMessageException {
         try {
-            return read(DispatchWire.CatalogUpdate.parseFrom(bytes));
+            DispatchWire.CatalogUpdate wire = DispatchWire.CatalogUpdate.parseFrom(bytes);
+            if (wire.getCompressed().isEmpty()) {
+                return read(wire);
+            }
+            byte[] encoded =
+                    Compression.decompress(
+                            wire.getCompressed().toByteArray(), MAX_DECOMPRESSED_BYTES);
+            return read(DispatchWire.CatalogUpdate.parseFrom(encoded));
         } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
             throw new BadMessageException("malformed catalog update", e);
         }
