Evacuation of failure domains by operators' keys in the store

Keys op/evacuate/ZONE and their removals reach all hosts from the store and from peers. Servers of an evacuated domain get no placements and no requests for grants already given; rollouts count them as draining; a pool that has no other servers refuses at once.

--- a/src/main/java/org/orioleshed/catalog/CatalogDecoder.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogDecoder.java
@@ -1,6 +1,7 @@
 package org.orioleshed.catalog;
 
 import java.util.Optional;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.ServiceId;
 
 /** Decodes the store's entries of operators and backend servers. */
@@ -20,6 +21,12 @@
     Optional<RolloutOrder> order(String key, byte[] value, long revision)
             throws BadCatalogException;
 
+    /**
+     * Returns the failure domain that the presence of a key evacuates, whatever its value; empty if
+     * {@code key} belongs to another kind of entry.
+     */
+    Optional<FailureDomain> evacuated(String key);
+
     /** Returns the key of the recorded outcome of a pool's rollout. */
     String outcomeKey(ServiceId service);
 
--- a/src/main/java/org/orioleshed/catalog/CatalogSnapshot.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogSnapshot.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import org.orioleshed.model.FailureDomain;
 
 /**
  * The configuration, servers and rollout orders in force at one host.
@@ -12,6 +14,7 @@
  * @param entries the servers' entries, as stored
  * @param servers the usable servers
  * @param orders the newest rollout order of each pool
+ * @param evacuated the failure domains to whose servers nothing may be sent
  */
 public record CatalogSnapshot(
         long configRevision,
@@ -19,16 +22,24 @@
         EntryView operators,
         EntryView entries,
         List<PoolServer> servers,
-        List<RolloutOrder> orders) {
+        List<RolloutOrder> orders,
+        Set<FailureDomain> evacuated) {
     /** The snapshot at a host's start. */
     public static final CatalogSnapshot EMPTY =
             new CatalogSnapshot(
-                    0, Optional.empty(), EntryView.EMPTY, EntryView.EMPTY, List.of(), List.of());
+                    0,
+                    Optional.empty(),
+                    EntryView.EMPTY,
+                    EntryView.EMPTY,
+                    List.of(),
+                    List.of(),
+                    Set.of());
 
-    /** Copies the lists. */
+    /** Copies the collections. */
     public CatalogSnapshot {
         servers = List.copyOf(servers);
         orders = List.copyOf(orders);
+        evacuated = Set.copyOf(evacuated);
     }
 
     /** Returns the configuration; empty until the servers' entries were read, too. */
--- a/src/main/java/org/orioleshed/catalog/CatalogState.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogState.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.store.Store;
 
@@ -29,6 +30,7 @@
     private final CatalogDecoder decoder;
     private final Consumer<String> log;
     private final Map<String, Store.Entry> operators = new HashMap<>();
+    private final EvacuationEntries evacuations;
     private final Map<ServiceId, RolloutOrder> orders = new HashMap<>();
     private final Map<String, ServerRecord> servers = new HashMap<>();
     private final LinkedHashMap<String, Long> removed = new LinkedHashMap<>();
@@ -64,16 +66,25 @@
     public CatalogState(CatalogDecoder decoder, Consumer<String> log) {
         this.decoder = decoder;
         this.log = log;
+        this.evacuations = new EvacuationEntries(log);
     }
 
     /**
      * Applies an operator's entry, unless it is outdated or of another kind than those decoded
      * here.
      *
+     * @param nowNanos the current time on the monotonic clock
      * @param source the origin of the entry, for the log
      * @return whether the entry was applied and must be published
      */
-    public boolean operator(Store.Entry entry, String source) {
+    public boolean operator(Store.Entry entry, long nowNanos, String source) {
+        Optional<FailureDomain> domain = decoder.evacuated(entry.key());
+        if (domain.isPresent()) {
+            boolean applied = evacuations.put(entry, domain.get(), nowNanos, source);
+            operatorsRevision =
+                    applied ? Math.max(operatorsRevision, entry.revision()) : operatorsRevision;
+            return applied;
+        }
         Store.Entry current = operators.get(entry.key());
         if (current != null && current.revision() >= entry.revision()) {
             return false;
@@ -89,6 +100,69 @@
         return relevant;
     }
 
+    /**
+     * Applies all operators' entries as read from the store at a revision. A configuration or an
+     * order that is missing stays in force; an evacuation that is missing has ended. Entries later
+     * than the list, which later pages of it may hold, are left to the watch: changes between them
+     * and the list are not known yet.
+     *
+     * @return whether anything must be published
+     */
+    public boolean listOperators(List<Store.Entry> entries, long revision, long nowNanos) {
+        boolean changed = false;
+        Set<String> listed = new HashSet<>();
+        for (Store.Entry entry : entries) {
+            listed.add(entry.key());
+            changed |= entry.revision() <= revision && operator(entry, nowNanos, "store");
+        }
+        changed |= retainOperators(listed, revision, nowNanos, "store");
+        evacuations.read(revision);
+        return changed;
+    }
+
+    private boolean retainOperators(
+            Set<String> listed, long revision, long nowNanos, String source) {
+        boolean changed = evacuations.retain(listed, revision, nowNanos, source);
+        operatorsRevision = changed ? Math.max(operatorsRevision, revision) : operatorsRevision;
+        return changed;
+    }
+
+    /**
+     * Applies an operator's entry that a watch of the store reported.
+     *
+     * @return whether anything must be published
+     */
+    public boolean operatorWatched(Store.Entry entry, long nowNanos) {
+        boolean changed = operator(entry, nowNanos, "store");
+        readBefore(entry.revision());
+        return changed;
+    }
+
+    /**
+     * Applies the removal of an operator's entry. A removed configuration or order stays in force;
+     * a removed evacuation ends.
+     *
+     * @return whether anything must be published
+     */
+    public boolean removeOperator(String key, long revision, long nowNanos) {
+        boolean changed = removeOperator(key, revision, nowNanos, "store");
+        readBefore(revision);
+        return changed;
+    }
+
+    /** Another key of the same revision may not have been reported yet. */
+    private void readBefore(long revision) {
+        evacuations.read(revision - 1);
+    }
+
+    private boolean removeOperator(String key, long revision, long nowNanos, String source) {
+        boolean changed =
+                decoder.evacuated(key).isPresent()
+                        && evacuations.remove(key, revision, nowNanos, source);
+        operatorsRevision = changed ? Math.max(operatorsRevision, revision) : operatorsRevision;
+        return changed;
+    }
+
     private boolean config(Store.Entry entry, String source) {
         try {
             Catalog decoded = decoder.config(entry.value().toBytes());
@@ -251,12 +325,29 @@
             Optional<EntryChange> serverChange,
             long nowNanos) {
         boolean changed = serverChange.map(change -> adoptServers(change, nowNanos)).orElse(false);
-        if (operatorChange.isPresent()) {
-            for (Store.Entry entry : operatorChange.get().entries()) {
-                changed |= operator(entry, "peer");
+        changed |= operatorChange.map(change -> adoptOperators(change, nowNanos)).orElse(false);
+        return changed;
+    }
+
+    private boolean adoptOperators(EntryChange change, long nowNanos) {
+        if (change.changed() <= operatorsRevision || change.since() > operatorsRevision) {
+            return false;
+        }
+        Set<String> listed = new HashSet<>();
+        for (Store.Entry entry : change.entries()) {
+            listed.add(entry.key());
+            if (decoder.evacuated(entry.key()).isPresent() && evacuations.wasMissed(entry)) {
+                removeOperator(entry.key(), evacuations.readRevision(), nowNanos, "store");
+            } else {
+                operator(entry, nowNanos, "peer");
             }
         }
-        return changed;
+        if (change.isComplete()) {
+            retainOperators(listed, change.revision(), nowNanos, "peer");
+        }
+        change.removed().forEach(it -> removeOperator(it.key(), it.revision(), nowNanos, "peer"));
+        operatorsRevision = Math.max(operatorsRevision, change.revision());
+        return true;
     }
 
     private boolean adoptServers(EntryChange change, long nowNanos) {
@@ -334,9 +425,9 @@
                         operatorsRevision,
                         operatorsRevision,
                         true,
-                        List.copyOf(operators.values()),
-                        0,
-                        List.of()),
+                        operatorEntries(),
+                        evacuations.removedSince(),
+                        evacuations.removals()),
                 new EntryView(
                         serversRevision,
                         serversChanged,
@@ -345,7 +436,14 @@
                         removedSince,
                         removals()),
                 usable,
-                List.copyOf(orders.values()));
+                List.copyOf(orders.values()),
+                evacuations.domains());
+    }
+
+    private List<Store.Entry> operatorEntries() {
+        List<Store.Entry> result = new ArrayList<>(operators.values());
+        result.addAll(evacuations.entries());
+        return result;
     }
 
     private List<EntryChange.Removal> removals() {
--- a/src/main/java/org/orioleshed/catalog/CatalogWatcher.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogWatcher.java
@@ -1,6 +1,5 @@
 package org.orioleshed.catalog;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -158,7 +157,7 @@
             if (isServers()) {
                 applyServers(entries);
             } else {
-                applyOperators(entries.entries());
+                applyOperators(entries);
             }
             if (following && watch == null) {
                 watch = store.watch(prefix, entries.storeRevision() + 1, this);
@@ -176,11 +175,20 @@
             scheduleExpiry();
         }
 
-        private void applyOperators(List<Store.Entry> entries) {
-            boolean changed = false;
-            for (Store.Entry entry : entries) {
-                changed |= state.operator(entry, "store");
+        private void applyOperators(Store.Result.Entries listed) {
+            if (state.listOperators(listed.entries(), listed.storeRevision(), System.nanoTime())) {
+                publish();
             }
+        }
+
+        private void applyOperator(String key, Optional<Payload> value, long revision) {
+            long nowNanos = System.nanoTime();
+            boolean changed =
+                    value.map(
+                                    it ->
+                                            state.operatorWatched(
+                                                    new Store.Entry(key, it, revision), nowNanos))
+                            .orElseGet(() -> state.removeOperator(key, revision, nowNanos));
             if (changed) {
                 publish();
             }
@@ -217,7 +225,7 @@
 
         private void applyChange(String key, Optional<Payload> value, long revision) {
             if (!isServers()) {
-                value.ifPresent(it -> applyOperators(List.of(new Store.Entry(key, it, revision))));
+                applyOperator(key, value, revision);
                 return;
             }
             if (value.isPresent()) {
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -2,11 +2,13 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.orioleshed.catalog.Pool;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.Quota;
 import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.catalog.RolloutOutcome;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
@@ -115,10 +117,22 @@
         }
     }
 
-    /** The current servers. */
-    record ServersChanged(List<PoolServer> servers) implements DispatchEvent {
-        /** Copies the list. */
+    /**
+     * The current servers.
+     *
+     * @param servers the servers
+     * @param evacuated the failure domains whose servers get no requests
+     */
+    record ServersChanged(List<PoolServer> servers, Set<FailureDomain> evacuated)
+            implements DispatchEvent {
+        /** Creates an event without evacuated failure domains. */
+        public ServersChanged(List<PoolServer> servers) {
+            this(servers, Set.of());
+        }
+
+        /** Copies the collections. */
         public ServersChanged {
+            evacuated = Set.copyOf(evacuated);
             servers = List.copyOf(servers);
         }
     }
--- a/src/main/java/org/orioleshed/dispatch/PoolServers.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolServers.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.ServerId;
 
 /**
@@ -26,15 +27,26 @@
         return present.values();
     }
 
-    Set<ServerId> ids() {
-        return present.keySet();
-    }
-
     /** Returns a server by id if it has an entry. */
     Optional<ServerState> get(ServerId id) {
         return Optional.ofNullable(present.get(id));
     }
 
+    /** Returns whether all servers are excluded from a request or evacuated. */
+    boolean hasNoneFor(PlacementRequest request) {
+        return present.values().stream()
+                .allMatch(
+                        server ->
+                                server.isEvacuated()
+                                        || request.excluded().contains(server.server().id()));
+    }
+
+    /** Marks the servers of evacuated failure domains. */
+    void setEvacuated(Set<FailureDomain> domains) {
+        present.values()
+                .forEach(server -> server.setEvacuated(domains.contains(server.server().domain())));
+    }
+
     /**
      * Adds or updates a server's entry.
      *
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -106,7 +106,7 @@
                     quarantine.release(ordered.suspect(), nowNanos);
             case DispatchEvent.RolloutReported reported -> applyReport(reported);
             case DispatchEvent.HostGone gone -> removeHost(gone.host());
-            case DispatchEvent.ServersChanged changed -> updateServers(changed.servers());
+            case DispatchEvent.ServersChanged changed -> updateServers(changed);
             case DispatchEvent.ServerLeaving leaving -> markLeaving(leaving);
             case DispatchEvent.ServerLimited limited ->
                     rates.recordReported(
@@ -165,7 +165,7 @@
             refuse(run, request, Reason.QUOTA, (double) quotas.millisUntil(request));
             return;
         }
-        if (request.excluded().containsAll(pool.servers().ids())) {
+        if (pool.servers().hasNoneFor(request)) {
             refundAndRefuse(run, request, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
             return;
         }
@@ -358,9 +358,9 @@
         }
     }
 
-    private void updateServers(List<PoolServer> servers) {
+    private void updateServers(DispatchEvent.ServersChanged changed) {
         Set<ServerId> present = new HashSet<>();
-        for (PoolServer server : servers) {
+        for (PoolServer server : changed.servers()) {
             present.add(server.id());
             updateServer(server);
         }
@@ -368,10 +368,29 @@
             pool.servers()
                     .retain(present)
                     .forEach(server -> quarantine.serverLost(server, nowNanos));
+            pool.servers().setEvacuated(changed.evacuated());
+        }
+        if (!changed.evacuated().isEmpty()) {
+            pools.values().forEach(this::refuseWithoutServer);
         }
         pools.values().forEach(this::serveQueue);
     }
 
+    /** Refuses the queued requests that no remaining server may run. */
+    private void refuseWithoutServer(PoolState pool) {
+        for (QueuedRequest queued : List.copyOf(pool.queuedRequests())) {
+            if (pool.servers().hasNoneFor(queued.request())) {
+                pool.remove(queued.run());
+                quotas.refund(queued.request());
+                refuse(
+                        queued.run(),
+                        queued.request().aged(queued.waitedMillis(nowNanos)),
+                        Reason.NO_SERVER,
+                        (double) NO_SERVER_RETRY_MILLIS);
+            }
+        }
+    }
+
     private void markLeaving(DispatchEvent.ServerLeaving leaving) {
         for (PoolState pool : pools.values()) {
             pool.servers()
--- a/src/main/java/org/orioleshed/dispatch/ServerState.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -29,6 +29,7 @@
     private long faultNanos;
     private int consecutiveFaults;
     private boolean statedLeaving;
+    private boolean evacuated;
     private long backoffUntilNanos = Long.MIN_VALUE;
     private long lastActivityNanos;
     private long pendingTokens;
@@ -57,9 +58,18 @@
         statedLeaving = true;
     }
 
-    /** Returns whether the server is draining and accepts no new requests. */
+    /** Sets whether the server's failure domain is evacuated. */
+    void setEvacuated(boolean newEvacuated) {
+        evacuated = newEvacuated;
+    }
+
+    boolean isEvacuated() {
+        return evacuated;
+    }
+
+    /** Returns whether the server is draining or evacuated and gets no new requests. */
     boolean isLeaving() {
-        return statedLeaving || server.draining();
+        return statedLeaving || evacuated || server.draining();
     }
 
     int running() {
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.catalog.PoolServer;
@@ -23,12 +25,18 @@
     private final Map<RolloutOrder, RolloutOutcome> recorded = new HashMap<>();
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
+    private Set<ServerId> evacuated = Set.of();
 
     /** Takes a newer snapshot. */
     void catalogChanged(CatalogSnapshot newer, long nowNanos) {
         snapshot = newer;
         servers.clear();
         newer.servers().forEach(server -> servers.put(server.id(), server));
+        evacuated =
+                newer.servers().stream()
+                        .filter(this::isEvacuated)
+                        .map(PoolServer::id)
+                        .collect(Collectors.toUnmodifiableSet());
         newer.orders().forEach(order -> ordersSeenNanos.putIfAbsent(order, nowNanos));
     }
 
@@ -42,6 +50,16 @@
         return Optional.ofNullable(servers.get(id));
     }
 
+    /** Returns whether the failure domain of a server is evacuated. */
+    boolean isEvacuated(PoolServer server) {
+        return snapshot.evacuated().contains(server.domain());
+    }
+
+    /** Returns the servers in evacuated failure domains. */
+    Set<ServerId> evacuated() {
+        return evacuated;
+    }
+
     /**
      * Replays everything in force to a scheduler and returns the resulting actions.
      *
@@ -56,7 +74,7 @@
         }
         recorded.forEach(
                 (order, outcome) -> events.add(new DispatchEvent.RolloutSettled(order, outcome)));
-        events.add(new DispatchEvent.ServersChanged(snapshot.servers()));
+        events.add(new DispatchEvent.ServersChanged(snapshot.servers(), snapshot.evacuated()));
         List<DispatchAction> actions = new ArrayList<>();
         events.forEach(event -> actions.addAll(scheduler.on(nowNanos, event)));
         return actions;
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -219,12 +220,30 @@
 
     /** Returns the servers to which this host must send nothing now. */
     Set<ServerId> avoided() {
-        return notices.avoided(clock.getAsLong());
+        Set<ServerId> noticed = notices.avoided(clock.getAsLong());
+        // The primary may not have learned of an evacuation yet.
+        Set<ServerId> evacuated = feed.evacuated();
+        if (evacuated.isEmpty()) {
+            return noticed;
+        }
+        Set<ServerId> all = new HashSet<>(noticed);
+        all.addAll(evacuated);
+        return all;
     }
 
-    /** Returns whether a server is draining, or requested that this host send nothing now. */
+    /**
+     * Returns whether a server is draining or evacuated, or requested that this host send nothing
+     * now.
+     */
     boolean avoids(PoolServer server) {
-        return server.draining() || notices.avoids(server, clock.getAsLong());
+        return server.draining()
+                || isEvacuated(server)
+                || notices.avoids(server, clock.getAsLong());
+    }
+
+    /** Returns whether the failure domain of a server is evacuated. */
+    boolean isEvacuated(PoolServer server) {
+        return feed.isEvacuated(server);
     }
 
     /** Takes the server state stated in a response, and returns what is new in it. */
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -273,6 +273,10 @@
             return;
         }
         Optional<PoolServer> server = context.dispatcher().server(id);
+        if (server.isPresent() && context.dispatcher().isEvacuated(server.get())) {
+            placeElsewhere(server.get());
+            return;
+        }
         if (server.isEmpty() || context.dispatcher().avoids(server.get())) {
             context.dispatcher().ended(run, new RunReport(RunReport.Outcome.MISDIRECTED, 0, 0, 0));
             excluded.add(id);
@@ -283,6 +287,19 @@
         send(server.get(), why);
     }
 
+    /**
+     * Requests another placement instead of a grant whose server was evacuated meanwhile. Nothing
+     * was sent, so this counts neither as a retry nor against the server. The next placement
+     * excludes all servers of the domain.
+     */
+    private void placeElsewhere(PoolServer server) {
+        context.log(
+                "event=grant_evacuated request=%s run=%s server=%s domain=%s"
+                        .formatted(callHeaders.id(), run, server.id(), server.domain()));
+        context.dispatcher().ended(run, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
+        place(Optional.empty());
+    }
+
     private void send(PoolServer server, String why) {
         long nowNanos = System.nanoTime();
         state = State.SENT;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -83,6 +83,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private MetricsText metricsText;
     private volatile int quarantined;
+    private volatile int evacuatedDomains;
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -142,6 +143,7 @@
         this.acceptedRequests = metrics.counter("requests");
         metrics.gauge("log_lines_dropped", () -> log::dropped);
         metrics.gauge("quarantined", () -> () -> quarantined);
+        metrics.gauge("emptied_domains", () -> () -> evacuatedDomains);
         this.peers =
                 new PeerNetwork(
                         self,
@@ -305,6 +307,7 @@
 
     private void catalogChanged(CatalogSnapshot newer) {
         snapshot = newer;
+        evacuatedDomains = newer.evacuated().size();
         dispatcher.catalogChanged(newer);
         newer.usable()
                 .ifPresent(
--- a/src/test/java/org/orioleshed/catalog/CatalogStateTest.java
+++ b/src/test/java/org/orioleshed/catalog/CatalogStateTest.java
@@ -136,8 +136,8 @@
     public void rolloutOrdersPropagateThroughPeers() {
         CatalogState ahead = state();
         CatalogState behind = state();
-        assertTrue(ahead.operator(new Store.Entry("op/config", Payload.of("1"), 1), "store"));
-        assertTrue(ahead.operator(new Store.Entry("op/rollout/s", Payload.of("x"), 2), "store"));
+        assertTrue(ahead.operator(new Store.Entry("op/config", Payload.of("1"), 1), 0, "store"));
+        assertTrue(ahead.operator(new Store.Entry("op/rollout/s", Payload.of("x"), 2), 0, "store"));
         EntryChange change = ahead.snapshot(true).operators().after(0);
         assertTrue(behind.adopt(Optional.of(change), Optional.empty(), 0));
         assertEquals(behind.snapshot(true).orders().size(), 1);
--- a/src/test/java/org/orioleshed/catalog/PlainDecoder.java
+++ b/src/test/java/org/orioleshed/catalog/PlainDecoder.java
@@ -13,7 +13,7 @@
 /**
  * A decoder of plain text. A configuration is its version, optionally followed by a slash and the
  * quota per second of one workspace. A server entry is "draining", "bad" (malformed), or any other
- * text. Outcomes are written by name.
+ * text, optionally followed by an at sign and the failure domain. Outcomes are written by name.
  */
 public final class PlainDecoder implements CatalogDecoder {
     /** The only pool. */
@@ -72,6 +72,7 @@
     @Override
     public PoolServer server(String key, byte[] value) throws BadCatalogException {
         String text = new String(value, StandardCharsets.UTF_8);
+        int at = text.indexOf('@');
         if (text.equals("bad")) {
             throw new BadCatalogException("malformed server entry: " + key);
         }
@@ -79,13 +80,21 @@
                 new ServerId(key),
                 SERVICE,
                 new InetSocketAddress("10.0.0.1", 1),
-                new FailureDomain("d"),
+                new FailureDomain(at < 0 ? "d" : text.substring(at + 1)),
                 new VersionId("v"),
                 slots,
-                text.equals("draining"),
+                text.startsWith("draining"),
                 0);
     }
 
+    @Override
+    public Optional<FailureDomain> evacuated(String key) {
+        String prefix = "op/evacuate/";
+        return key.startsWith(prefix)
+                ? Optional.of(new FailureDomain(key.substring(prefix.length())))
+                : Optional.empty();
+    }
+
     @Override
     public Optional<RolloutOrder> order(String key, byte[] value, long revision) {
         return Optional.of(new RolloutOrder(SERVICE, new VersionId("v2"), 1_000, revision));
--- a/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
@@ -30,6 +30,7 @@
     final Scheduler scheduler;
     final List<DispatchAction> actions = new ArrayList<>();
     private final List<PoolServer> servers = new ArrayList<>();
+    private Set<FailureDomain> evacuated = Set.of();
     private long nowNanos = 1_000_000_000L;
 
     SchedulerFixture() {
@@ -60,14 +61,20 @@
     SchedulerFixture server(String id, int slots, FailureDomain domain, boolean draining) {
         servers.removeIf(server -> server.id().value().equals(id));
         servers.add(server(id, slots, domain, draining, 1));
-        return send(new DispatchEvent.ServersChanged(servers));
+        return send(new DispatchEvent.ServersChanged(servers, evacuated));
     }
 
     /** Adds a server with a given start time. */
     SchedulerFixture serverWithStart(String id, int slots, long startMillis) {
         servers.removeIf(server -> server.id().value().equals(id));
         servers.add(server(id, slots, NEAR, false, startMillis));
-        return send(new DispatchEvent.ServersChanged(servers));
+        return send(new DispatchEvent.ServersChanged(servers, evacuated));
+    }
+
+    /** Sets the evacuated failure domains. */
+    SchedulerFixture evacuate(Set<FailureDomain> domains) {
+        evacuated = domains;
+        return send(new DispatchEvent.ServersChanged(servers, evacuated));
     }
 
     private static PoolServer server(
@@ -85,7 +92,7 @@
 
     SchedulerFixture removeServer(String id) {
         servers.removeIf(server -> server.id().value().equals(id));
-        return send(new DispatchEvent.ServersChanged(servers));
+        return send(new DispatchEvent.ServersChanged(servers, evacuated));
     }
 
     SchedulerFixture request(int run, int rank) {
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -163,24 +163,27 @@
 
     private void list(boolean settled) {
         List<Store.Entry> servers = new ArrayList<>();
+        List<Store.Entry> operators = new ArrayList<>();
         for (Store.Entry entry : all.entries()) {
-            if (entry.key().startsWith("op/")) {
-                var unused = catalog.operator(entry, "store");
-            } else {
-                servers.add(entry);
-            }
+            (entry.key().startsWith("op/") ? operators : servers).add(entry);
         }
+        var unused = catalog.listOperators(operators, all.storeRevision(), all.nowNanos());
         catalog.list(servers, all.storeRevision(), settled, all.nowNanos(), "store");
     }
 
     private void applyEvent(SteppedHosts.Event event) {
+        boolean operator = event.key().startsWith("op/");
+        if (event.value().isEmpty() && operator) {
+            var unused = catalog.removeOperator(event.key(), event.revision(), all.nowNanos());
+            return;
+        }
         if (event.value().isEmpty()) {
             catalog.remove(event.key(), event.revision(), true, all.nowNanos(), "store");
             return;
         }
         Store.Entry entry = new Store.Entry(event.key(), event.value().get(), event.revision());
-        if (event.key().startsWith("op/")) {
-            var unused = catalog.operator(entry, "store");
+        if (operator) {
+            var unused = catalog.operatorWatched(entry, all.nowNanos());
         } else {
             catalog.put(entry, "store");
         }
@@ -252,6 +255,13 @@
             dispatcher.ended(run, new RunReport(RunReport.Outcome.MISDIRECTED, 0, 0, 0));
             return;
         }
+        if (dispatcher.isEvacuated(found.get())) {
+            if (!by.equals("by=home")) {
+                throw new AssertionError("this host chose an evacuated server: " + server);
+            }
+            dispatcher.ended(run, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
+            return;
+        }
         sent.add(new Sent(run, server, by, units.get(run), all.nowNanos(), hasSeenLimit(server)));
         if (deadly.contains(run)) {
             return;
@@ -330,7 +340,7 @@
                         100,
                         quotaUnits,
                         content,
-                        Set.of());
+                        dispatcher.avoided());
         open.add(number);
         units.put(key(number), quotaUnits);
         dispatcher.place(key(number), request, this);
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -134,6 +134,11 @@
         return node.gateway().metrics().counter("requests").getCount();
     }
 
+    /** Returns the value of a gauge. */
+    int metric(String name) {
+        return (int) node.gateway().metrics().gauge(name, () -> () -> -1).getValue();
+    }
+
     /** Returns the gateway's log. */
     String log() {
         return logBytes.toString(StandardCharsets.UTF_8);
