Send no request whose caller disconnected unread or whose time is over

A late event loop handled a grant or a new server connection before the end of the caller's connection. The caller's connection is now read right before a send while the loop is late, as measured from its polls (LoopLag).

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -50,6 +51,8 @@
     private boolean keepAlive = true;
     private boolean closing;
     private boolean inputClosed;
+    private boolean reading;
+    private boolean acceptedLate;
     private boolean chunkedResponse;
     private boolean headOnly;
 
@@ -61,7 +64,7 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         idleSinceNanos = System.nanoTime();
-        acceptor.opened(this);
+        acceptedLate = acceptor.opened(this);
     }
 
     @Override
@@ -93,6 +96,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        reading = true;
         HttpObject part = (HttpObject) message;
         if (inputClosed) {
             ReferenceCountUtil.release(part);
@@ -108,6 +112,34 @@
         read(part);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        reading = false;
+    }
+
+    /** Returns whether the connection was opened late, so that its input may have waited long. */
+    boolean acceptedLate() {
+        return acceptedLate;
+    }
+
+    /** Returns whether input is being read, so that {@link #isStillOpen} cannot read more. */
+    boolean isReading() {
+        return reading;
+    }
+
+    /**
+     * Returns whether the caller has not disconnected. Reads what the connection received, as the
+     * end of the connection may wait unread.
+     */
+    boolean isStillOpen() {
+        if (!reading
+                && channel.config().isAutoRead()
+                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        return channel.isOpen();
+    }
+
     private void read(HttpObject part) {
         try {
             if (part.decoderResult().isFailure()) {
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -84,15 +84,29 @@
 
     void start() {
         context.started(this);
-        if (context.wasStalled()) {
+        if (context.isLate() || (request.number() == 1 && caller.acceptedLate())) {
             // A caller that waited unread may have disconnected; the close is read only after the
             // request.
-            context.runAfterPendingReads(this::serveIfConfigured);
+            context.runLater(
+                    () -> {
+                        if (state == State.WAITING_FOR_CONFIG && callerWaits()) {
+                            serveIfConfigured();
+                        }
+                    });
         } else {
             serveIfConfigured();
         }
     }
 
+    /** Returns whether the caller has not disconnected; ends the request if it has. */
+    private boolean callerWaits() {
+        if (caller.isStillOpen()) {
+            return true;
+        }
+        callerDisconnected();
+        return false;
+    }
+
     private void serveIfConfigured() {
         if (state == State.WAITING_FOR_CONFIG) {
             context.snapshot().usable().ifPresent(this::serve);
@@ -272,6 +286,13 @@
                     .ended(granted, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
             return;
         }
+        if (context.isLate() && caller.isReading()) {
+            context.runLater(() -> granted(granted, id, why));
+            return;
+        }
+        if (!mayBeSent()) {
+            return;
+        }
         Optional<PoolServer> server = context.dispatcher().server(id);
         if (server.isEmpty() || context.dispatcher().avoids(server.get())) {
             context.dispatcher().ended(run, new RunReport(RunReport.Outcome.MISDIRECTED, 0, 0, 0));
@@ -283,6 +304,36 @@
         send(server.get(), why);
     }
 
+    /**
+     * Returns whether a request that was granted a server is to be sent: its caller waits and its
+     * time is not over. Ends the request if not.
+     */
+    private boolean mayBeSent() {
+        RunReport unsent = new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0);
+        if (System.nanoTime() >= endNanos) {
+            context.dispatcher().ended(run, unsent);
+            failUnplaced("time_over", 0);
+            return false;
+        }
+        if (context.isLate() && !caller.isStillOpen()) {
+            context.dispatcher().ended(run, unsent);
+            finish(0, "caller_left");
+            return false;
+        }
+        return true;
+    }
+
+    @Override
+    public boolean confirmSend(ServerAttempt attempt) {
+        if (System.nanoTime() >= endNanos) {
+            abandonAttempt(RunReport.Outcome.CANCELLED);
+            retryRule.provedNotRun();
+            failUnplaced("time_over", 0);
+            return false;
+        }
+        return !context.isLate() || callerWaits();
+    }
+
     private void send(PoolServer server, String why) {
         long nowNanos = System.nanoTime();
         state = State.SENT;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -57,15 +57,6 @@
 
     private static final long IDLE_TICK_MILLIS = 100;
 
-    /** A tick later than this shows that the host got no processor time. */
-    private static final long STALL_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
-
-    /** Input that waited unread during a stall is read within this time. */
-    private static final long CATCH_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
-
-    /** The event loop reads all pending input before it runs a task with this delay. */
-    private static final long PENDING_READS_MILLIS = 5;
-
     private static final long SLOW_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(IDLE_TICK_MILLIS);
 
     /** Connecting within a region takes a few milliseconds; a lost packet would cost a second. */
@@ -73,6 +64,9 @@
 
     private static final int BACKLOG = 1_024;
 
+    /** The number of connections that Netty accepts before it handles other channels. */
+    private static final int ACCEPTED_PER_POLL = 16;
+
     private static final int RUN_BITS = 20;
     private static final long METRICS_WINDOW_SECONDS = 60;
 
@@ -83,9 +77,10 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private MetricsText metricsText;
     private volatile int quarantined;
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final EventLoopClock loopClock = new EventLoopClock(NioIoHandler.newFactory());
+    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
+    private final AcceptBacklog backlog = new AcceptBacklog(ACCEPTED_PER_POLL);
     private final HostId self;
     private final PeerNetwork peers;
     private final FleetView fleet;
@@ -108,8 +103,6 @@
     private Channel callerChannel;
     private long nextRun;
     private final Ticker ticker = new Ticker(loop, this::tick, this::pauseMillis);
-    private long tickedNanos = System.nanoTime();
-    private long stalledNanos = tickedNanos - CATCH_UP_NANOS;
     private long slowTickNanos;
 
     /**
@@ -325,10 +318,6 @@
 
     private void tickNow() {
         long nowNanos = System.nanoTime();
-        if (nowNanos - tickedNanos > STALL_NANOS) {
-            stalledNanos = nowNanos;
-        }
-        tickedNanos = nowNanos;
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
         quarantined = dispatcher.held().size();
@@ -442,8 +431,10 @@
     }
 
     @Override
-    public void opened(CallerConnection connection) {
+    public boolean opened(CallerConnection connection) {
         callers.add(connection);
+        boolean waitedInBacklog = backlog.accept(loopClock.lag().polls());
+        return waitedInBacklog || isLate();
     }
 
     @Override
@@ -549,14 +540,13 @@
     }
 
     @Override
-    public boolean wasStalled() {
-        long nowNanos = System.nanoTime();
-        return nowNanos - tickedNanos > STALL_NANOS || nowNanos - stalledNanos < CATCH_UP_NANOS;
+    public boolean isLate() {
+        return loopClock.lag().isLate(System.nanoTime());
     }
 
     @Override
-    public void runAfterPendingReads(Runnable task) {
-        var unused = loop.schedule(task, PENDING_READS_MILLIS, TimeUnit.MILLISECONDS);
+    public void runLater(Runnable task) {
+        loop.execute(task);
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/GatewayContext.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayContext.java
@@ -42,11 +42,11 @@
 
     void started(Exchange exchange);
 
-    /** Returns whether this host stalled, so that input read now may have waited long. */
-    boolean wasStalled();
+    /** Returns whether the end of a connection may have waited unread for long. */
+    boolean isLate();
 
-    /** Runs a task after the pending input of all connections is read. */
-    void runAfterPendingReads(Runnable task);
+    /** Runs a task after the event loop handled the channels that are ready now. */
+    void runLater(Runnable task);
 
     /** Records the end of an exchange; {@code status} is 0 if the caller got no response. */
     void finished(Exchange exchange, int status, long totalMillis);
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -4,7 +4,8 @@
 
 /** The gateway as seen by callers' connections. */
 interface RequestAcceptor {
-    void opened(CallerConnection connection);
+    /** Records a new connection; returns whether its input may have waited long. */
+    boolean opened(CallerConnection connection);
 
     void closed(CallerConnection connection);
 
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -62,6 +62,9 @@
         /** Takes the server state stated in the header fields of a response. */
         void noticed(ServerAttempt attempt, ResponseHeaders responseHeaders);
 
+        /** Returns whether the request is still to be sent, now that a connection is open. */
+        boolean confirmSend(ServerAttempt attempt);
+
         /** Called when the stream is complete. */
         void streamEnded(ServerAttempt attempt, HttpResponse head);
 
@@ -169,6 +172,11 @@
         }
     }
 
+    @Override
+    public boolean confirmSend() {
+        return !finished && listener.confirmSend(this);
+    }
+
     @Override
     public void noticed(ResponseHeaders headers) {
         listener.noticed(this, headers);
--- a/src/main/java/org/orioleshed/gateway/ServerCall.java
+++ b/src/main/java/org/orioleshed/gateway/ServerCall.java
@@ -8,6 +8,14 @@
     /** Called when no connection could be opened; nothing was sent. */
     void unreachable(String detail);
 
+    /**
+     * Returns whether the request is to be sent, when a connection for it was opened; called right
+     * before it is sent. If not, the call ends without a further notification.
+     */
+    default boolean confirmSend() {
+        return true;
+    }
+
     /** Takes the server state stated in any response on the connection, also to other requests. */
     void noticed(ResponseHeaders responseHeaders);
 
--- a/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
@@ -115,6 +115,11 @@
             call.unreachable(String.valueOf(future.cause().getMessage()));
             return;
         }
+        if (!call.confirmSend()) {
+            request.release();
+            future.channel().close();
+            return;
+        }
         pendingSend.connection = connection;
         connection.send(request, id, call);
     }
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -8,6 +8,8 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -47,6 +49,7 @@
     final WorkerFake first = new WorkerFake();
     final WorkerFake second = new WorkerFake();
     final ByteArrayOutputStream logBytes = new ByteArrayOutputStream();
+    private final Queue<Runnable> pauses = new ConcurrentLinkedQueue<>();
     private final LogRing log = new LogRing(logBytes);
     private final GatewayOptions options;
     private final PlatformNode node;
@@ -115,20 +118,25 @@
     /** Blocks the data thread for a time; returns once it is blocked. */
     void blockDataThread(long millis) throws InterruptedException {
         CountDownLatch blocked = new CountDownLatch(1);
-        node.gateway()
-                .metrics()
-                .gauge(
-                        "pause",
-                        () ->
-                                () -> {
-                                    blocked.countDown();
-                                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
-                                    return 0;
-                                });
+        pauses.add(
+                () -> {
+                    blocked.countDown();
+                    LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
+                });
+        node.gateway().metrics().gauge("pause", () -> this::pause);
         Thread.ofVirtual().start(() -> get(options.metrics(), "/metrics"));
         blocked.await();
     }
 
+    /** Runs the next pause on the thread that reads the metrics. */
+    private int pause() {
+        Runnable next = pauses.poll();
+        if (next != null) {
+            next.run();
+        }
+        return 0;
+    }
+
     /** Returns the number of requests that the gateway has read. */
     long requestsRead() {
         return node.gateway().metrics().counter("requests").getCount();
