--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -72,18 +72,50 @@
     private RequestContent content;
     private RunKey run;
     private ServerAttempt currentAttempt;
+    private final RelayAttempts relays;
+    private boolean charged;
+    private boolean reachedServer;
     private boolean streaming;
     private boolean firstEventReported;
 
+    /** Creates the exchange for a request of this host's own caller. */
     Exchange(GatewayContext context, CallerConnection caller, CallerRequest request) {
+        this(
+                context,
+                caller,
+                request,
+                new RelayAttempts(context.forwarding(), false, Optional.empty()));
+    }
+
+    private Exchange(
+            GatewayContext context,
+            CallerConnection caller,
+            CallerRequest request,
+            RelayAttempts relays) {
+        this.relays = relays;
+        this.charged = relays.isCharged();
         this.context = context;
         this.caller = caller;
         this.request = request;
         this.callHeaders = context.translator().read(request.headers());
     }
 
+    /** Returns the exchange for a request that arrived at the listener for forwarded requests. */
+    static Exchange forwardedHere(
+            GatewayContext context,
+            CallerConnection host,
+            CallerRequest request,
+            Optional<ForwardedRequest> origin) {
+        return new Exchange(
+                context, host, request, new RelayAttempts(context.forwarding(), true, origin));
+    }
+
     void start() {
         context.started(this);
+        if (!relays.accept()) {
+            fail(HttpResponseStatus.SERVICE_UNAVAILABLE, "relay_busy", 0);
+            return;
+        }
         if (context.wasStalled()) {
             // A caller that waited unread may have disconnected; the close is read only after the
             // request.
@@ -160,7 +192,8 @@
                 return;
             }
         }
-        retryRule = new RetryRule(route);
+        // The forwarding host repeats requests that may have run, so that both don't multiply them.
+        retryRule = new RetryRule(route, relays.isForwardedHere() ? 1 : route.attempts());
         service = route.pick(context.random().nextDouble());
         long waitMillis = route.timeoutMillis();
         if (callHeaders.deadlineMillis() >= 0) {
@@ -172,7 +205,7 @@
             fail(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING, 0);
             return;
         }
-        place(workspaceConfig.map(WorkspaceConfig::workspace));
+        place();
     }
 
     private boolean acceptsWhileStopping() {
@@ -201,9 +234,16 @@
         return port < 0 ? host : host.substring(0, port);
     }
 
-    private void place(Optional<WorkspaceId> payer) {
+    private void place() {
         state = State.PLACING;
         run = context.nextRun();
+        Optional<PoolServer> relay = relays.next(service);
+        if (relay.isPresent()) {
+            send(relay.get(), "by=relay");
+            return;
+        }
+        Optional<WorkspaceId> payer =
+                charged ? Optional.empty() : workspaceConfig.map(WorkspaceConfig::workspace);
         context.dispatcher().place(run, placementRequest(payer), this);
     }
 
@@ -231,11 +271,13 @@
     /** Returns the servers already tried and those to which this host must send nothing now. */
     private Set<ServerId> excluded() {
         Set<ServerId> avoided = context.dispatcher().avoided();
-        if (avoided.isEmpty()) {
+        Set<ServerId> unreachable = context.forwarding().unreachable(service);
+        if (avoided.isEmpty() && unreachable.isEmpty()) {
             return excluded;
         }
         Set<ServerId> all = new HashSet<>(excluded);
         all.addAll(avoided);
+        all.addAll(unreachable);
         return all;
     }
 
@@ -272,6 +314,7 @@
                     .ended(granted, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
             return;
         }
+        charged = true;
         Optional<PoolServer> server = context.dispatcher().server(id);
         if (server.isEmpty() || context.dispatcher().avoids(server.get())) {
             context.dispatcher().ended(run, new RunReport(RunReport.Outcome.MISDIRECTED, 0, 0, 0));
@@ -286,7 +329,7 @@
     private void send(PoolServer server, String why) {
         long nowNanos = System.nanoTime();
         state = State.SENT;
-        if (retryRule.attempts() == 0) {
+        if (retryRule.attempts() == 0 && !relays.isForwardedHere()) {
             context.retryBudget(service).recordAttempt(nowNanos);
         }
         retryRule.sent();
@@ -309,6 +352,9 @@
                                         server.id(),
                                         retryRule.attempts())
                         + " waited_ms=%d %s".formatted(request.ageMillis(nowNanos), why));
+        if (relays.isRelay(server)) {
+            relays.sent();
+        }
         context.pool(server.address())
                 .send(
                         toServer(server, nowNanos),
@@ -319,13 +365,7 @@
     }
 
     private FullHttpRequest toServer(PoolServer server, long nowNanos) {
-        HeaderTranslator.ForwardingFields fields =
-                new HeaderTranslator.ForwardingFields(
-                        server.id(),
-                        workspaceConfig.map(WorkspaceConfig::workspace),
-                        Math.max(1, callerRemainingMillis(nowNanos)),
-                        streaming ? framer.lastId() : Optional.empty());
-        HttpHeaders headers = context.translator().toServer(request.headers(), fields);
+        HttpHeaders headers = headersFor(server, nowNanos);
         byte[] body = request.body().toBytes();
         if (body.length > 0 || request.method().equals(HttpMethod.POST)) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
@@ -339,6 +379,23 @@
                 DefaultHttpHeadersFactory.trailersFactory().newHeaders());
     }
 
+    private HttpHeaders headersFor(PoolServer server, long nowNanos) {
+        long leftMillis = Math.max(1, callerRemainingMillis(nowNanos));
+        Optional<String> lastEvent = streaming ? framer.lastId() : Optional.empty();
+        if (relays.isRelay(server)) {
+            return context.translator()
+                    .toRelay(request.headers(), relays.statement(charged), leftMillis, lastEvent);
+        }
+        return context.translator()
+                .toServer(
+                        request.headers(),
+                        new HeaderTranslator.ForwardingFields(
+                                server.id(),
+                                workspaceConfig.map(WorkspaceConfig::workspace),
+                                leftMillis,
+                                lastEvent));
+    }
+
     @Override
     public void refused(RunKey refusedRun, DispatchAction.Reason reason, long retryAfterMillis) {
         if (state != State.PLACING || !refusedRun.equals(run)) {
@@ -363,14 +420,51 @@
 
     @Override
     public void notRun(ServerAttempt attempt, RunReport.Outcome outcome, String detail) {
+        retryRule.provedNotRun();
+        if (relays.isRelay(attempt.server())) {
+            refusedByRelay(attempt, outcome, detail);
+            return;
+        }
+        if (outcome == RunReport.Outcome.UNREACHABLE) {
+            context.forwarding()
+                    .observe(new ServerReachability.Event.ConnectFailed(attempt.server().id()));
+        }
+        reachedServer |= outcome != RunReport.Outcome.UNREACHABLE;
         context.dispatcher().ended(attempt.run(), attempt.end(outcome));
         excluded.add(attempt.server().id());
-        retryRule.provedNotRun();
         retryOrFail(true, outcome + ":" + detail);
     }
 
+    /** Sends a request that a relay did not run to one more, or ends it with the relay's answer. */
+    private void refusedByRelay(ServerAttempt attempt, RunReport.Outcome outcome, String detail) {
+        relays.ended();
+        RelayRefusal refusal = relays.refused(attempt, outcome);
+        charged |= refusal.kind() == RelayRefusal.Kind.UNREACHABLE;
+        String reason = "relay_" + refusal.kind().name().toLowerCase(Locale.ROOT) + ":" + detail;
+        if (refusal.kind() == RelayRefusal.Kind.REFUSED || relays.isRefused()) {
+            long retryAfterMillis =
+                    refusal.retryAfterMillis() >= 0
+                            ? refusal.retryAfterMillis()
+                            : context.retryAfterMillis(remainingMillis(System.nanoTime()));
+            boolean overQuota =
+                    attempt.isStatus(HttpResponseStatus.TOO_MANY_REQUESTS)
+                            && !retryRule.mayHaveRun();
+            if (overQuota) {
+                fail(HttpResponseStatus.TOO_MANY_REQUESTS, reason, retryAfterMillis);
+            } else {
+                failUnplaced(reason, retryAfterMillis);
+            }
+            return;
+        }
+        retryOrFail(true, reason);
+    }
+
     @Override
     public void noticed(ServerAttempt attempt, ResponseHeaders responseHeaders) {
+        if (relays.isRelay(attempt.server())) {
+            return;
+        }
+        context.forwarding().observe(new ServerReachability.Event.Responded(attempt.server().id()));
         if (responseHeaders.backoffMillis() > 0) {
             context.log(
                     "event=server_rests request=%s server=%s rest_ms=%d"
@@ -463,9 +557,14 @@
 
     @Override
     public void broken(ServerAttempt attempt, RunReport.Outcome outcome, String detail) {
+        relays.ended();
+        context.forwarding()
+                .observe(new ServerReachability.Event.ConnectionBroken(attempt.server().id()));
         context.dispatcher().ended(attempt.run(), attempt.end(outcome));
         retryRule.ran();
         excluded.add(attempt.server().id());
+        charged = true;
+        reachedServer = true;
         framer.dropRest();
         retryOrFail(false, outcome + ":" + detail);
     }
@@ -503,11 +602,12 @@
         }
         boolean allowed =
                 mayRetry(proved)
-                        && context.retryBudget(service)
-                                .tryTake(context.fixedRetryShare(), nowNanos);
+                        && ((!reachedServer && context.forwarding().mustForward(service))
+                                || context.retryBudget(service)
+                                        .tryTake(context.fixedRetryShare(), nowNanos));
         if (allowed) {
             firstEventReported = false;
-            place(Optional.empty());
+            place();
             return;
         }
         if (streaming) {
@@ -531,12 +631,16 @@
         }
         finish(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        if (retryRule == null || !retryRule.mayHaveRun()) {
+            relays.markNotRun(headers, reason);
+        }
         context.translator().markLocalResponse(headers, callHeaders.id(), retryAfterMillis);
         caller.respond(status, headers, new byte[0]);
     }
 
     private void finish(int status, String outcome) {
         state = State.DONE;
+        relays.finished();
         long totalMillis = request.ageMillis(System.nanoTime());
         context.finished(this, status, totalMillis);
         context.log(
@@ -601,6 +705,11 @@
                 }
             }
             case SENT -> {
+                context.forwarding()
+                        .observe(
+                                new ServerReachability.Event.AwaitsResponse(
+                                        currentAttempt.server().id(),
+                                        currentAttempt.silentMillis(nowNanos)));
                 if (nowNanos >= endNanos) {
                     timeOut();
                 } else if (retryRule.isSilent(currentAttempt, nowNanos) && mayRetry(false)) {
@@ -611,6 +720,14 @@
         }
     }
 
+    /** Forwards the request if it waits for a server that this host could not reach. */
+    void serversLost(ServiceId lost) {
+        if (state == State.PLACING && lost.equals(service)) {
+            context.dispatcher().withdraw(run);
+            place();
+        }
+    }
+
     /** Returns whether this host is stopping and must leave a request that never ran to another. */
     private boolean mustLeaveToAnotherHost(long nowNanos) {
         return !retryRule.mayHaveRun()
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -73,6 +73,9 @@
 
     private static final int BACKLOG = 1_024;
 
+    /** A relay accepts this much more than callers may send, for the fields that hosts add. */
+    private static final int RELAY_HEADER_BYTES = 512;
+
     private static final int RUN_BITS = 20;
     private static final long METRICS_WINDOW_SECONDS = 60;
 
@@ -90,6 +93,7 @@
     private final PeerNetwork peers;
     private final FleetView fleet;
     private final Dispatcher dispatcher;
+    private final Forwarding forwarding;
     private final CatalogPropagation propagation;
     private final Bootstrap serverBootstrap;
     private final Map<InetSocketAddress, ServerConnectionPool> pools = new HashMap<>();
@@ -184,6 +188,20 @@
                         .group(group)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS);
+        this.forwarding =
+                new Forwarding(
+                        options.relay().isPresent(),
+                        member,
+                        fleet,
+                        translator,
+                        serverBootstrap,
+                        exchanges::size,
+                        random,
+                        metrics,
+                        log::add);
+        forwarding.onLost(
+                service ->
+                        List.copyOf(exchanges).forEach(exchange -> exchange.serversLost(service)));
     }
 
     private Histogram histogram(String name) {
@@ -203,7 +221,15 @@
     public void start() {
         listen(options.ready(), new StatusServer(request -> ready()));
         listen(options.metrics(), new StatusServer(this::operatorsPage));
-        callerChannel = listen(options.callers(), callerHandler());
+        options.relay()
+                .ifPresent(
+                        address ->
+                                listen(
+                                        address,
+                                        callerHandler(
+                                                new RelayAcceptor(this, this),
+                                                RELAY_HEADER_BYTES)));
+        callerChannel = listen(options.callers(), callerHandler(this, 0));
         loop.execute(
                 () -> {
                     fleet.registered(options.minHosts());
@@ -254,14 +280,16 @@
                 .channel();
     }
 
-    private ChannelHandler callerHandler() {
+    private ChannelHandler callerHandler(RequestAcceptor acceptor, int extraHeaderBytes) {
         return new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
                 channel.pipeline()
-                        .addLast(new StrictRequestDecoder(limits().maxHeaderBytes()))
+                        .addLast(
+                                new StrictRequestDecoder(
+                                        limits().maxHeaderBytes() + extraHeaderBytes))
                         .addLast(new HttpResponseEncoder())
-                        .addLast(new CallerConnection(Gateway.this));
+                        .addLast(new CallerConnection(acceptor));
             }
         };
     }
@@ -306,6 +334,7 @@
     private void catalogChanged(CatalogSnapshot newer) {
         snapshot = newer;
         dispatcher.catalogChanged(newer);
+        forwarding.serversChanged(newer.servers());
         newer.usable()
                 .ifPresent(
                         catalog ->
@@ -336,6 +365,7 @@
         if (nowNanos - slowTickNanos >= SLOW_TICK_NANOS) {
             slowTickNanos = nowNanos;
             fleet.tick();
+            forwarding.tick();
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeExpired(nowNanos));
         }
@@ -505,6 +535,11 @@
         return dispatcher;
     }
 
+    @Override
+    public Forwarding forwarding() {
+        return forwarding;
+    }
+
     @Override
     public RandomGenerator random() {
         return random;
--- a/src/main/java/org/orioleshed/gateway/GatewayContext.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayContext.java
@@ -15,6 +15,8 @@
 
     Dispatcher dispatcher();
 
+    Forwarding forwarding();
+
     RandomGenerator random();
 
     FailureDomain domain();
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Optional;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.model.FailureDomain;
@@ -14,6 +15,8 @@
  * @param ready the listen address of the readiness endpoint
  * @param metrics the listen address of the metrics endpoint
  * @param peer the listen address for other hosts
+ * @param relay the listen address for requests that other hosts forward; empty if this host neither
+ *     forwards nor accepts any
  * @param seeds other hosts' peer addresses, some of which may be stale
  * @param minHosts the minimum number of hosts, including this one; positive
  * @param retryRatio retries per first attempt, over all hosts
@@ -30,6 +33,7 @@
         InetSocketAddress ready,
         InetSocketAddress metrics,
         InetSocketAddress peer,
+        Optional<InetSocketAddress> relay,
         List<InetSocketAddress> seeds,
         int minHosts,
         double retryRatio,
--- a/src/main/java/org/orioleshed/gateway/HeaderTranslator.java
+++ b/src/main/java/org/orioleshed/gateway/HeaderTranslator.java
@@ -47,6 +47,30 @@
      */
     void markLocalResponse(HttpHeaders headers, String id, long retryAfterMillis);
 
+    /**
+     * Returns the header fields for a relay: all of the caller's end-to-end fields, and what this
+     * host states about the request.
+     *
+     * @param callerHeaders the header fields of the caller's request
+     * @param request what this host states
+     * @param deadlineMillis the time left until the caller's deadline, in milliseconds
+     * @param lastEvent the id of the last event that the caller received, if a stream is resumed
+     */
+    HttpHeaders toRelay(
+            HttpHeaders callerHeaders,
+            ForwardedRequest request,
+            long deadlineMillis,
+            Optional<String> lastEvent);
+
+    /** Reads what a forwarding host states; empty unless the request was forwarded. */
+    Optional<ForwardedRequest> forwarded(HttpHeaders headers);
+
+    /** Marks a relay's own response: the request did not run, for the given reason. */
+    void markNotRun(HttpHeaders headers, RelayRefusal.Kind kind);
+
+    /** Reads why a relay did not run a request; empty if it does not state that. */
+    Optional<RelayRefusal> relayRefusal(HttpHeaders headers);
+
     /**
      * The values that this system adds to a request to a server.
      *
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -0,0 +1,50 @@
+package org.orioleshed.gateway;
+
+import org.orioleshed.catalog.CallerLimits;
+
+/** Accepts the requests that other hosts forward; everything else is the gateway's. */
+final class RelayAcceptor implements RequestAcceptor {
+    private final RequestAcceptor gateway;
+    private final GatewayContext context;
+
+    RelayAcceptor(RequestAcceptor gateway, GatewayContext context) {
+        this.gateway = gateway;
+        this.context = context;
+    }
+
+    @Override
+    public Exchange exchange(CallerConnection connection, CallerRequest request) {
+        return Exchange.forwardedHere(
+                context, connection, request, context.translator().forwarded(request.headers()));
+    }
+
+    @Override
+    public void opened(CallerConnection connection) {
+        gateway.opened(connection);
+    }
+
+    @Override
+    public void closed(CallerConnection connection) {
+        gateway.closed(connection);
+    }
+
+    @Override
+    public CallerLimits limits() {
+        return gateway.limits();
+    }
+
+    @Override
+    public boolean isLeaving() {
+        return gateway.isLeaving();
+    }
+
+    @Override
+    public void failed(String connection, Throwable cause) {
+        gateway.failed(connection, cause);
+    }
+
+    @Override
+    public void rejected(int status, String reason) {
+        gateway.rejected(status, reason);
+    }
+}
--- a/src/main/java/org/orioleshed/gateway/RetryRule.java
+++ b/src/main/java/org/orioleshed/gateway/RetryRule.java
@@ -24,12 +24,23 @@
     private static final long MIN_SILENCE_MILLIS = 700;
 
     private final CallRoute route;
+    private final int maxRuns;
     private int possibleRuns;
     private int notRunAttempts;
     private boolean mayHaveRun;
 
     RetryRule(CallRoute route) {
+        this(route, route.attempts());
+    }
+
+    /**
+     * Creates the rule of a request.
+     *
+     * @param maxRuns the maximum number of servers at which it may run
+     */
+    RetryRule(CallRoute route, int maxRuns) {
         this.route = route;
+        this.maxRuns = maxRuns;
     }
 
     /** Records that the request was sent. */
@@ -74,7 +85,7 @@
         if (proved) {
             return notRunAttempts <= MAX_NOT_RUN_ATTEMPTS;
         }
-        return route.mayRunAgain() && possibleRuns < route.attempts();
+        return route.mayRunAgain() && possibleRuns < maxRuns;
     }
 
     /** Returns whether a server has been silent for longer than is normal under load. */
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -1,6 +1,8 @@
 package org.orioleshed.gateway;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -115,6 +117,11 @@
         return pendingSend;
     }
 
+    /** Returns the header fields of the response; empty before its head arrived. */
+    HttpHeaders headers() {
+        return head == null ? EmptyHttpHeaders.INSTANCE : head.headers();
+    }
+
     boolean hasEvents() {
         return firstMillis > 0;
     }
@@ -188,8 +195,13 @@
         }
     }
 
+    /** Returns whether the response has a status. */
+    boolean isStatus(HttpResponseStatus status) {
+        return head != null && head.status().equals(status);
+    }
+
     private boolean isMisdirected() {
-        return head.status().equals(HttpResponseStatus.MISDIRECTED_REQUEST);
+        return isStatus(HttpResponseStatus.MISDIRECTED_REQUEST);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/orioleshed/gateway/ServerReachability.java
@@ -0,0 +1,308 @@
+package org.orioleshed.gateway;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
+
+/**
+ * Decides from this host's connections which pools' servers it can't reach. Connection failures,
+ * resets and silence raise a suspicion, which trial connections confirm or refute. A pool is lost
+ * while nearly all of its tried servers can't be connected to, and has returned once most of them
+ * can. Pure: without I/O, clock or randomness.
+ */
+final class ServerReachability {
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
+    /**
+     * A hanging connection attempt fails after 300 ms; two rounds of trials end within a second.
+     */
+    private static final long TRIAL_INTERVAL_NANOS = 250 * NANOS_PER_MILLI;
+
+    /** Covers the last round of trials, even if its connections hang until their timeout. */
+    private static final long EVIDENCE_NANOS = 800 * NANOS_PER_MILLI;
+
+    /** A suspicion that no evidence has renewed for this long ends. */
+    private static final long SUSPICION_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    /** Bounds concurrent trials of one pool, so that 81 hosts don't flood its servers. */
+    private static final int MAX_TRIALS = 8;
+
+    /** So many tried servers tell a partition from faults of single servers. */
+    private static final int MIN_TRIED = 4;
+
+    /** A pool is lost at this fraction of reached servers, and returned above the other one. */
+    private static final double LOST_FRACTION = 0.25;
+
+    private static final double RETURNED_FRACTION = 0.5;
+
+    /** A silence is a suspicion only if no server of the pool responded for this long. */
+    private static final long POOL_SILENCE_NANOS = 300 * NANOS_PER_MILLI;
+
+    /** After relays reported that they reach no server either, the pool is served directly. */
+    private static final long DOWN_ELSEWHERE_NANOS = 1_000 * NANOS_PER_MILLI;
+
+    private final Map<ServiceId, PoolReach> pools = new HashMap<>();
+    private final Map<ServerId, PoolReach> poolOfServer = new HashMap<>();
+
+    /** An input. */
+    sealed interface Event {
+        /** The current servers. */
+        record ServersChanged(List<PoolServer> servers) implements Event {
+            /** Copies the list. */
+            public ServersChanged {
+                servers = List.copyOf(servers);
+            }
+        }
+
+        /** A connection to a server was refused or timed out. */
+        record ConnectFailed(ServerId server) implements Event {}
+
+        /** A connection to a server was closed before the response was complete. */
+        record ConnectionBroken(ServerId server) implements Event {}
+
+        /** A server has not yet responded to a request of this host. */
+        record AwaitsResponse(ServerId server, long silentMillis) implements Event {}
+
+        /** A server responded. */
+        record Responded(ServerId server) implements Event {}
+
+        /** The result of a trial connection. */
+        record TrialEnded(ServerId server, boolean connected) implements Event {}
+
+        /** A relay reported that it reaches no server of a pool either. */
+        record UnreachableElsewhere(ServiceId service) implements Event {}
+
+        /** Time passed; sent at least every 100 ms. */
+        record Tick() implements Event {}
+    }
+
+    /** An output. */
+    sealed interface Action {
+        /** Open a trial connection. */
+        record Try(PoolServer server) implements Action {}
+
+        /** A pool can't be reached any more. */
+        record Lost(ServiceId service, int reached, int tried) implements Action {}
+
+        /** A pool can be reached again. */
+        record Returned(ServiceId service, int reached, int tried) implements Action {}
+    }
+
+    private static final class Reach {
+        private PoolServer server;
+        private boolean known;
+        private boolean connected;
+        private long knownNanos;
+        private boolean trying;
+        private boolean tried;
+        private long triedNanos;
+
+        Reach(PoolServer server) {
+            this.server = server;
+        }
+
+        void record(boolean isConnected, long nowNanos) {
+            known = true;
+            connected = isConnected;
+            knownNanos = nowNanos;
+        }
+
+        boolean isFresh(long nowNanos) {
+            return known && nowNanos - knownNanos <= EVIDENCE_NANOS;
+        }
+
+        boolean isFreshFailure(long nowNanos) {
+            return isFresh(nowNanos) && !connected;
+        }
+    }
+
+    private static final class PoolReach {
+        private final ServiceId service;
+        private final Map<ServerId, Reach> servers = new LinkedHashMap<>();
+        private boolean lost;
+        private boolean suspected;
+        private long suspectedNanos;
+        private boolean responded;
+        private long respondedNanos;
+        private boolean downElsewhere;
+        private long downElsewhereNanos;
+
+        PoolReach(ServiceId service) {
+            this.service = service;
+        }
+
+        void suspect(long nowNanos) {
+            suspected = true;
+            suspectedNanos = nowNanos;
+        }
+
+        int tried(long nowNanos) {
+            return (int) servers.values().stream().filter(it -> it.isFresh(nowNanos)).count();
+        }
+
+        int failed(long nowNanos) {
+            return (int)
+                    servers.values().stream().filter(it -> it.isFreshFailure(nowNanos)).count();
+        }
+    }
+
+    /** Takes an event and returns what is to be done. */
+    List<Action> on(long nowNanos, Event event) {
+        List<Action> actions = new ArrayList<>();
+        switch (event) {
+            case Event.ServersChanged changed -> update(changed.servers());
+            case Event.ConnectFailed failed ->
+                    find(failed.server())
+                            .ifPresent(pool -> connectFailed(pool, failed.server(), nowNanos));
+            case Event.ConnectionBroken broken ->
+                    find(broken.server()).ifPresent(pool -> pool.suspect(nowNanos));
+            case Event.AwaitsResponse awaits ->
+                    find(awaits.server()).ifPresent(pool -> awaits(pool, awaits, nowNanos));
+            case Event.Responded responded ->
+                    find(responded.server())
+                            .ifPresent(
+                                    pool -> {
+                                        pool.responded = true;
+                                        pool.respondedNanos = nowNanos;
+                                    });
+            case Event.TrialEnded ended ->
+                    find(ended.server()).ifPresent(pool -> trialEnded(pool, ended, nowNanos));
+            case Event.UnreachableElsewhere elsewhere -> {
+                PoolReach pool = pools.get(elsewhere.service());
+                if (pool != null) {
+                    pool.downElsewhere = true;
+                    pool.downElsewhereNanos = nowNanos;
+                }
+            }
+            case Event.Tick tick -> {}
+        }
+        pools.values().forEach(pool -> decide(pool, nowNanos, actions));
+        return actions;
+    }
+
+    private Optional<PoolReach> find(ServerId server) {
+        return Optional.ofNullable(poolOfServer.get(server));
+    }
+
+    private void update(List<PoolServer> servers) {
+        Set<ServerId> current = new HashSet<>();
+        for (PoolServer server : servers) {
+            current.add(server.id());
+            PoolReach pool = pools.computeIfAbsent(server.service(), PoolReach::new);
+            Reach reach = pool.servers.get(server.id());
+            boolean same =
+                    reach != null
+                            && reach.server.sameStart(server)
+                            && reach.server.address().equals(server.address());
+            if (same) {
+                reach.server = server;
+            } else {
+                pool.servers.put(server.id(), new Reach(server));
+            }
+        }
+        pools.values().forEach(pool -> pool.servers.keySet().retainAll(current));
+        pools.values().removeIf(pool -> pool.servers.isEmpty());
+        poolOfServer.clear();
+        pools.values()
+                .forEach(pool -> pool.servers.keySet().forEach(id -> poolOfServer.put(id, pool)));
+    }
+
+    private static void connectFailed(PoolReach pool, ServerId server, long nowNanos) {
+        pool.servers.get(server).record(false, nowNanos);
+        pool.suspect(nowNanos);
+    }
+
+    private static void awaits(PoolReach pool, Event.AwaitsResponse awaits, long nowNanos) {
+        boolean silentPool = !pool.responded || nowNanos - pool.respondedNanos > POOL_SILENCE_NANOS;
+        if (silentPool && awaits.silentMillis() * NANOS_PER_MILLI > POOL_SILENCE_NANOS) {
+            pool.suspect(nowNanos);
+        }
+    }
+
+    private static void trialEnded(PoolReach pool, Event.TrialEnded ended, long nowNanos) {
+        Reach reach = pool.servers.get(ended.server());
+        reach.trying = false;
+        reach.record(ended.connected(), nowNanos);
+    }
+
+    private static void decide(PoolReach pool, long nowNanos, List<Action> actions) {
+        int tried = pool.tried(nowNanos);
+        int failed = pool.failed(nowNanos);
+        int reached = tried - failed;
+        boolean enough = tried >= Math.min(MIN_TRIED, pool.servers.size());
+        if (!pool.lost && enough && failed > 0 && reached <= LOST_FRACTION * tried) {
+            pool.lost = true;
+            actions.add(new Action.Lost(pool.service, reached, tried));
+        } else if (pool.lost && enough && reached >= RETURNED_FRACTION * tried) {
+            pool.lost = false;
+            actions.add(new Action.Returned(pool.service, reached, tried));
+        }
+        if (failed > 1) {
+            pool.suspect(nowNanos);
+        }
+        pool.suspected &= nowNanos - pool.suspectedNanos <= SUSPICION_NANOS;
+        pool.downElsewhere &= nowNanos - pool.downElsewhereNanos <= DOWN_ELSEWHERE_NANOS;
+        if (pool.lost || pool.suspected) {
+            startTrials(pool, nowNanos, actions);
+        }
+    }
+
+    /** Tries the servers whose last trial is longest ago. */
+    private static void startTrials(PoolReach pool, long nowNanos, List<Action> actions) {
+        long running = pool.servers.values().stream().filter(it -> it.trying).count();
+        pool.servers.values().stream()
+                .filter(it -> !it.trying)
+                .filter(it -> !it.tried || nowNanos - it.triedNanos >= TRIAL_INTERVAL_NANOS)
+                .sorted(Comparator.comparingLong(it -> it.tried ? it.triedNanos : Long.MIN_VALUE))
+                .limit(Math.max(0, MAX_TRIALS - running))
+                .forEach(
+                        it -> {
+                            it.trying = true;
+                            it.tried = true;
+                            it.triedNanos = nowNanos;
+                            actions.add(new Action.Try(it.server));
+                        });
+    }
+
+    /** Returns whether requests of a pool are to be forwarded to other hosts. */
+    boolean mustForward(ServiceId service) {
+        PoolReach pool = pools.get(service);
+        return pool != null && pool.lost && !pool.downElsewhere;
+    }
+
+    /** Returns whether any pool is lost. */
+    boolean isAnyLost() {
+        return pools.values().stream().anyMatch(pool -> pool.lost);
+    }
+
+    /** Returns whether a pool is lost. */
+    boolean isLost(ServiceId service) {
+        PoolReach pool = pools.get(service);
+        return pool != null && pool.lost;
+    }
+
+    /**
+     * Returns the servers of a pool that this host can't reach while it reaches others; empty while
+     * at most one is affected, which the schedulers handle as a fault of that server.
+     */
+    Set<ServerId> unreachable(ServiceId service, long nowNanos) {
+        PoolReach pool = pools.get(service);
+        if (pool == null || pool.lost || !pool.suspected || pool.failed(nowNanos) < 2) {
+            return Set.of();
+        }
+        Set<ServerId> result = new HashSet<>();
+        pool.servers.values().stream()
+                .filter(it -> it.isFreshFailure(nowNanos))
+                .forEach(it -> result.add(it.server.id()));
+        return result;
+    }
+}
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -95,6 +96,7 @@
                         freeAddress(),
                         freeAddress(),
                         freeAddress(),
+                        Optional.empty(),
                         List.of(),
                         1,
                         1,
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/ServerPath.java
@@ -0,0 +1,173 @@
+package org.orioleshed.platform;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** One host's network path to a fake server, which a test can break. */
+final class ServerPath implements AutoCloseable {
+    private static final int BACKLOG = 100;
+
+    private final InetSocketAddress server;
+    private final int port;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final List<Socket> fillers = new ArrayList<>();
+    private final AtomicInteger accepted = new AtomicInteger();
+    private volatile Fault fault = Fault.NONE;
+    private ServerSocket listener;
+
+    /** What is wrong with the path. */
+    enum Fault {
+        NONE,
+        /** New connections are refused, and open ones are reset. */
+        REFUSED,
+        /** New connections and open ones hang. */
+        HANGING,
+        /** New connections are reset once they are established, and open ones as well. */
+        RESET,
+        /** New connections are refused while open ones work. */
+        NEW_REFUSED
+    }
+
+    ServerPath(InetSocketAddress server) throws IOException {
+        this.server = server;
+        listener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+        port = listener.getLocalPort();
+        accept(listener);
+    }
+
+    int port() {
+        return port;
+    }
+
+    /** Returns the number of connections that were accepted. */
+    int accepted() {
+        return accepted.get();
+    }
+
+    synchronized void set(Fault newFault) throws IOException {
+        fault = newFault;
+        listener.close();
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        fillers.clear();
+        switch (newFault) {
+            case NONE -> accept(listen(BACKLOG));
+            case RESET -> {
+                resetOpen();
+                accept(listen(BACKLOG));
+            }
+            case REFUSED -> resetOpen();
+            case NEW_REFUSED -> {}
+            case HANGING -> fill(listen(1));
+        }
+    }
+
+    private ServerSocket listen(int backlog) throws IOException {
+        Fleet.await(() -> tryListen(backlog));
+        return listener;
+    }
+
+    /** The previous listener frees its port only when its thread leaves the accept call. */
+    private boolean tryListen(int backlog) {
+        try {
+            listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), backlog);
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Fills the accept queue, so that the kernel ignores further connection attempts. */
+    private void fill(ServerSocket full) throws IOException {
+        for (int i = 0; i < 3; i++) {
+            Socket filler = new Socket();
+            fillers.add(filler);
+            try {
+                filler.connect(full.getLocalSocketAddress(), 50);
+            } catch (java.net.SocketTimeoutException e) {
+                return;
+            }
+        }
+    }
+
+    private void resetOpen() throws IOException {
+        for (Socket socket : open) {
+            reset(socket);
+        }
+        open.clear();
+    }
+
+    private static void reset(Socket socket) throws IOException {
+        if (!socket.isClosed()) {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+    }
+
+    private void accept(ServerSocket from) {
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            try {
+                                while (true) {
+                                    pass(from.accept());
+                                }
+                            } catch (IOException e) {
+                                // The listener was closed.
+                                return;
+                            }
+                        });
+    }
+
+    private void pass(Socket near) throws IOException {
+        if (fault == Fault.RESET) {
+            reset(near);
+            return;
+        }
+        accepted.incrementAndGet();
+        Socket far = new Socket(server.getAddress(), server.getPort());
+        open.add(near);
+        open.add(far);
+        Thread.ofVirtual().start(() -> copy(near, far));
+        Thread.ofVirtual().start(() -> copy(far, near));
+    }
+
+    private void copy(Socket from, Socket to) {
+        byte[] buffer = new byte[8_192];
+        try (from;
+                to) {
+            InputStream in = from.getInputStream();
+            OutputStream out = to.getOutputStream();
+            for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
+                if (fault == Fault.HANGING) {
+                    Thread.sleep(60_000);
+                }
+                out.write(buffer, 0, read);
+                out.flush();
+            }
+        } catch (IOException e) {
+            // One side closed the connection.
+            return;
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        set(Fault.REFUSED);
+    }
+}
