--- a/src/test/java/org/orioleshed/gateway/CatalogFetchesTest.java
+++ b/src/test/java/org/orioleshed/gateway/CatalogFetchesTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.catalog.EntryChange;
@@ -35,7 +36,8 @@
                 new EntryView(operators, operators, true, List.of(), 0, List.of()),
                 new EntryView(servers, servers, true, List.of(), 0, List.of()),
                 List.of(),
-                List.of());
+                List.of(),
+                Set.of());
     }
 
     private Optional<CatalogUpdate.FetchRequest> next(long operators, long servers, long millis) {
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -123,7 +123,8 @@
                 50,
                 Quotas.Slack.NONE,
                 RolloutPolicy.DEFAULT,
-                GRACE_MILLIS);
+                GRACE_MILLIS,
+                0);
     }
 
     private List<String> entries(boolean overPaths) {
@@ -159,7 +160,6 @@
                 }
             } catch (IOException | IllegalArgumentException e) {
                 // Another process uses one of the ports.
-                continue;
             }
         }
     }
