--- a/src/main/java/org/orioleshed/catalog/CallRoute.java
+++ b/src/main/java/org/orioleshed/catalog/CallRoute.java
@@ -1,6 +1,8 @@
 package org.orioleshed.catalog;
 
 import java.util.List;
+import java.util.Set;
+import org.orioleshed.model.Region;
 import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServiceId;
 
@@ -21,6 +23,7 @@
  * @param priority the rank of the route's calls, 0 first
  * @param open whether calls need no API key
  * @param shares the traffic split: the pools that serve the route and their weights; not empty
+ * @param allowedRegions the regions whose servers may run the route's calls; empty for all
  */
 public record CallRoute(
         RouteId id,
@@ -34,7 +37,8 @@
         int attempts,
         int priority,
         boolean open,
-        List<Share> shares) {
+        List<Share> shares,
+        Set<Region> allowedRegions) {
     /**
      * A pool's share of a route's calls.
      *
@@ -43,7 +47,37 @@
      */
     public record Share(ServiceId service, int weight) {}
 
-    /** Validates the arguments and copies the list. */
+    /** Creates a route that all regions may serve. */
+    public CallRoute(
+            RouteId id,
+            String host,
+            String prefix,
+            Repeatability repeatability,
+            boolean resumable,
+            long timeoutMillis,
+            long targetMillis,
+            long gapMillis,
+            int attempts,
+            int priority,
+            boolean open,
+            List<Share> shares) {
+        this(
+                id,
+                host,
+                prefix,
+                repeatability,
+                resumable,
+                timeoutMillis,
+                targetMillis,
+                gapMillis,
+                attempts,
+                priority,
+                open,
+                shares,
+                Set.of());
+    }
+
+    /** Validates the arguments and copies the collections. */
     public CallRoute {
         if (!prefix.startsWith("/") || !prefix.endsWith("/")) {
             throw new IllegalArgumentException(
@@ -54,6 +88,7 @@
                     "timeoutMillis, targetMillis and attempts must be positive in route " + id);
         }
         shares = List.copyOf(shares);
+        allowedRegions = Set.copyOf(allowedRegions);
         if (shares.isEmpty()) {
             throw new IllegalArgumentException("shares must not be empty in route " + id);
         }
--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.stream.Collectors;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -188,6 +189,11 @@
         request.content().parts().forEach(part -> wire.addParts(part.value()));
         request.workspace().ifPresent(workspace -> wire.setWorkspace(workspace.value()));
         request.excluded().forEach(server -> wire.addExcluded(server.value()));
+        wire.setRestricted(request.allowedDomains().isPresent());
+        request.allowedDomains()
+                .ifPresent(
+                        domains ->
+                                domains.forEach(domain -> wire.addAllowedDomains(domain.value())));
         return wire.build();
     }
 
@@ -339,7 +345,17 @@
                 new RequestContent(
                         wire.getContent(),
                         wire.getPartsList().stream().map(PartId::new).collect(Collectors.toSet())),
-                wire.getExcludedList().stream().map(ServerId::new).collect(Collectors.toSet()));
+                wire.getExcludedList().stream().map(ServerId::new).collect(Collectors.toSet()),
+                readAllowedDomains(wire));
+    }
+
+    private static Optional<Set<FailureDomain>> readAllowedDomains(Dispatch.Ask wire) {
+        return wire.getRestricted()
+                ? Optional.of(
+                        wire.getAllowedDomainsList().stream()
+                                .map(FailureDomain::new)
+                                .collect(Collectors.toSet()))
+                : Optional.empty();
     }
 
     private static RunReport read(Dispatch.End wire, StatedLimit limit) {
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -65,7 +65,8 @@
         }
         VersionRollout rollout = pool.rollout().get();
         boolean preferNew =
-                (rollout.nextIsNew() && hasVersion(rollout, true)) || !hasVersion(rollout, false);
+                (rollout.nextIsNew() && hasVersion(rollout, true, request))
+                        || !hasVersion(rollout, false, request);
         Optional<ServerState> chosen =
                 best(request, server -> rollout.isTarget(server.server().version()) == preferNew);
         return chosen.isEmpty() && rollout.mayUseOther(preferNew)
@@ -73,12 +74,16 @@
                 : chosen;
     }
 
-    /** Returns whether any server of the target version, or of another one, accepts requests. */
-    private boolean hasVersion(VersionRollout rollout, boolean target) {
+    /**
+     * Returns whether any server of the target version, or of another one, in an allowed region
+     * accepts requests.
+     */
+    private boolean hasVersion(VersionRollout rollout, boolean target, PlacementRequest request) {
         return pool.servers().all().stream()
                 .anyMatch(
                         server ->
                                 !server.isLeaving()
+                                        && request.permitsDomain(server.server().domain())
                                         && rollout.isTarget(server.server().version()) == target);
     }
 
@@ -128,7 +133,7 @@
     }
 
     private boolean isEligible(ServerState server, PlacementRequest request) {
-        return isUsable(server) && !request.excluded().contains(server.server().id());
+        return isUsable(server) && request.permits(server.server());
     }
 
     private boolean isUsable(ServerState server) {
--- a/src/main/java/org/orioleshed/dispatch/PlacementRequest.java
+++ b/src/main/java/org/orioleshed/dispatch/PlacementRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 import java.util.Set;
+import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServerId;
@@ -25,6 +26,7 @@
  * @param quotaUnits the units that it uses of the workspace's quota
  * @param content what it holds
  * @param excluded the servers that must not run it
+ * @param allowedDomains the failure domains whose servers may run it; empty if all may
  */
 public record PlacementRequest(
         ServiceId service,
@@ -38,13 +40,63 @@
         long outputTokens,
         long quotaUnits,
         RequestContent content,
-        Set<ServerId> excluded) {
+        Set<ServerId> excluded,
+        Optional<Set<FailureDomain>> allowedDomains) {
     /** The number of route ranks within each workspace rank; workspace ranks take precedence. */
     private static final int ROUTE_RANKS = 64;
 
-    /** Copies the set. */
+    /** Creates a request that servers of all failure domains may run. */
+    public PlacementRequest(
+            ServiceId service,
+            RouteId route,
+            Optional<WorkspaceId> workspace,
+            FailureDomain domain,
+            int rank,
+            long targetLeftMillis,
+            long deadlineLeftMillis,
+            long promptTokens,
+            long outputTokens,
+            long quotaUnits,
+            RequestContent content,
+            Set<ServerId> excluded) {
+        this(
+                service,
+                route,
+                workspace,
+                domain,
+                rank,
+                targetLeftMillis,
+                deadlineLeftMillis,
+                promptTokens,
+                outputTokens,
+                quotaUnits,
+                content,
+                excluded,
+                Optional.empty());
+    }
+
+    /** Copies the sets. */
     public PlacementRequest {
         excluded = Set.copyOf(excluded);
+        allowedDomains = allowedDomains.map(Set::copyOf);
+    }
+
+    /** Returns whether a server may run this request. */
+    boolean permits(PoolServer server) {
+        return !excluded.contains(server.id()) && permitsDomain(server.domain());
+    }
+
+    /** Returns whether servers of a failure domain may run this request. */
+    boolean permitsDomain(FailureDomain serverDomain) {
+        return allowedDomains.map(allowed -> allowed.contains(serverDomain)).orElse(true);
+    }
+
+    /**
+     * Returns whether a queued request competes with this one for servers. One for other failure
+     * domains only must not hold this one back while its own domains have no free slot.
+     */
+    boolean competesWith(PlacementRequest queued) {
+        return queued.allowedDomains.isEmpty() || queued.allowedDomains.equals(allowedDomains);
     }
 
     /**
@@ -92,6 +144,7 @@
                 outputTokens,
                 units,
                 content,
-                excluded);
+                excluded,
+                allowedDomains);
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/PoolServers.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolServers.java
@@ -32,13 +32,10 @@
         return Optional.ofNullable(present.get(id));
     }
 
-    /** Returns whether all servers are excluded from a request or evacuated. */
+    /** Returns whether no server may run a request, or all that may are evacuated. */
     boolean hasNoneFor(PlacementRequest request) {
         return present.values().stream()
-                .allMatch(
-                        server ->
-                                server.isEvacuated()
-                                        || request.excluded().contains(server.server().id()));
+                .allMatch(server -> server.isEvacuated() || !request.permits(server.server()));
     }
 
     /** Marks the servers of evacuated failure domains. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -12,6 +12,7 @@
 import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.catalog.RolloutOutcome;
 import org.orioleshed.dispatch.DispatchAction.Reason;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
@@ -204,7 +205,9 @@
     /** Returns whether no request of the same or a more urgent rank is queued. */
     private static boolean isNext(PoolState pool, PlacementRequest request) {
         return pool.queuedRequests().stream()
-                .noneMatch(queued -> queued.request().rank() <= request.rank());
+                .map(QueuedRequest::request)
+                .noneMatch(
+                        queued -> queued.rank() <= request.rank() && request.competesWith(queued));
     }
 
     private boolean grant(
@@ -596,15 +599,18 @@
             return;
         }
         Placement placement = new Placement(pool, rates, slotShare, nowNanos);
-        int skipped = 0;
+        // Requests for a region without free slots must not hold back those for other regions.
+        Map<Optional<Set<FailureDomain>>, Integer> skipped = new HashMap<>();
         for (QueuedRequest queued : pool.inOrder()) {
-            if (grant(pool, placement, queued.run(), queued.request())) {
+            Optional<Set<FailureDomain>> domains = queued.request().allowedDomains();
+            if (skipped.getOrDefault(domains, 0) >= MAX_SKIPPED) {
+                if (domains.isEmpty()) {
+                    return;
+                }
+            } else if (grant(pool, placement, queued.run(), queued.request())) {
                 pool.remove(queued.run());
             } else {
-                skipped++;
-            }
-            if (skipped >= MAX_SKIPPED) {
-                return;
+                skipped.merge(domains, 1, Integer::sum);
             }
         }
     }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -25,6 +25,7 @@
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
@@ -70,6 +71,7 @@
     private ServiceId service;
     private long endNanos;
     private RequestContent content;
+    private Optional<Set<FailureDomain>> allowedDomains = Optional.empty();
     private RunKey run;
     private ServerAttempt currentAttempt;
     private boolean streaming;
@@ -167,6 +169,13 @@
             waitMillis = Math.min(waitMillis, callHeaders.deadlineMillis());
         }
         endNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
+        allowedDomains =
+                context.regionRule()
+                        .allowed(
+                                route.allowedRegions(),
+                                workspaceConfig
+                                        .map(WorkspaceConfig::allowedRegions)
+                                        .orElse(Set.of()));
         content = new RequestContent(fingerprint(), Set.copyOf(callHeaders.sharedParts()));
         if (context.shutdownPolicy().begun() && !acceptsWhileStopping()) {
             fail(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING, 0);
@@ -225,7 +234,8 @@
                         .orElse(Quota.NONE)
                         .units(callHeaders.statedTokens()),
                 content,
-                excluded());
+                excluded(),
+                allowedDomains);
     }
 
     /** Returns the servers already tried and those to which this host must send nothing now. */
@@ -273,7 +283,7 @@
             return;
         }
         Optional<PoolServer> server = context.dispatcher().server(id);
-        if (server.isPresent() && context.dispatcher().isEvacuated(server.get())) {
+        if (server.isPresent() && mustNotServe(server.get())) {
             placeElsewhere(server.get());
             return;
         }
@@ -288,15 +298,24 @@
     }
 
     /**
-     * Requests another placement instead of a grant whose server was evacuated meanwhile. Nothing
-     * was sent, so this counts neither as a retry nor against the server. The next placement
-     * excludes all servers of the domain.
+     * Returns whether a server must not get this request. The primary may not know yet that the
+     * server is evacuated, or was started in another region.
+     */
+    private boolean mustNotServe(PoolServer server) {
+        return context.dispatcher().isEvacuated(server)
+                || !allowedDomains.map(it -> it.contains(server.domain())).orElse(true);
+    }
+
+    /**
+     * Requests another placement instead of a grant of a server that must not serve this request.
+     * Nothing was sent, so this counts neither as a retry nor against the server.
      */
     private void placeElsewhere(PoolServer server) {
         context.log(
-                "event=grant_evacuated request=%s run=%s server=%s domain=%s"
+                "event=grant_unused request=%s run=%s server=%s domain=%s"
                         .formatted(callHeaders.id(), run, server.id(), server.domain()));
         context.dispatcher().ended(run, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
+        excluded.add(server.id());
         place(Optional.empty());
     }
 
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -77,6 +77,7 @@
     private static final long METRICS_WINDOW_SECONDS = 60;
 
     private final GatewayOptions options;
+    private final RegionRule regionRule;
     private final HeaderTranslator translator;
     private final LogRing log;
     private final RandomGenerator random;
@@ -131,6 +132,7 @@
             RandomGenerator random,
             long incarnation) {
         this.options = options;
+        this.regionRule = new RegionRule(options.regions(), options.domain());
         this.translator = translator;
         this.watcher = watcher;
         this.log = log;
@@ -518,6 +520,11 @@
         return options.domain();
     }
 
+    @Override
+    public RegionRule regionRule() {
+        return regionRule;
+    }
+
     @Override
     public RunKey nextRun() {
         return new RunKey(self, nextRun++);
--- a/src/main/java/org/orioleshed/gateway/GatewayContext.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayContext.java
@@ -19,6 +19,9 @@
 
     FailureDomain domain();
 
+    /** Returns the rule for requests that only some regions may serve. */
+    RegionRule regionRule();
+
     RunKey nextRun();
 
     /** Returns the connection pool of a server's address. */
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -2,9 +2,11 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Region;
 
 /**
  * The settings of a gateway, fixed at its start.
@@ -23,6 +25,7 @@
  * @param rolloutPolicy the limits on the damage of a bad version
  * @param graceMillis the time from the stop signal to the end of the process, in milliseconds;
  *     positive
+ * @param regions the region of each failure domain; empty if none is stated
  */
 public record GatewayOptions(
         FailureDomain domain,
@@ -37,14 +40,48 @@
         double retrySlack,
         Quotas.Slack quotaSlack,
         RolloutPolicy rolloutPolicy,
-        long graceMillis) {
+        long graceMillis,
+        Map<FailureDomain, Region> regions) {
+    /** Creates options without regions. */
+    public GatewayOptions(
+            FailureDomain domain,
+            InetSocketAddress callers,
+            InetSocketAddress ready,
+            InetSocketAddress metrics,
+            InetSocketAddress peer,
+            List<InetSocketAddress> seeds,
+            int minHosts,
+            double retryRatio,
+            long retryWindowMillis,
+            double retrySlack,
+            Quotas.Slack quotaSlack,
+            RolloutPolicy rolloutPolicy,
+            long graceMillis) {
+        this(
+                domain,
+                callers,
+                ready,
+                metrics,
+                peer,
+                seeds,
+                minHosts,
+                retryRatio,
+                retryWindowMillis,
+                retrySlack,
+                quotaSlack,
+                rolloutPolicy,
+                graceMillis,
+                Map.of());
+    }
+
     /**
-     * Copies the seeds.
+     * Copies the seeds and the regions.
      *
      * @throws IllegalArgumentException if the retry window or the grace period is not positive
      */
     public GatewayOptions {
         seeds = List.copyOf(seeds);
+        regions = Map.copyOf(regions);
         if (retryWindowMillis <= 0 || graceMillis <= 0) {
             throw new IllegalArgumentException("window and grace must be positive");
         }
--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -59,7 +59,13 @@
                                 hasWorkspace
                                         ? Set.of(new PartId(number), new PartId(~number))
                                         : Set.of()),
-                        hasWorkspace ? Set.of(new ServerId("x"), new ServerId("y")) : Set.of());
+                        hasWorkspace ? Set.of(new ServerId("x"), new ServerId("y")) : Set.of(),
+                        number % 3 == 0
+                                ? Optional.empty()
+                                : Optional.of(
+                                        number % 3 == 1
+                                                ? Set.of()
+                                                : Set.of(new FailureDomain("d"))));
         assertRoundTrip(
                 new DispatchEvent.PlacementRequested(new RunKey(new HostId("h"), number), request));
     }
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -8,6 +8,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
@@ -17,6 +18,7 @@
 import org.orioleshed.gateway.GatewayOptions;
 import org.orioleshed.gateway.LogRing;
 import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Region;
 
 /** One gateway on loopback with a fake store and two fake servers. */
 final class Fleet implements AutoCloseable {
@@ -78,6 +80,13 @@
         return new Fleet(timeoutMillis, 100_000, SLOTS, GRACE_MILLIS, true);
     }
 
+    /** Returns a fleet whose gateway is ready, with a configuration and a map of regions. */
+    static Fleet withRegions(String config, Map<FailureDomain, Region> regions) throws IOException {
+        Fleet fleet = new Fleet(config, SLOTS, GRACE_MILLIS, false, regions);
+        fleet.awaitReady();
+        return fleet;
+    }
+
     private Fleet(
             long timeoutMillis,
             long unitsPerSecond,
@@ -85,8 +94,23 @@
             long graceMillis,
             boolean hideServers)
             throws IOException {
+        this(
+                CONFIG.formatted(timeoutMillis, unitsPerSecond),
+                slots,
+                graceMillis,
+                hideServers,
+                Map.of());
+    }
+
+    private Fleet(
+            String config,
+            int slots,
+            long graceMillis,
+            boolean hideServers,
+            Map<FailureDomain, Region> regions)
+            throws IOException {
         store.hideServers(hideServers);
-        store.put("op/config", CONFIG.formatted(timeoutMillis, unitsPerSecond));
+        store.put("op/config", config);
         store.put("servers/i-1", first.entry("pool", slots));
         options =
                 new GatewayOptions(
@@ -102,7 +126,8 @@
                         50,
                         Quotas.Slack.NONE,
                         RolloutPolicy.DEFAULT,
-                        graceMillis);
+                        graceMillis,
+                        regions);
         node = new PlatformNode(options, store.address(), log, 1);
         node.start();
     }
@@ -150,6 +175,12 @@
         await(() -> logBytes.toString(StandardCharsets.UTF_8).contains("server=i-2"));
     }
 
+    /** Registers the second server in another failure domain and waits until it is known. */
+    void addSecond(String domain) {
+        store.put("servers/i-2", second.entry("pool", SLOTS, domain));
+        await(() -> logBytes.toString(StandardCharsets.UTF_8).contains("server=i-2"));
+    }
+
     private static InetSocketAddress freeAddress() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
--- a/src/test/java/org/orioleshed/platform/WorkerFake.java
+++ b/src/test/java/org/orioleshed/platform/WorkerFake.java
@@ -80,8 +80,12 @@
     }
 
     String entry(String service, int slots) {
-        return "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\",\"batch-slots\":%d,\"state\":\"ready\",\"seq\":1}"
-                .formatted(service, address().getPort(), slots);
+        return entry(service, slots, "z");
+    }
+
+    String entry(String service, int slots, String domain) {
+        return "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":\"v1\",\"batch-slots\":%d,\"state\":\"ready\",\"seq\":1}"
+                .formatted(service, address().getPort(), domain, slots);
     }
 
     /** Returns the first lines of a response. */
