--- a/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
+++ b/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
@@ -67,7 +67,13 @@
 
     /** Returns whether a new request may be queued. */
     boolean mayQueue(PlacementRequest request) {
-        double aheadMillis = aheadMillis(request.rank());
+        double aheadMillis =
+                pool.queuedRequests().stream()
+                        .map(QueuedRequest::request)
+                        .filter(queued -> queued.rank() <= request.rank())
+                        .filter(request::competesWith)
+                        .mapToDouble(pool::expectedRunMillis)
+                        .sum();
         double waitMillis = waitMillis(aheadMillis, request.rank());
         if (waitMillis > request.targetLeftMillis()) {
             // Later requests of the same rank that can still meet their targets are served first.
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -111,9 +111,23 @@
      * @param expectedRunMillis how long a request occupies a slot, in milliseconds
      */
     double usableSlots(double expectedRunMillis) {
+        return usableSlots(expectedRunMillis, server -> true);
+    }
+
+    /** Returns {@link #usableSlots(double)} of the servers in a request's allowed domains. */
+    double usableSlots(PlacementRequest request) {
+        return usableSlots(
+                pool.expectedRunMillis(request),
+                server -> request.permitsDomain(server.server().domain()));
+    }
+
+    private double usableSlots(double expectedRunMillis, Predicate<ServerState> filter) {
         double slots = 0;
         boolean anyStaying = false;
         for (ServerState server : pool.servers().all()) {
+            if (!filter.test(server)) {
+                continue;
+            }
             double effective = effectiveSlots(server, expectedRunMillis);
             slots += isUsable(server) ? effective : 0;
             anyStaying |= !server.isLeaving() && effective > 0;
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -174,7 +174,7 @@
         if (isNext(pool, request) && grant(pool, placement, run, request)) {
             return;
         }
-        double slots = placement.usableSlots(pool.expectedRunMillis(request));
+        double slots = placement.usableSlots(request);
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         if (!admission.mayQueue(request)) {
             refundAndRefuse(run, request, Reason.OVERLOAD, admission.waitMillis(request.rank()));
--- a/src/test/java/org/orioleshed/dispatch/AllowedDomainsTest.java
+++ b/src/test/java/org/orioleshed/dispatch/AllowedDomainsTest.java
@@ -8,14 +8,20 @@
 import org.orioleshed.dispatch.DispatchAction.Reason;
 import org.orioleshed.dispatch.RunReport.Outcome;
 import org.orioleshed.model.FailureDomain;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.Test;
 
 /** Guards against placements outside the failure domains that a request allows. */
 public class AllowedDomainsTest {
-    private final SchedulerFixture fixture =
-            new SchedulerFixture()
-                    .server("near", 2, SchedulerFixture.NEAR, false)
-                    .server("far", 1, SchedulerFixture.FAR, false);
+    private SchedulerFixture fixture;
+
+    @BeforeMethod
+    public void open() {
+        fixture =
+                new SchedulerFixture()
+                        .server("near", 2, SchedulerFixture.NEAR, false)
+                        .server("far", 1, SchedulerFixture.FAR, false);
+    }
 
     private static PlacementRequest allowing(FailureDomain... domains) {
         PlacementRequest any = SchedulerFixture.request(0, 600, 10_000, 1_000, 100);
--- a/src/test/java/org/orioleshed/dispatch/EvacuationTest.java
+++ b/src/test/java/org/orioleshed/dispatch/EvacuationTest.java
@@ -5,9 +5,11 @@
 import static org.testng.Assert.assertNull;
 
 import java.util.Set;
+import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.dispatch.DispatchAction.Reason;
 import org.orioleshed.dispatch.RunReport.Outcome;
 import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.VersionId;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -55,6 +57,23 @@
         return fixture.grantedServer(1).equals(server) ? 1 : 2;
     }
 
+    /** Guards against a rollout that holds back requests for servers that get none. */
+    @Test
+    public void rolloutDoesNotWaitForEvacuatedServersOfTheNewVersion() {
+        SchedulerFixture fixture = new SchedulerFixture();
+        RolloutOrder order =
+                new RolloutOrder(SchedulerFixture.SERVICE, new VersionId("v2"), 12_000, 1);
+        fixture.send(new DispatchEvent.RolloutOrdered(order, 0, true));
+        fixture.server("old", 40, SchedulerFixture.NEAR, false);
+        fixture.serverOfVersion("new", 40, SchedulerFixture.FAR, "v2");
+        fixture.evacuate(Set.of(SchedulerFixture.FAR));
+        for (int run = 1; run <= 40; run++) {
+            fixture.request(run, 0);
+        }
+        assertEquals(fixture.grantsOf("old"), 40);
+        assertEquals(fixture.grantsOf("new"), 0);
+    }
+
     private static FailureDomain domain(String name) {
         return new FailureDomain(name);
     }
--- a/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
@@ -77,6 +77,22 @@
         return send(new DispatchEvent.ServersChanged(servers, evacuated));
     }
 
+    /** Adds a server with a given version. */
+    SchedulerFixture serverOfVersion(String id, int slots, FailureDomain domain, String version) {
+        PoolServer other = server(id, slots, domain, false, 1);
+        servers.add(
+                new PoolServer(
+                        other.id(),
+                        other.service(),
+                        other.address(),
+                        domain,
+                        new VersionId(version),
+                        slots,
+                        false,
+                        1));
+        return send(new DispatchEvent.ServersChanged(servers, evacuated));
+    }
+
     private static PoolServer server(
             String id, int slots, FailureDomain domain, boolean draining, long startMillis) {
         return new PoolServer(
--- a/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
@@ -6,11 +6,14 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.Set;
 import org.orioleshed.catalog.BadCatalogException;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.Repeatability;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Region;
 import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
@@ -91,6 +94,9 @@
                 "{\"routes\":[{\"name\":\"a\",\"kind\":\"stream\",\"prefix\":\"a\",\"host\":\"h\","
                         + "\"service\":\"s\"}]}"
             },
+            {CONFIG.replace("\"plain-tokens\"", "\"allowed-regions\":\"r\",\"plain-tokens\"")},
+            {CONFIG.replace("\"sticky\"", "\"allowed-regions\":[7],\"sticky\"")},
+            {CONFIG.replace("\"sticky\"", "\"allowed-regions\":[\"\"],\"sticky\"")},
         };
     }
 
@@ -99,6 +105,37 @@
         assertThrows(BadCatalogException.class, () -> decoder.config(bytes(text)));
     }
 
+    @Test
+    public void readsAllowedRegions() throws BadCatalogException {
+        String text =
+                CONFIG.replace("\"sticky\"", "\"allowed-regions\":[\"r1\",\"r2\"],\"sticky\"")
+                        .replace("\"plain-tokens\"", "\"allowed-regions\":[],\"plain-tokens\"");
+        Catalog catalog = decoder.config(bytes(text));
+        assertEquals(
+                catalog.route("h.example", "/a/x").orElseThrow().allowedRegions(),
+                Set.of(new Region("r1"), new Region("r2")));
+        assertEquals(catalog.route("h.example", "/a/b/x").orElseThrow().allowedRegions(), Set.of());
+        assertEquals(catalog.holder("k1").orElseThrow().allowedRegions(), Set.of());
+    }
+
+    @DataProvider
+    Object[][] operatorKeys() {
+        return new Object[][] {
+            {"op/evacuate/z1", Optional.of(new FailureDomain("z1"))},
+            {"op/evacuate/", Optional.empty()},
+            {"op/evacuate/" + "z".repeat(201), Optional.empty()},
+            {"op/evacuated", Optional.empty()},
+            {"op/config", Optional.empty()},
+            {"op/rollout/s", Optional.empty()},
+        };
+    }
+
+    /** Guards against a key that stops a host from reading the other keys. */
+    @Test(dataProvider = "operatorKeys")
+    public void evacuatedDomainIsTheLastPartOfTheKey(String key, Optional<FailureDomain> expected) {
+        assertEquals(decoder.evacuated(key), expected);
+    }
+
     @Test
     public void readsServer() throws BadCatalogException {
         PoolServer server =
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -6,6 +6,9 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
+import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Region;
 import org.orioleshed.platform.NodeSettings.BadSettingsException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -32,6 +35,24 @@
         assertEquals(settings.store(), new InetSocketAddress("10.200.1.7", 8225));
     }
 
+    @Test
+    public void readsTheRegionOfEachDomain() throws BadSettingsException {
+        String text =
+                VALID.replace(
+                        "\"odd\"",
+                        "\"region\":\"r1\",\"zones\":{\"suva-b\":\"r1\",\"lima-a\":\"r2\"},\"odd\"");
+        assertEquals(
+                NodeSettings.parse(text).gateway().regions(),
+                Map.of(
+                        new FailureDomain("suva-a"),
+                        new Region("r1"),
+                        new FailureDomain("suva-b"),
+                        new Region("r1"),
+                        new FailureDomain("lima-a"),
+                        new Region("r2")));
+        assertEquals(NodeSettings.parse(VALID).gateway().regions(), Map.of());
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
