--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -65,7 +65,8 @@
         }
         VersionRollout rollout = pool.rollout().get();
         boolean preferNew =
-                (rollout.nextIsNew() && hasVersion(rollout, true)) || !hasVersion(rollout, false);
+                (rollout.nextIsNew() && hasVersion(rollout, true, request))
+                        || !hasVersion(rollout, false, request);
         Optional<ServerState> chosen =
                 best(request, server -> rollout.isTarget(server.server().version()) == preferNew);
         return chosen.isEmpty() && rollout.mayUseOther(preferNew)
@@ -73,12 +74,16 @@
                 : chosen;
     }
 
-    /** Returns whether any server of the target version, or of another one, accepts requests. */
-    private boolean hasVersion(VersionRollout rollout, boolean target) {
+    /**
+     * Returns whether any server of the target version, or of another one, in an allowed region
+     * accepts requests.
+     */
+    private boolean hasVersion(VersionRollout rollout, boolean target, PlacementRequest request) {
         return pool.servers().all().stream()
                 .anyMatch(
                         server ->
                                 !server.isLeaving()
+                                        && request.permitsDomain(server.server().domain())
                                         && rollout.isTarget(server.server().version()) == target);
     }
 
@@ -106,9 +111,23 @@
      * @param expectedRunMillis how long a request occupies a slot, in milliseconds
      */
     double usableSlots(double expectedRunMillis) {
+        return usableSlots(expectedRunMillis, server -> true);
+    }
+
+    /** Returns {@link #usableSlots(double)} of the servers in a request's allowed domains. */
+    double usableSlots(PlacementRequest request) {
+        return usableSlots(
+                pool.expectedRunMillis(request),
+                server -> request.permitsDomain(server.server().domain()));
+    }
+
+    private double usableSlots(double expectedRunMillis, Predicate<ServerState> filter) {
         double slots = 0;
         boolean anyStaying = false;
         for (ServerState server : pool.servers().all()) {
+            if (!filter.test(server)) {
+                continue;
+            }
             double effective = effectiveSlots(server, expectedRunMillis);
             slots += isUsable(server) ? effective : 0;
             anyStaying |= !server.isLeaving() && effective > 0;
@@ -128,7 +147,7 @@
     }
 
     private boolean isEligible(ServerState server, PlacementRequest request) {
-        return isUsable(server) && !request.excluded().contains(server.server().id());
+        return isUsable(server) && request.permits(server.server());
     }
 
     private boolean isUsable(ServerState server) {
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -2,10 +2,12 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.model.FailureDomain;
+import org.orioleshed.model.Region;
 
 /**
  * The settings of a gateway, fixed at its start.
@@ -28,6 +30,7 @@
  *     positive
  * @param cpuMillicores the processor time that the host may use, in thousandths of a core; 0 if
  *     unknown
+ * @param regions the region of each failure domain; empty if none is stated
  */
 public record GatewayOptions(
         FailureDomain domain,
@@ -44,14 +47,16 @@
         Quotas.Slack quotaSlack,
         RolloutPolicy rolloutPolicy,
         long graceMillis,
-        int cpuMillicores) {
+        int cpuMillicores,
+        Map<FailureDomain, Region> regions) {
     /**
-     * Copies the seeds.
+     * Copies the seeds and the regions.
      *
      * @throws IllegalArgumentException if the retry window or the grace period is not positive
      */
     public GatewayOptions {
         seeds = List.copyOf(seeds);
+        regions = Map.copyOf(regions);
         if (retryWindowMillis <= 0 || graceMillis <= 0) {
             throw new IllegalArgumentException("window and grace must be positive");
         }
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -9,6 +9,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.dispatch.Quotas;
@@ -124,7 +125,8 @@
                 Quotas.Slack.NONE,
                 RolloutPolicy.DEFAULT,
                 GRACE_MILLIS,
-                0);
+                0,
+                Map.of());
     }
 
     private List<String> entries(boolean overPaths) {
