--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -48,6 +48,7 @@
     private long idleSinceNanos;
     private int requestCount;
     private Exchange exchange;
+    private StartQueue.PendingStart pendingStart;
     private boolean keepAlive = true;
     private boolean closing;
     private boolean inputClosed;
@@ -72,6 +73,10 @@
         acceptor.closed(this);
         pipelined.forEach(ReferenceCountUtil::release);
         pipelined.clear();
+        if (pendingStart != null) {
+            acceptor.startQueue().withdraw(pendingStart);
+            pendingStart = null;
+        }
         if (exchange != null) {
             Exchange abandoned = exchange;
             exchange = null;
@@ -102,7 +107,7 @@
             ReferenceCountUtil.release(part);
             return;
         }
-        if (exchange != null) {
+        if (isBusy()) {
             pipelined.add(part);
             if (pipelined.size() > MAX_PIPELINED_PARTS) {
                 channel.config().setAutoRead(false);
@@ -223,11 +228,30 @@
                             headNanos,
                             ++requestCount);
             body.reset();
-            exchange = acceptor.exchange(this, request);
-            exchange.start();
+            pendingStart = acceptor.startQueue().hold(this, request).orElse(null);
+            if (pendingStart == null) {
+                serve(request);
+            }
         }
     }
 
+    private boolean isBusy() {
+        return exchange != null || pendingStart != null;
+    }
+
+    /** Serves a request that was read, at once or after it waited while the host was late. */
+    void serve(CallerRequest request) {
+        pendingStart = null;
+        exchange = acceptor.exchange(this, request);
+        exchange.start();
+    }
+
+    /** Refuses the request that waits to be served. */
+    void refuse(HttpResponseStatus status, HttpHeaders headers) {
+        pendingStart = null;
+        respond(status, headers, new byte[0]);
+    }
+
     /** Responds to a request that was not read to its end, and closes the connection. */
     private void reject(HttpResponseStatus status, String reason) {
         inputClosed = true;
@@ -241,7 +265,7 @@
 
     /** Closes the connection if it was idle, or took too long to send a request. */
     void checkIdle(long nowNanos, CallerLimits limits) {
-        if (exchange != null || inputClosed) {
+        if (isBusy() || inputClosed) {
             return;
         }
         long since = head != null ? headNanos : idleSinceNanos;
@@ -257,7 +281,7 @@
     /** Closes after the current response, or at once if the connection is idle. */
     void closeWhenIdle() {
         closing = true;
-        if (exchange == null && head == null && pipelined.isEmpty()) {
+        if (!isBusy() && head == null && pipelined.isEmpty()) {
             closeAfterFlush();
         }
     }
@@ -333,7 +357,7 @@
     }
 
     private void next() {
-        while (exchange == null && !inputClosed && !pipelined.isEmpty()) {
+        while (!isBusy() && !inputClosed && !pipelined.isEmpty()) {
             read(pipelined.poll());
         }
         if (!inputClosed && pipelined.size() <= MAX_PIPELINED_PARTS / 2 && channel.isOpen()) {
--- a/src/main/java/org/orioleshed/gateway/CallerRequest.java
+++ b/src/main/java/org/orioleshed/gateway/CallerRequest.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import org.orioleshed.model.Payload;
@@ -29,6 +30,13 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
+    /** Returns the host name that the caller used, without the port. */
+    String host() {
+        String host = headers.get(HttpHeaderNames.HOST);
+        int port = host.lastIndexOf(':');
+        return port < 0 ? host : host.substring(0, port);
+    }
+
     long ageMillis(long nowNanos) {
         return (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
     }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -84,16 +84,18 @@
 
     void start() {
         context.started(this);
-        if (context.isLate() || (request.number() == 1 && caller.acceptedLate())) {
-            // A caller that waited unread may have disconnected; the close is read only after the
-            // request.
-            context.runLater(
-                    () -> {
-                        if (state == State.WAITING_FOR_CONFIG && callerWaits()) {
-                            serveIfConfigured();
-                        }
-                    });
+        if (!context.isLate() && !(request.number() == 1 && caller.acceptedLate())) {
+            serveIfConfigured();
+        } else if (caller.isReading()) {
+            context.runLater(this::serveIfCallerWaits);
         } else {
+            serveIfCallerWaits();
+        }
+    }
+
+    /** Serves the request, which may have waited unread, unless its caller has disconnected. */
+    private void serveIfCallerWaits() {
+        if (state == State.WAITING_FOR_CONFIG && callerWaits()) {
             serveIfConfigured();
         }
     }
@@ -161,7 +163,7 @@
     }
 
     private void serve(Catalog catalog) {
-        Optional<CallRoute> matched = catalog.route(hostName(), request.path());
+        Optional<CallRoute> matched = catalog.route(request.host(), request.path());
         if (matched.isEmpty()) {
             fail(HttpResponseStatus.NOT_FOUND, "no_route", -1);
             return;
@@ -209,12 +211,6 @@
         return accepted;
     }
 
-    private String hostName() {
-        String host = request.headers().get(HttpHeaderNames.HOST);
-        int port = host.lastIndexOf(':');
-        return port < 0 ? host : host.substring(0, port);
-    }
-
     private void place(Optional<WorkspaceId> payer) {
         state = State.PLACING;
         run = context.nextRun();
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -81,6 +81,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
     private final AcceptBacklog backlog = new AcceptBacklog(ACCEPTED_PER_POLL);
+    private final StartQueue startQueue;
     private final HostId self;
     private final PeerNetwork peers;
     private final FleetView fleet;
@@ -129,6 +130,7 @@
         this.random = random;
         this.self = FleetView.hostId(options.peer());
         this.shutdownPolicy = new ShutdownPolicy(options.graceMillis());
+        this.startQueue = new StartQueue(loop, loopClock.lag(), this, exchanges::size, metrics);
         this.nextRun = incarnation << RUN_BITS;
         this.firstEventMillis = histogram("first_event_millis");
         this.answerMillis = histogram("answer_millis");
@@ -457,6 +459,11 @@
         return shutdownPolicy.begun();
     }
 
+    @Override
+    public StartQueue startQueue() {
+        return startQueue;
+    }
+
     @Override
     public Exchange exchange(CallerConnection connection, CallerRequest request) {
         acceptedRequests.inc();
--- a/src/main/java/org/orioleshed/gateway/HeaderTranslator.java
+++ b/src/main/java/org/orioleshed/gateway/HeaderTranslator.java
@@ -14,6 +14,13 @@
      */
     CallHeaders read(HttpHeaders headers);
 
+    /**
+     * Reads the few header fields that decide whether a request is refused under overload.
+     *
+     * @param headers the header fields of the request
+     */
+    BriefHeaders readBriefly(HttpHeaders headers);
+
     /**
      * Reads a server's header fields.
      *
@@ -47,6 +54,15 @@
      */
     void markLocalResponse(HttpHeaders headers, String id, long retryAfterMillis);
 
+    /**
+     * The part of {@link CallHeaders} that decides whether a request is refused under overload.
+     *
+     * @param id the caller's id of this attempt; empty if absent
+     * @param key the caller's API key; empty if absent
+     * @param deadlineMillis how long the caller waits, in milliseconds; negative if not stated
+     */
+    record BriefHeaders(String id, Optional<String> key, long deadlineMillis) {}
+
     /**
      * The values that this system adds to a request to a server.
      *
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -15,6 +15,9 @@
     /** Returns whether this host is stopping. */
     boolean isLeaving();
 
+    /** Returns the queue of requests that wait while this host is late. */
+    StartQueue startQueue();
+
     /** Creates the exchange for a request that was read whole. */
     Exchange exchange(CallerConnection connection, CallerRequest request);
 
