--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -26,6 +26,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -86,6 +87,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
     private final AcceptBacklog backlog = new AcceptBacklog(ACCEPTED_PER_POLL);
+    private final StartQueue startQueue;
     private final HostId self;
     private final PeerNetwork peers;
     private final FleetView fleet;
@@ -136,6 +138,7 @@
         this.random = random;
         this.self = FleetView.hostId(options.peer());
         this.shutdownPolicy = new ShutdownPolicy(options.graceMillis());
+        this.startQueue = new StartQueue(loop, loopClock.lag(), this, exchanges::size, metrics);
         this.nextRun = incarnation << RUN_BITS;
         this.firstEventMillis = histogram("first_event_millis");
         this.answerMillis = histogram("answer_millis");
@@ -493,6 +496,17 @@
         return shutdownPolicy.begun();
     }
 
+    @Override
+    public Optional<StartQueue.PendingStart> hold(
+            CallerConnection connection, CallerRequest request) {
+        return startQueue.hold(connection, request);
+    }
+
+    @Override
+    public void withdraw(StartQueue.PendingStart pending) {
+        startQueue.withdraw(pending);
+    }
+
     @Override
     public Exchange exchange(CallerConnection connection, CallerRequest request) {
         acceptedRequests.inc();
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import java.util.Optional;
 import org.orioleshed.catalog.CallerLimits;
 
 /** Accepts the requests that other hosts forward; everything else is the gateway's. */
@@ -23,6 +24,18 @@
         return gateway.opened(connection);
     }
 
+    /** A forwarded request never waits: the relay's limit bounds how many are served at once. */
+    @Override
+    public Optional<StartQueue.PendingStart> hold(
+            CallerConnection connection, CallerRequest request) {
+        return Optional.empty();
+    }
+
+    @Override
+    public void withdraw(StartQueue.PendingStart pending) {
+        gateway.withdraw(pending);
+    }
+
     @Override
     public void closed(CallerConnection connection) {
         gateway.closed(connection);
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import java.util.Optional;
 import org.orioleshed.catalog.CallerLimits;
 
 /** The gateway as seen by callers' connections. */
@@ -15,6 +16,12 @@
     /** Returns whether this host is stopping. */
     boolean isLeaving();
 
+    /** Returns the handle of a request that must wait as this host is late; empty if it must not. */
+    Optional<StartQueue.PendingStart> hold(CallerConnection connection, CallerRequest request);
+
+    /** Removes a waiting request, whose caller disconnected. */
+    void withdraw(StartQueue.PendingStart pending);
+
     /** Creates the exchange for a request that was read whole. */
     Exchange exchange(CallerConnection connection, CallerRequest request);
 
