--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.Region;
+import java.util.Optional;
 import org.orioleshed.platform.NodeSettings.BadSettingsException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -53,6 +54,25 @@
         assertEquals(NodeSettings.parse(VALID).gateway().regions(), Map.of());
     }
 
+    @DataProvider
+    Object[][] relayPorts() {
+        return new Object[][] {
+            {"[7600,7615]", Optional.of(7602)},
+            {"[7600,7602]", Optional.of(7602)},
+            {"[7600,7601]", Optional.empty()},
+            {"[7600]", Optional.empty()},
+            {"[65534,70000]", Optional.empty()},
+        };
+    }
+
+    /** Guards against a host that does not start because its range has no port to forward at. */
+    @Test(dataProvider = "relayPorts")
+    public void forwardsOnlyWithAThirdPort(String range, Optional<Integer> port)
+            throws BadSettingsException {
+        NodeSettings settings = NodeSettings.parse(VALID.replace("[7600,7615]", range));
+        assertEquals(settings.gateway().relay().map(InetSocketAddress::getPort), port);
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
