Pace servers that have just started or recovered by an adaptive concurrency window

Active only where the settings list the contract health. After a fault that indicates that a server is unavailable, or where its start is recent, the server gets one request, then a window with additive increase and multiplicative decrease until it reaches the slots.

--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -115,8 +115,18 @@
         }
     }
 
-    /** The current servers. */
-    record ServersChanged(List<PoolServer> servers) implements DispatchEvent {
+    /**
+     * The current servers.
+     *
+     * @param servers the servers
+     * @param wallMillis the wall-clock time, in Unix milliseconds; 0 if not known
+     */
+    record ServersChanged(List<PoolServer> servers, long wallMillis) implements DispatchEvent {
+        /** Makes an event without the wall-clock time. */
+        public ServersChanged(List<PoolServer> servers) {
+            this(servers, 0);
+        }
+
         /** Copies the list. */
         public ServersChanged {
             servers = List.copyOf(servers);
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -155,7 +155,8 @@
     }
 
     private int slotLimit(ServerState server) {
-        return Math.max(1, (int) (server.server().slots() * slotShare));
+        int slots = Math.max(1, (int) (server.server().slots() * slotShare));
+        return Math.min(slots, server.pacedLimit());
     }
 
     /**
--- a/src/main/java/org/orioleshed/dispatch/PoolServers.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolServers.java
@@ -18,14 +18,24 @@
 final class PoolServers {
     private static final int MAX_ABSENT = 1_024;
 
+    private final PacedServers paced;
     private final Map<ServerId, ServerState> present = new HashMap<>();
     private final Map<ServerId, ServerState> absent = new LinkedHashMap<>();
 
+    PoolServers(PacedServers paced) {
+        this.paced = paced;
+    }
+
     /** Returns the servers that have entries. */
     Collection<ServerState> all() {
         return present.values();
     }
 
+    /** Returns the number of servers that are paced. */
+    int paced() {
+        return (int) present.values().stream().filter(ServerState::isPaced).count();
+    }
+
     Set<ServerId> ids() {
         return present.keySet();
     }
@@ -51,7 +61,11 @@
             present.put(server.id(), recorded);
             return false;
         }
-        present.put(server.id(), new ServerState(server, nowNanos));
+        ServerPacing pacing = paced.create(server, nowNanos);
+        if (recorded != null) {
+            pacing.inherit(recorded.pacing());
+        }
+        present.put(server.id(), new ServerState(server, pacing, nowNanos));
         return recorded != null;
     }
 
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -15,9 +15,9 @@
     private static final double NANOS_PER_MILLI = 1e6;
 
     /** A run without an answer counts as slow once it took this many times the expected time. */
-    private static final double SLOW_RUN_FACTOR = 2;
+    static final double SLOW_RUN_FACTOR = 2;
 
-    private final PoolServers servers = new PoolServers();
+    private final PoolServers servers;
     private final TreeSet<QueuedRequest> onTime = new TreeSet<>(QueuedRequest.URGENCY);
     private final TreeSet<QueuedRequest> late = new TreeSet<>(QueuedRequest.URGENCY);
     private final Map<RunKey, QueuedRequest> queuedByRun = new HashMap<>();
@@ -26,6 +26,10 @@
     private Pool definition;
     private VersionRollout rollout;
 
+    PoolState(PacedServers paced) {
+        this.servers = new PoolServers(paced);
+    }
+
     PoolServers servers() {
         return servers;
     }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -7,10 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.orioleshed.catalog.PoolServer;
-import org.orioleshed.catalog.RolloutOrder;
-import org.orioleshed.catalog.RolloutOutcome;
 import org.orioleshed.dispatch.DispatchAction.Reason;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
@@ -51,6 +48,7 @@
     private final Quotas quotas;
     private final ServerRates rates;
     private final RolloutPolicy rolloutPolicy;
+    private final PacedServers paced;
     private List<DispatchAction> actions = new ArrayList<>();
     private double slotShare = 1;
     private long nextSequence;
@@ -67,9 +65,15 @@
      * @param slack the tolerance beyond quotas
      * @param role whether it grants quotas as the primary or as a fallback
      * @param rolloutPolicy the bounds on the requests to a version that is not proved
+     * @param pacing whether servers that have just started or recovered are paced
      */
     public Scheduler(
-            double initialFill, Quotas.Slack slack, Quotas.Role role, RolloutPolicy rolloutPolicy) {
+            double initialFill,
+            Quotas.Slack slack,
+            Quotas.Role role,
+            RolloutPolicy rolloutPolicy,
+            PacingPolicy pacing) {
+        this.paced = new PacedServers(pacing, line -> actions.add(new DispatchAction.Note(line)));
         this.rolloutPolicy = rolloutPolicy;
         boolean decides = role == Quotas.Role.PRIMARY;
         this.quarantine = new QuarantineControl(decides, action -> actions.add(action));
@@ -106,7 +110,7 @@
                     quarantine.release(ordered.suspect(), nowNanos);
             case DispatchEvent.RolloutReported reported -> applyReport(reported);
             case DispatchEvent.HostGone gone -> removeHost(gone.host());
-            case DispatchEvent.ServersChanged changed -> updateServers(changed.servers());
+            case DispatchEvent.ServersChanged changed -> updateServers(changed);
             case DispatchEvent.ServerLeaving leaving -> markLeaving(leaving);
             case DispatchEvent.ServerLimited limited ->
                     rates.recordReported(
@@ -138,6 +142,11 @@
         return pools.values().stream().mapToInt(PoolState::waiting).sum();
     }
 
+    /** Returns the number of servers that are paced over all pools. */
+    public int pacedServers() {
+        return pools.values().stream().mapToInt(pool -> pool.servers().paced()).sum();
+    }
+
     /** Returns the number of runs under way over all pools. */
     public int running() {
         return runs.size();
@@ -148,7 +157,7 @@
     }
 
     private PoolState pool(ServiceId service) {
-        return pools.computeIfAbsent(service, key -> new PoolState());
+        return pools.computeIfAbsent(service, key -> new PoolState(paced));
     }
 
     private void admit(RunKey run, PlacementRequest request) {
@@ -358,9 +367,10 @@
         }
     }
 
-    private void updateServers(List<PoolServer> servers) {
+    private void updateServers(DispatchEvent.ServersChanged changed) {
+        paced.setWallMillis(changed.wallMillis());
         Set<ServerId> present = new HashSet<>();
-        for (PoolServer server : servers) {
+        for (PoolServer server : changed.servers()) {
             present.add(server.id());
             updateServer(server);
         }
@@ -437,17 +447,6 @@
                 .toList();
     }
 
-    /**
-     * The state of a rollout.
-     *
-     * @param order the order
-     * @param outcome the outcome so far
-     * @param step the traffic step that the new version has reached; -1 until it is proved
-     * @param evidence formats the evidence for the log
-     */
-    public record RolloutView(
-            RolloutOrder order, RolloutOutcome outcome, int step, Supplier<String> evidence) {}
-
     /**
      * Returns the observations of this scheduler that the next primary needs: crashes by content,
      * and the evidence of rollouts.
--- a/src/main/java/org/orioleshed/dispatch/ServerState.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -22,10 +22,12 @@
     private static final double MIN_SLOWNESS = 0.05;
 
     private final Map<RunKey, ActiveRun> runs = new HashMap<>();
+    private final ServerPacing pacing;
     private PoolServer server;
     private double firstEventFactor = 1;
     private double eventGapFactor = 1;
     private double faultRate;
+    private double faultRateBefore;
     private long faultNanos;
     private int consecutiveFaults;
     private boolean statedLeaving;
@@ -34,8 +36,9 @@
     private long pendingTokens;
     private long reservedTokens;
 
-    ServerState(PoolServer server, long nowNanos) {
+    ServerState(PoolServer server, ServerPacing pacing, long nowNanos) {
         this.server = server;
+        this.pacing = pacing;
         this.lastActivityNanos = nowNanos;
         this.faultNanos = nowNanos;
     }
@@ -62,6 +65,20 @@
         return statedLeaving || server.draining();
     }
 
+    ServerPacing pacing() {
+        return pacing;
+    }
+
+    /** Returns whether the server is paced because it has just started or recovered. */
+    boolean isPaced() {
+        return pacing.isPaced();
+    }
+
+    /** Returns the largest number of runs while the server is paced. */
+    int pacedLimit() {
+        return pacing.limit();
+    }
+
     int running() {
         return runs.size();
     }
@@ -106,6 +123,10 @@
         }
         pendingTokens -= run.request().promptTokens();
         double expectedMillis = pool.firstEventMillis(run.prefillTokens());
+        double explainedMillis = firstEventFactor * expectedMillis;
+        if (pacing.recordFirst(server, run, (double) firstMillis, explainedMillis, nowNanos)) {
+            faultRate = faultRateBefore;
+        }
         firstEventFactor = smooth(firstEventFactor, firstMillis / expectedMillis);
         pool.recordFirstEvent(run.prefillTokens(), firstMillis / firstEventFactor);
         runs.put(key, run.afterFirstEvent());
@@ -132,20 +153,44 @@
                 consecutiveFaults = 0;
                 backoffUntilNanos = Long.MIN_VALUE;
                 recordFault(0, nowNanos);
+                recordPacedAnswer(run, report, pool, nowNanos);
                 recordSpeed(run, report, pool);
             }
             case FAILED -> {
                 lastActivityNanos = nowNanos;
                 recordFault(1, nowNanos);
             }
-            case UNREACHABLE, BROKEN, TIMED_OUT -> {
-                recordFault(1, nowNanos);
-                backOff(nowNanos);
-            }
+            case UNREACHABLE, BROKEN, TIMED_OUT -> recordUnavailable(nowNanos);
             case REJECTED -> backOffUntil(nowNanos + REJECTED_BACKOFF_MILLIS * NANOS_PER_MILLI);
             case MISDIRECTED -> backOffUntil(nowNanos + MAX_BACKOFF_MILLIS * NANOS_PER_MILLI);
             case CANCELLED -> {}
         }
+        pacing.recordUnanswered(server, run, report.outcome(), nowNanos);
+    }
+
+    private void recordUnavailable(long nowNanos) {
+        if (!pacing.isPaced()) {
+            faultRateBefore = faultRate(nowNanos);
+        }
+        recordFault(1, nowNanos);
+        if (!pacing.isActive()) {
+            backOff(nowNanos);
+        }
+    }
+
+    private void recordPacedAnswer(ActiveRun run, RunReport report, PoolSpeed pool, long nowNanos) {
+        boolean plain = run.request().promptTokens() == 0;
+        double explainedMillis = firstEventFactor * pool.expectedMillis(run);
+        long firstMillis = plain ? report.totalMillis() : report.firstMillis();
+        boolean firstResponse = plain || run.prefillTokens() > 0;
+        boolean onlyPaused =
+                firstResponse
+                        ? pacing.recordFirst(
+                                server, run, (double) firstMillis, explainedMillis, nowNanos)
+                        : pacing.recordLaterAnswer(server, run, nowNanos);
+        if (onlyPaused) {
+            faultRate = faultRateBefore;
+        }
     }
 
     private void recordSpeed(ActiveRun run, RunReport report, PoolSpeed pool) {
@@ -188,7 +233,7 @@
     }
 
     boolean isBackingOff(long nowNanos) {
-        return nowNanos < backoffUntilNanos;
+        return nowNanos < backoffUntilNanos || pacing.isPausing(nowNanos);
     }
 
     /**
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
 import org.orioleshed.catalog.PoolServer;
@@ -22,8 +23,14 @@
     private final Map<RolloutOrder, Long> ordersSeenNanos = new HashMap<>();
     private final Map<RolloutOrder, RolloutOutcome> recorded = new HashMap<>();
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
+    private final LongSupplier wallClock;
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
 
+    /** Makes a feed without servers; the clock returns the wall-clock time in Unix milliseconds. */
+    CatalogFeed(LongSupplier wallClock) {
+        this.wallClock = wallClock;
+    }
+
     /** Takes a newer snapshot. */
     void catalogChanged(CatalogSnapshot newer, long nowNanos) {
         snapshot = newer;
@@ -56,7 +63,7 @@
         }
         recorded.forEach(
                 (order, outcome) -> events.add(new DispatchEvent.RolloutSettled(order, outcome)));
-        events.add(new DispatchEvent.ServersChanged(snapshot.servers()));
+        events.add(new DispatchEvent.ServersChanged(snapshot.servers(), wallClock.getAsLong()));
         List<DispatchAction> actions = new ArrayList<>();
         events.forEach(event -> actions.addAll(scheduler.on(nowNanos, event)));
         return actions;
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -17,9 +17,11 @@
 import org.orioleshed.dispatch.DispatchCodec;
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.DispatchMessage;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
+import org.orioleshed.dispatch.RolloutView;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
 import org.orioleshed.dispatch.Scheduler;
@@ -71,8 +73,9 @@
     private final Followers followers = new Followers();
     private final Quotas.Slack slack;
     private final RolloutPolicy rolloutPolicy;
+    private final PacingPolicy pacing;
     private final ServerNotices notices = new ServerNotices();
-    private final CatalogFeed feed = new CatalogFeed();
+    private final CatalogFeed feed;
     private final Map<RolloutOrder, LoggedState> loggedStates = new HashMap<>();
     private final Scheduler fallback;
     private Scheduler primaryScheduler;
@@ -128,13 +131,18 @@
             FleetView fleet,
             Quotas.Slack slack,
             RolloutPolicy rolloutPolicy,
+            PacingPolicy pacing,
             LongSupplier clock,
+            LongSupplier wallClock,
             Consumer<String> log) {
         this.clock = clock;
+        this.feed = new CatalogFeed(wallClock);
         this.self = self;
         this.slack = slack;
         this.rolloutPolicy = rolloutPolicy;
-        this.fallback = new Scheduler(INITIAL_FILL, slack, Quotas.Role.FALLBACK, rolloutPolicy);
+        this.pacing = pacing;
+        this.fallback =
+                new Scheduler(INITIAL_FILL, slack, Quotas.Role.FALLBACK, rolloutPolicy, pacing);
         this.primaryScheduler = newPrimary(INITIAL_FILL);
         this.peers = peers;
         this.fleet = fleet;
@@ -143,7 +151,7 @@
     }
 
     private Scheduler newPrimary(double fill) {
-        return new Scheduler(fill, slack, Quotas.Role.PRIMARY, rolloutPolicy);
+        return new Scheduler(fill, slack, Quotas.Role.PRIMARY, rolloutPolicy, pacing);
     }
 
     /** Requests a slot; the listener may be called before this returns. */
@@ -461,7 +469,7 @@
     }
 
     /** Logs and records the state of a rollout if it changed. */
-    private void record(Scheduler.RolloutView rollout) {
+    private void record(RolloutView rollout) {
         LoggedState now = new LoggedState(rollout.outcome(), rollout.step());
         LoggedState before = loggedStates.put(rollout.order(), now);
         if (now.equals(before)) {
@@ -633,6 +641,13 @@
         return primary.isSelf() ? primaryScheduler.held(nowNanos) : fallback.held(nowNanos);
     }
 
+    /**
+     * Returns the number of paced servers: at the primary of all hosts, else of this host alone.
+     */
+    int pacedServers() {
+        return primary.isSelf() ? primaryScheduler.pacedServers() : fallback.pacedServers();
+    }
+
     /** Releases something that is quarantined, on all hosts. */
     void release(Suspect suspect) {
         notifySchedulers(new DispatchEvent.ReleaseOrdered(suspect));
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -83,6 +83,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private MetricsText metricsText;
     private volatile int quarantined;
+    private volatile int pacedServers;
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -142,6 +143,7 @@
         this.acceptedRequests = metrics.counter("requests");
         metrics.gauge("log_lines_dropped", () -> log::dropped);
         metrics.gauge("quarantined", () -> () -> quarantined);
+        metrics.gauge("paced_servers", () -> () -> pacedServers);
         this.peers =
                 new PeerNetwork(
                         self,
@@ -167,7 +169,9 @@
                         fleet,
                         options.quotaSlack(),
                         options.rolloutPolicy(),
+                        options.pacing(),
                         System::nanoTime,
+                        System::currentTimeMillis,
                         log::add);
         dispatcher.onRequestSent(ticker::reschedule);
         this.propagation =
@@ -332,6 +336,7 @@
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
         quarantined = dispatcher.held().size();
+        pacedServers = dispatcher.pacedServers();
         propagation.tick();
         if (nowNanos - slowTickNanos >= SLOW_TICK_NANOS) {
             slowTickNanos = nowNanos;
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.model.FailureDomain;
@@ -21,6 +22,7 @@
  * @param retrySlack retries per window allowed beyond the ratio, over all hosts
  * @param quotaSlack what workspaces may use beyond their quotas
  * @param rolloutPolicy the limits on the damage of a bad version
+ * @param pacing whether servers that have just started or recovered are paced
  * @param graceMillis the time from the stop signal to the end of the process, in milliseconds;
  *     positive
  */
@@ -37,6 +39,7 @@
         double retrySlack,
         Quotas.Slack quotaSlack,
         RolloutPolicy rolloutPolicy,
+        PacingPolicy pacing,
         long graceMillis) {
     /**
      * Copies the seeds.
--- a/src/main/java/org/orioleshed/trial/PrimaryPolicy.java
+++ b/src/main/java/org/orioleshed/trial/PrimaryPolicy.java
@@ -11,6 +11,7 @@
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.DispatchEvent;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
@@ -33,7 +34,12 @@
 
     private final Context context;
     private final Scheduler scheduler =
-            new Scheduler(1, Quotas.Slack.NONE, Quotas.Role.PRIMARY, RolloutPolicy.DEFAULT);
+            new Scheduler(
+                    1,
+                    Quotas.Slack.NONE,
+                    Quotas.Role.PRIMARY,
+                    RolloutPolicy.DEFAULT,
+                    PacingPolicy.OFF);
     private final Map<RunKey, TrialRequest> requestsByRun = new HashMap<>();
 
     PrimaryPolicy(Context context, SimulatedEngine.Spec spec) {
--- a/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
@@ -31,16 +31,31 @@
     final List<DispatchAction> actions = new ArrayList<>();
     private final List<PoolServer> servers = new ArrayList<>();
     private long nowNanos = 1_000_000_000L;
+    private long wallMillis;
 
     SchedulerFixture() {
         this(Quotas.Role.PRIMARY);
     }
 
     SchedulerFixture(Quotas.Role role) {
-        scheduler = new Scheduler(1, Quotas.Slack.NONE, role, RolloutPolicy.DEFAULT);
+        this(role, PacingPolicy.OFF);
+    }
+
+    SchedulerFixture(PacingPolicy pacing) {
+        this(Quotas.Role.PRIMARY, pacing);
+    }
+
+    private SchedulerFixture(Quotas.Role role, PacingPolicy pacing) {
+        scheduler = new Scheduler(1, Quotas.Slack.NONE, role, RolloutPolicy.DEFAULT, pacing);
         pool(1_000_000);
     }
 
+    /** Sets the wall-clock time, in Unix milliseconds. */
+    SchedulerFixture wallClock(long millis) {
+        wallMillis = millis;
+        return this;
+    }
+
     SchedulerFixture pool(long memoryTokens) {
         Pool pool = new Pool(SERVICE, true, memoryTokens, 7);
         return send(new DispatchEvent.LimitsChanged(Map.of(SERVICE, pool), Map.of()));
@@ -60,14 +75,14 @@
     SchedulerFixture server(String id, int slots, FailureDomain domain, boolean draining) {
         servers.removeIf(server -> server.id().value().equals(id));
         servers.add(server(id, slots, domain, draining, 1));
-        return send(new DispatchEvent.ServersChanged(servers));
+        return send(new DispatchEvent.ServersChanged(servers, wallMillis));
     }
 
     /** Adds a server with a given start time. */
     SchedulerFixture serverWithStart(String id, int slots, long startMillis) {
         servers.removeIf(server -> server.id().value().equals(id));
         servers.add(server(id, slots, NEAR, false, startMillis));
-        return send(new DispatchEvent.ServersChanged(servers));
+        return send(new DispatchEvent.ServersChanged(servers, wallMillis));
     }
 
     private static PoolServer server(
@@ -85,7 +100,7 @@
 
     SchedulerFixture removeServer(String id) {
         servers.removeIf(server -> server.id().value().equals(id));
-        return send(new DispatchEvent.ServersChanged(servers));
+        return send(new DispatchEvent.ServersChanged(servers, wallMillis));
     }
 
     SchedulerFixture request(int run, int rank) {
@@ -142,6 +157,11 @@
         return request(rank, target, deadline, prompt, output, content, excluded);
     }
 
+    /** Returns a model request whose content is that of no other run. */
+    static PlacementRequest requestOf(int run, long deadline, Set<ServerId> excluded) {
+        return request(0, 600, deadline, 1_000, 100, RequestContent.whole((long) run), excluded);
+    }
+
     /** Returns a model request with the given content. */
     static PlacementRequest request(RequestContent content) {
         return request(0, 600, 10_000, 1_000, 100, content, Set.of());
@@ -200,6 +220,15 @@
                 .count();
     }
 
+    /** Returns the log lines of an event. */
+    List<String> notes(String event) {
+        return actions.stream()
+                .filter(DispatchAction.Note.class::isInstance)
+                .map(action -> ((DispatchAction.Note) action).line())
+                .filter(line -> line.startsWith("event=" + event + " "))
+                .toList();
+    }
+
     /** Returns the granted runs in order. */
     List<Long> granted() {
         return actions.stream()
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -14,6 +14,7 @@
 import org.orioleshed.catalog.PlainDecoder;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.DispatchAction;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
@@ -88,7 +89,15 @@
         catalog = new CatalogState(all.decoder(), line -> {});
         dispatcher =
                 new Dispatcher(
-                        id, this, fleet, SLACK, RolloutPolicy.DEFAULT, all::nowNanos, line -> {});
+                        id,
+                        this,
+                        fleet,
+                        SLACK,
+                        RolloutPolicy.DEFAULT,
+                        PacingPolicy.OFF,
+                        all::nowNanos,
+                        () -> 0,
+                        line -> {});
         propagation =
                 new CatalogPropagation(
                         member,
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.gateway.GatewayOptions;
@@ -102,6 +103,7 @@
                         50,
                         Quotas.Slack.NONE,
                         RolloutPolicy.DEFAULT,
+                        PacingPolicy.OFF,
                         graceMillis);
         node = new PlatformNode(options, store.address(), log, 1);
         node.start();
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -6,6 +6,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.platform.NodeSettings.BadSettingsException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -32,6 +33,32 @@
         assertEquals(settings.store(), new InetSocketAddress("10.200.1.7", 8225));
     }
 
+    @DataProvider
+    Object[][] pacing() {
+        return new Object[][] {
+            {"", PacingPolicy.OFF},
+            {"\"contracts\":[\"placement\"],", PacingPolicy.OFF},
+            {"\"contracts\":[\"placement\",\"health\"],", new PacingPolicy(true, 4_000)},
+        };
+    }
+
+    /** Guards against a changed behaviour where the deployment does not state the contract. */
+    @Test(dataProvider = "pacing")
+    public void pacesServersOnlyWhereTheHealthContractIsListed(
+            String contracts, PacingPolicy expected) throws BadSettingsException {
+        String text = VALID.replace("\"ip\":", contracts + "\"ip\":");
+        assertEquals(NodeSettings.parse(text).gateway().pacing(), expected);
+    }
+
+    /** Guards against a fixed time where the deployment states how long a start is recent. */
+    @Test
+    public void readsHowLongAStartIsRecent() throws BadSettingsException {
+        String text =
+                VALID.replace("\"ip\":", "\"contracts\":[\"health\"],\"ip\":")
+                        .replace("\"grace-s\"", "\"stable-ms\":2500,\"grace-s\"");
+        assertEquals(NodeSettings.parse(text).gateway().pacing(), new PacingPolicy(true, 2_500));
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
