--- a/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
+++ b/src/main/java/org/orioleshed/dispatch/AdmissionRule.java
@@ -42,15 +42,7 @@
      * and are served first.
      */
     double waitMillis(int rank) {
-        return waitMillis(aheadMillis(rank), rank);
-    }
-
-    private double aheadMillis(int rank) {
-        return pool.queuedRequests().stream()
-                .map(QueuedRequest::request)
-                .filter(request -> request.rank() <= rank)
-                .mapToDouble(pool::expectedRunMillis)
-                .sum();
+        return waitMillis(pool.queuedRunMillis(rank), rank);
     }
 
     /**
@@ -61,13 +53,32 @@
         if (slots == 0) {
             return Double.POSITIVE_INFINITY;
         }
+        return aheadMillis / freeSlots(rank);
+    }
+
+    private double freeSlots(int rank) {
         double freeSlots = slots - pool.load().slotsUsedBefore(rank, nowNanos);
-        return aheadMillis / Math.max(freeSlots, MIN_SLOT_FRACTION * slots);
+        return Math.max(freeSlots, MIN_SLOT_FRACTION * slots);
+    }
+
+    /**
+     * Returns when the caller of a refused request is to retry, in milliseconds from now, and
+     * reserves the capacity for it.
+     */
+    double reserveRetryMillis(PlacementRequest request) {
+        if (slots == 0) {
+            return Double.POSITIVE_INFINITY;
+        }
+        int rank = request.rank();
+        double maxMillis = MAX_RETRY_FRACTION * Math.max(0, request.deadlineLeftMillis());
+        double expectedMillis = Math.max(MIN_RETRY_MILLIS, waitMillis(rank));
+        double spacingMillis = pool.expectedRunMillis(request) / freeSlots(rank);
+        return pool.retries().reserve(rank, expectedMillis, spacingMillis, maxMillis, nowNanos);
     }
 
     /** Returns whether a new request may be queued. */
     boolean mayQueue(PlacementRequest request) {
-        double aheadMillis = aheadMillis(request.rank());
+        double aheadMillis = pool.queuedRunMillis(request.rank());
         double waitMillis = waitMillis(aheadMillis, request.rank());
         if (waitMillis > request.targetLeftMillis()) {
             // Later requests of the same rank that can still meet their targets are served first.
@@ -85,7 +96,8 @@
     List<QueuedRequest> unservable() {
         List<QueuedRequest> result = new ArrayList<>();
         double aheadMillis = 0;
-        for (QueuedRequest queued : pool.inOrder()) {
+        RequestQueue.Cursor cursor = pool.queue().cursor();
+        for (QueuedRequest queued = cursor.next(); queued != null; queued = cursor.next()) {
             if (mayKeepWaiting(queued, aheadMillis)) {
                 aheadMillis += pool.expectedRunMillis(queued.request());
             } else {
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -127,6 +127,15 @@
                 .orElse(maxSlots);
     }
 
+    /**
+     * Returns whether any usable server has a free slot; if not, no request can be placed. Saves a
+     * scan of the servers for each queued request.
+     */
+    boolean hasFreeSlot() {
+        return pool.servers().all().stream()
+                .anyMatch(server -> isUsable(server) && server.running() < slotLimit(server));
+    }
+
     private boolean isEligible(ServerState server, PlacementRequest request) {
         return isUsable(server) && !request.excluded().contains(server.server().id());
     }
@@ -178,7 +187,8 @@
         double firstMillis =
                 server.firstEventFactor()
                         * pool.speed()
-                                .firstEventMillis(server.pendingTokens() + request.promptTokens());
+                                .firstEventMillis(
+                                        (double) (server.pendingTokens() + request.promptTokens()));
         double streamMillis =
                 server.eventGapFactor() * pool.speed().eventGapMillis() * SCORED_EVENTS;
         return firstMillis
--- a/src/main/java/org/orioleshed/dispatch/PoolSpeed.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolSpeed.java
@@ -22,8 +22,8 @@
     private double plainMillis = INITIAL_PLAIN_MILLIS;
 
     /** Returns the time to the first event after a prefill of {@code tokens}, in milliseconds. */
-    double firstEventMillis(long tokens) {
-        return firstEvent.at((double) tokens);
+    double firstEventMillis(double tokens) {
+        return firstEvent.at(tokens);
     }
 
     /**
@@ -31,7 +31,9 @@
      * milliseconds.
      */
     double expectedMillis(ActiveRun run) {
-        return run.prefillTokens() > 0 ? firstEventMillis(run.prefillTokens()) : plainMillis;
+        return run.prefillTokens() > 0
+                ? firstEventMillis((double) run.prefillTokens())
+                : plainMillis;
     }
 
     double eventGapMillis() {
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -1,13 +1,6 @@
 package org.orioleshed.dispatch;
 
-import java.util.ArrayList;
-import java.util.Collection;
-import java.util.HashMap;
-import java.util.Iterator;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
 import org.orioleshed.catalog.Pool;
 
 /** The state of one pool: its servers, their speed, its queued requests and its rollout. */
@@ -18,9 +11,8 @@
     static final double SLOW_RUN_FACTOR = 2;
 
     private final PoolServers servers;
-    private final TreeSet<QueuedRequest> onTime = new TreeSet<>(QueuedRequest.URGENCY);
-    private final TreeSet<QueuedRequest> late = new TreeSet<>(QueuedRequest.URGENCY);
-    private final Map<RunKey, QueuedRequest> queuedByRun = new HashMap<>();
+    private final RequestQueue queue = new RequestQueue();
+    private final RetryReservations retries = new RetryReservations();
     private final PoolSpeed speed = new PoolSpeed();
     private final RankLoad load = new RankLoad();
     private Pool definition;
@@ -59,71 +51,18 @@
         rollout = newRollout;
     }
 
-    int waiting() {
-        return queuedByRun.size();
-    }
-
-    boolean isQueued(RunKey run) {
-        return queuedByRun.containsKey(run);
-    }
-
-    Collection<QueuedRequest> queuedRequests() {
-        return queuedByRun.values();
+    /** Returns the queued requests. */
+    RequestQueue queue() {
+        return queue;
     }
 
-    void add(QueuedRequest queued) {
-        queuedByRun.put(queued.run(), queued);
-        onTime.add(queued);
-    }
-
-    /** Removes a queued request; empty if it is not queued. */
-    Optional<QueuedRequest> remove(RunKey run) {
-        QueuedRequest queued = queuedByRun.remove(run);
-        if (queued == null) {
-            return Optional.empty();
-        }
-        onTime.remove(queued);
-        late.remove(queued);
-        return Optional.of(queued);
-    }
-
-    /** Moves requests that missed their target behind the other requests of their rank. */
-    void moveLate(long nowNanos) {
-        Iterator<QueuedRequest> all = onTime.iterator();
-        List<QueuedRequest> missed = new ArrayList<>();
-        while (all.hasNext()) {
-            QueuedRequest queued = all.next();
-            if (queued.targetNanos() < nowNanos) {
-                all.remove();
-                missed.add(queued);
-            }
-        }
-        late.addAll(missed);
-    }
-
-    /** Returns all queued requests in the order in which they are to be served. */
-    List<QueuedRequest> inOrder() {
-        List<QueuedRequest> result = new ArrayList<>(queuedByRun.size());
-        Iterator<QueuedRequest> onTimeIterator = onTime.iterator();
-        Iterator<QueuedRequest> lateIterator = late.iterator();
-        QueuedRequest nextOnTime = next(onTimeIterator);
-        QueuedRequest nextLate = next(lateIterator);
-        while (nextOnTime != null || nextLate != null) {
-            if (nextLate == null
-                    || (nextOnTime != null
-                            && nextOnTime.request().rank() <= nextLate.request().rank())) {
-                result.add(nextOnTime);
-                nextOnTime = next(onTimeIterator);
-            } else {
-                result.add(nextLate);
-                nextLate = next(lateIterator);
-            }
-        }
-        return result;
+    int waiting() {
+        return queue.size();
     }
 
-    private static QueuedRequest next(Iterator<QueuedRequest> iterator) {
-        return iterator.hasNext() ? iterator.next() : null;
+    /** Returns the retry times that refused callers were told. */
+    RetryReservations retries() {
+        return retries;
     }
 
     /**
@@ -135,15 +74,29 @@
             return speed.plainMillis();
         }
         double events = (double) request.outputTokens() / eventTokens();
-        return speed.firstEventMillis(request.promptTokens()) + events * speed.eventGapMillis();
+        return speed.firstEventMillis((double) request.promptTokens())
+                + events * speed.eventGapMillis();
+    }
+
+    /**
+     * Returns the sum of {@link #expectedRunMillis} over the queued requests of {@code rank} and of
+     * more urgent ones, in milliseconds. The expected time is linear in the tokens.
+     */
+    double queuedRunMillis(int rank) {
+        RequestQueue.Work work = queue.workUpTo(rank);
+        double plainMillis = work.plainCalls() * speed.plainMillis();
+        if (work.modelCalls() == 0) {
+            return plainMillis;
+        }
+        double meanPromptTokens = (double) work.promptTokens() / work.modelCalls();
+        double firstMillis = work.modelCalls() * speed.firstEventMillis(meanPromptTokens);
+        double events = (double) work.outputTokens() / eventTokens();
+        return plainMillis + firstMillis + events * speed.eventGapMillis();
     }
 
     /** Returns the mean of {@link #expectedRunMillis} over the queued requests, in milliseconds. */
     double meanQueuedRunMillis() {
-        return queuedByRun.values().stream()
-                .mapToDouble(queued -> expectedRunMillis(queued.request()))
-                .average()
-                .orElse(0);
+        return queue.size() == 0 ? 0 : queuedRunMillis(Integer.MAX_VALUE) / queue.size();
     }
 
     /** Records the time to a run's first event in the rollout. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -185,10 +185,10 @@
         double slots = placement.usableSlots(pool.expectedRunMillis(request));
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         if (!admission.mayQueue(request)) {
-            refundAndRefuse(run, request, Reason.OVERLOAD, admission.waitMillis(request.rank()));
+            refundAndRefuse(run, request, Reason.OVERLOAD, admission.reserveRetryMillis(request));
             return;
         }
-        pool.add(new QueuedRequest(run, request, nowNanos, nextSequence++));
+        pool.queue().add(new QueuedRequest(run, request, nowNanos, nextSequence++));
         actions.add(new DispatchAction.Queued(run));
     }
 
@@ -203,7 +203,7 @@
             actions.add(new DispatchAction.Grant(run, server.server().id(), "again", watched));
             return true;
         }
-        if (pool.isQueued(run)) {
+        if (pool.queue().contains(run)) {
             actions.add(new DispatchAction.Queued(run));
             return true;
         }
@@ -212,8 +212,7 @@
 
     /** Returns whether no request of the same or a more urgent rank is queued. */
     private static boolean isNext(PoolState pool, PlacementRequest request) {
-        return pool.queuedRequests().stream()
-                .noneMatch(queued -> queued.request().rank() <= request.rank());
+        return !pool.queue().hasRankUpTo(request.rank());
     }
 
     private boolean grant(
@@ -284,7 +283,7 @@
 
     private void withdraw(RunKey run) {
         for (PoolState pool : pools.values()) {
-            Optional<QueuedRequest> queued = pool.remove(run);
+            Optional<QueuedRequest> queued = pool.queue().remove(run);
             if (queued.isPresent()) {
                 quotas.refund(queued.get().request());
                 return;
@@ -295,7 +294,7 @@
 
     private void recordPlaced(DispatchEvent.Placed placed) {
         PoolState pool = pool(placed.request().service());
-        pool.remove(placed.run());
+        pool.queue().remove(placed.run());
         if (runs.containsKey(placed.run())) {
             return;
         }
@@ -360,10 +359,10 @@
         }
         for (PoolState pool : pools.values()) {
             List<QueuedRequest> ofHost =
-                    pool.queuedRequests().stream()
+                    pool.queue().all().stream()
                             .filter(queued -> queued.run().origin().equals(host))
                             .toList();
-            ofHost.forEach(queued -> pool.remove(queued.run()));
+            ofHost.forEach(queued -> pool.queue().remove(queued.run()));
         }
     }
 
@@ -482,12 +481,12 @@
     /** Refuses what is queued and quarantined meanwhile. */
     private void refuseHeldRequests() {
         for (PoolState pool : pools.values()) {
-            for (QueuedRequest queued : List.copyOf(pool.queuedRequests())) {
+            for (QueuedRequest queued : List.copyOf(pool.queue().all())) {
                 PlacementRequest request = queued.request();
                 Optional<CrashReport.Held> holding =
                         quarantine.holding(request.content(), nowNanos);
                 if (holding.isPresent()) {
-                    pool.remove(queued.run());
+                    pool.queue().remove(queued.run());
                     quotas.refund(request);
                     refuseHeld(
                             queued.run(),
@@ -533,7 +532,7 @@
         pools.values().forEach(pool -> pool.updateRollout(nowNanos));
         for (PoolState pool : pools.values()) {
             if (pool.waiting() > 0) {
-                pool.moveLate(nowNanos);
+                pool.queue().moveLate(nowNanos);
                 refuseUnservable(pool);
                 serveQueue(pool);
             }
@@ -563,10 +562,10 @@
         double slots = placement.usableSlots(pool.meanQueuedRunMillis());
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         for (QueuedRequest queued : admission.unservable()) {
-            pool.remove(queued.run());
+            pool.queue().remove(queued.run());
             PlacementRequest aged = queued.request().aged(queued.waitedMillis(nowNanos));
             quotas.refund(queued.request());
-            refuse(queued.run(), aged, Reason.OVERLOAD, admission.waitMillis(aged.rank()));
+            refuse(queued.run(), aged, Reason.OVERLOAD, admission.reserveRetryMillis(aged));
         }
     }
 
@@ -576,16 +575,20 @@
             return;
         }
         Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        RequestQueue.Cursor cursor = pool.queue().cursor();
         int skipped = 0;
-        for (QueuedRequest queued : pool.inOrder()) {
+        boolean free = placement.hasFreeSlot();
+        while (free && skipped < MAX_SKIPPED) {
+            QueuedRequest queued = cursor.next();
+            if (queued == null) {
+                return;
+            }
             if (grant(pool, placement, queued.run(), queued.request())) {
-                pool.remove(queued.run());
+                pool.queue().remove(queued.run());
+                free = placement.hasFreeSlot();
             } else {
                 skipped++;
             }
-            if (skipped >= MAX_SKIPPED) {
-                return;
-            }
         }
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/ServerState.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -122,7 +122,7 @@
             return;
         }
         pendingTokens -= run.request().promptTokens();
-        double expectedMillis = pool.firstEventMillis(run.prefillTokens());
+        double expectedMillis = pool.firstEventMillis((double) run.prefillTokens());
         double explainedMillis = firstEventFactor * expectedMillis;
         if (pacing.recordFirst(server, run, (double) firstMillis, explainedMillis, nowNanos)) {
             faultRate = faultRateBefore;
