--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -122,12 +122,13 @@
      *
      * @param servers the servers
      * @param evacuated the failure domains whose servers get no requests
+     * @param wallMillis the wall-clock time, in Unix milliseconds; 0 if not known
      */
-    record ServersChanged(List<PoolServer> servers, Set<FailureDomain> evacuated)
+    record ServersChanged(List<PoolServer> servers, Set<FailureDomain> evacuated, long wallMillis)
             implements DispatchEvent {
-        /** Creates an event without evacuated failure domains. */
+        /** Makes an event without evacuated failure domains and the wall-clock time. */
         public ServersChanged(List<PoolServer> servers) {
-            this(servers, Set.of());
+            this(servers, Set.of(), 0);
         }
 
         /** Copies the collections. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -7,10 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.orioleshed.catalog.PoolServer;
-import org.orioleshed.catalog.RolloutOrder;
-import org.orioleshed.catalog.RolloutOutcome;
 import org.orioleshed.dispatch.DispatchAction.Reason;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
@@ -53,6 +50,7 @@
     private final Quotas quotas;
     private final ServerRates rates;
     private final RolloutPolicy rolloutPolicy;
+    private final PacedServers paced;
     private List<DispatchAction> actions = new ArrayList<>();
     private double slotShare = 1;
     private long nextSequence;
@@ -69,9 +67,15 @@
      * @param slack the tolerance beyond quotas
      * @param role whether it grants quotas as the primary or as a fallback
      * @param rolloutPolicy the bounds on the requests to a version that is not proved
+     * @param pacing whether servers that have just started or recovered are paced
      */
     public Scheduler(
-            double initialFill, Quotas.Slack slack, Quotas.Role role, RolloutPolicy rolloutPolicy) {
+            double initialFill,
+            Quotas.Slack slack,
+            Quotas.Role role,
+            RolloutPolicy rolloutPolicy,
+            PacingPolicy pacing) {
+        this.paced = new PacedServers(pacing, line -> actions.add(new DispatchAction.Note(line)));
         this.rolloutPolicy = rolloutPolicy;
         boolean decides = role == Quotas.Role.PRIMARY;
         this.quarantine = new QuarantineControl(decides, action -> actions.add(action));
@@ -140,6 +144,11 @@
         return pools.values().stream().mapToInt(PoolState::waiting).sum();
     }
 
+    /** Returns the number of servers that are paced over all pools. */
+    public int pacedServers() {
+        return pools.values().stream().mapToInt(pool -> pool.servers().paced()).sum();
+    }
+
     /** Returns the number of runs under way over all pools. */
     public int running() {
         return runs.size();
@@ -150,7 +159,7 @@
     }
 
     private PoolState pool(ServiceId service) {
-        return pools.computeIfAbsent(service, key -> new PoolState());
+        return pools.computeIfAbsent(service, key -> new PoolState(paced));
     }
 
     private void admit(RunKey run, PlacementRequest request) {
@@ -178,10 +187,10 @@
         double slots = placement.usableSlots(request);
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         if (!admission.mayQueue(request)) {
-            refundAndRefuse(run, request, Reason.OVERLOAD, admission.waitMillis(request.rank()));
+            refundAndRefuse(run, request, Reason.OVERLOAD, admission.reserveRetryMillis(request));
             return;
         }
-        pool.add(new QueuedRequest(run, request, nowNanos, nextSequence++));
+        pool.queue().add(new QueuedRequest(run, request, nowNanos, nextSequence++));
         actions.add(new DispatchAction.Queued(run));
     }
 
@@ -196,7 +205,7 @@
             actions.add(new DispatchAction.Grant(run, server.server().id(), "again", watched));
             return true;
         }
-        if (pool.isQueued(run)) {
+        if (pool.queue().contains(run)) {
             actions.add(new DispatchAction.Queued(run));
             return true;
         }
@@ -205,7 +214,10 @@
 
     /** Returns whether no request of the same or a more urgent rank is queued. */
     private static boolean isNext(PoolState pool, PlacementRequest request) {
-        return pool.queuedRequests().stream()
+        if (!pool.queue().restricts(request)) {
+            return !pool.queue().hasRankUpTo(request.rank());
+        }
+        return pool.queue().all().stream()
                 .map(QueuedRequest::request)
                 .noneMatch(
                         queued -> queued.rank() <= request.rank() && request.competesWith(queued));
@@ -279,7 +291,7 @@
 
     private void withdraw(RunKey run) {
         for (PoolState pool : pools.values()) {
-            Optional<QueuedRequest> queued = pool.remove(run);
+            Optional<QueuedRequest> queued = pool.queue().remove(run);
             if (queued.isPresent()) {
                 quotas.refund(queued.get().request());
                 return;
@@ -290,7 +302,7 @@
 
     private void recordPlaced(DispatchEvent.Placed placed) {
         PoolState pool = pool(placed.request().service());
-        pool.remove(placed.run());
+        pool.queue().remove(placed.run());
         if (runs.containsKey(placed.run())) {
             return;
         }
@@ -359,14 +371,15 @@
         }
         for (PoolState pool : pools.values()) {
             List<QueuedRequest> ofHost =
-                    pool.queuedRequests().stream()
+                    pool.queue().all().stream()
                             .filter(queued -> queued.run().origin().equals(host))
                             .toList();
-            ofHost.forEach(queued -> pool.remove(queued.run()));
+            ofHost.forEach(queued -> pool.queue().remove(queued.run()));
         }
     }
 
     private void updateServers(DispatchEvent.ServersChanged changed) {
+        paced.setWallMillis(changed.wallMillis());
         Set<ServerId> present = new HashSet<>();
         for (PoolServer server : changed.servers()) {
             present.add(server.id());
@@ -387,9 +400,9 @@
 
     /** Refuses the queued requests that no remaining server may run. */
     private void refuseWithoutServer(PoolState pool) {
-        for (QueuedRequest queued : List.copyOf(pool.queuedRequests())) {
+        for (QueuedRequest queued : List.copyOf(pool.queue().all())) {
             if (pool.servers().hasNoneFor(queued.request())) {
-                pool.remove(queued.run());
+                pool.queue().remove(queued.run());
                 quotas.refund(queued.request());
                 refuse(
                         queued.run(),
@@ -465,17 +478,6 @@
                 .toList();
     }
 
-    /**
-     * The state of a rollout.
-     *
-     * @param order the order
-     * @param outcome the outcome so far
-     * @param step the traffic step that the new version has reached; -1 until it is proved
-     * @param evidence formats the evidence for the log
-     */
-    public record RolloutView(
-            RolloutOrder order, RolloutOutcome outcome, int step, Supplier<String> evidence) {}
-
     /**
      * Returns the observations of this scheduler that the next primary needs: crashes by content,
      * and the evidence of rollouts.
@@ -511,12 +513,12 @@
     /** Refuses what is queued and quarantined meanwhile. */
     private void refuseHeldRequests() {
         for (PoolState pool : pools.values()) {
-            for (QueuedRequest queued : List.copyOf(pool.queuedRequests())) {
+            for (QueuedRequest queued : List.copyOf(pool.queue().all())) {
                 PlacementRequest request = queued.request();
                 Optional<CrashReport.Held> holding =
                         quarantine.holding(request.content(), nowNanos);
                 if (holding.isPresent()) {
-                    pool.remove(queued.run());
+                    pool.queue().remove(queued.run());
                     quotas.refund(request);
                     refuseHeld(
                             queued.run(),
@@ -562,7 +564,7 @@
         pools.values().forEach(pool -> pool.updateRollout(nowNanos));
         for (PoolState pool : pools.values()) {
             if (pool.waiting() > 0) {
-                pool.moveLate(nowNanos);
+                pool.queue().moveLate(nowNanos);
                 refuseUnservable(pool);
                 serveQueue(pool);
             }
@@ -592,10 +594,10 @@
         double slots = placement.usableSlots(pool.meanQueuedRunMillis());
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         for (QueuedRequest queued : admission.unservable()) {
-            pool.remove(queued.run());
+            pool.queue().remove(queued.run());
             PlacementRequest aged = queued.request().aged(queued.waitedMillis(nowNanos));
             quotas.refund(queued.request());
-            refuse(queued.run(), aged, Reason.OVERLOAD, admission.waitMillis(aged.rank()));
+            refuse(queued.run(), aged, Reason.OVERLOAD, admission.reserveRetryMillis(aged));
         }
     }
 
@@ -607,14 +609,21 @@
         Placement placement = new Placement(pool, rates, slotShare, nowNanos);
         // Requests for a region without free slots must not hold back those for other regions.
         Map<Optional<Set<FailureDomain>>, Integer> skipped = new HashMap<>();
-        for (QueuedRequest queued : pool.inOrder()) {
+        RequestQueue.Cursor cursor = pool.queue().cursor();
+        boolean free = placement.hasFreeSlot();
+        while (free) {
+            QueuedRequest queued = cursor.next();
+            if (queued == null) {
+                return;
+            }
             Optional<Set<FailureDomain>> domains = queued.request().allowedDomains();
             if (skipped.getOrDefault(domains, 0) >= MAX_SKIPPED) {
                 if (domains.isEmpty()) {
                     return;
                 }
             } else if (grant(pool, placement, queued.run(), queued.request())) {
-                pool.remove(queued.run());
+                pool.queue().remove(queued.run());
+                free = placement.hasFreeSlot();
             } else {
                 skipped.merge(domains, 1, Integer::sum);
             }
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.LongSupplier;
 import java.util.stream.Collectors;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
@@ -24,9 +25,15 @@
     private final Map<RolloutOrder, Long> ordersSeenNanos = new HashMap<>();
     private final Map<RolloutOrder, RolloutOutcome> recorded = new HashMap<>();
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
+    private final LongSupplier wallClock;
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
     private Set<ServerId> evacuated = Set.of();
 
+    /** Makes a feed without servers; the clock returns the wall-clock time in Unix milliseconds. */
+    CatalogFeed(LongSupplier wallClock) {
+        this.wallClock = wallClock;
+    }
+
     /** Takes a newer snapshot. */
     void catalogChanged(CatalogSnapshot newer, long nowNanos) {
         snapshot = newer;
@@ -74,7 +81,9 @@
         }
         recorded.forEach(
                 (order, outcome) -> events.add(new DispatchEvent.RolloutSettled(order, outcome)));
-        events.add(new DispatchEvent.ServersChanged(snapshot.servers(), snapshot.evacuated()));
+        events.add(
+                new DispatchEvent.ServersChanged(
+                        snapshot.servers(), snapshot.evacuated(), wallClock.getAsLong()));
         List<DispatchAction> actions = new ArrayList<>();
         events.forEach(event -> actions.addAll(scheduler.on(nowNanos, event)));
         return actions;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -83,6 +83,7 @@
     private MetricsText metricsText;
     private volatile int quarantined;
     private volatile int evacuatedDomains;
+    private volatile int pacedServers;
     private final EventLoopClock loopClock = new EventLoopClock(NioIoHandler.newFactory());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
@@ -146,6 +147,7 @@
         metrics.gauge("log_lines_dropped", () -> log::dropped);
         metrics.gauge("quarantined", () -> () -> quarantined);
         metrics.gauge("emptied_domains", () -> () -> evacuatedDomains);
+        metrics.gauge("paced_servers", () -> () -> pacedServers);
         this.peers =
                 new PeerNetwork(
                         self,
@@ -172,7 +174,9 @@
                         fleet,
                         options.quotaSlack(),
                         options.rolloutPolicy(),
+                        options.pacing(),
                         System::nanoTime,
+                        System::currentTimeMillis,
                         log::add);
         dispatcher.onRequestSent(ticker::reschedule);
         this.propagation =
@@ -361,6 +365,7 @@
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
         quarantined = dispatcher.held().size();
+        pacedServers = dispatcher.pacedServers();
         propagation.tick();
         if (nowNanos - slowTickNanos >= SLOW_TICK_NANOS) {
             slowTickNanos = nowNanos;
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.model.FailureDomain;
@@ -26,6 +27,7 @@
  * @param retrySlack retries per window allowed beyond the ratio, over all hosts
  * @param quotaSlack what workspaces may use beyond their quotas
  * @param rolloutPolicy the limits on the damage of a bad version
+ * @param pacing whether servers that have just started or recovered are paced
  * @param graceMillis the time from the stop signal to the end of the process, in milliseconds;
  *     positive
  * @param cpuMillicores the processor time that the host may use, in thousandths of a core; 0 if
@@ -46,6 +48,7 @@
         double retrySlack,
         Quotas.Slack quotaSlack,
         RolloutPolicy rolloutPolicy,
+        PacingPolicy pacing,
         long graceMillis,
         int cpuMillicores,
         Map<FailureDomain, Region> regions) {
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -16,7 +16,9 @@
     /** Returns whether this host is stopping. */
     boolean isLeaving();
 
-    /** Returns the handle of a request that must wait as this host is late; empty if it must not. */
+    /**
+     * Returns the handle of a request that must wait as this host is late; empty if it must not.
+     */
     Optional<StartQueue.PendingStart> hold(CallerConnection connection, CallerRequest request);
 
     /** Removes a waiting request, whose caller disconnected. */
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -7,9 +7,10 @@
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.Region;
-import java.util.Optional;
 import org.orioleshed.platform.NodeSettings.BadSettingsException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -73,6 +74,32 @@
         assertEquals(settings.gateway().relay().map(InetSocketAddress::getPort), port);
     }
 
+    @DataProvider
+    Object[][] pacing() {
+        return new Object[][] {
+            {"", PacingPolicy.OFF},
+            {"\"contracts\":[\"placement\"],", PacingPolicy.OFF},
+            {"\"contracts\":[\"placement\",\"health\"],", new PacingPolicy(true, 4_000)},
+        };
+    }
+
+    /** Guards against a changed behaviour where the deployment does not state the contract. */
+    @Test(dataProvider = "pacing")
+    public void pacesServersOnlyWhereTheHealthContractIsListed(
+            String contracts, PacingPolicy expected) throws BadSettingsException {
+        String text = VALID.replace("\"ip\":", contracts + "\"ip\":");
+        assertEquals(NodeSettings.parse(text).gateway().pacing(), expected);
+    }
+
+    /** Guards against a fixed time where the deployment states how long a start is recent. */
+    @Test
+    public void readsHowLongAStartIsRecent() throws BadSettingsException {
+        String text =
+                VALID.replace("\"ip\":", "\"contracts\":[\"health\"],\"ip\":")
+                        .replace("\"grace-s\"", "\"stable-ms\":2500,\"grace-s\"");
+        assertEquals(NodeSettings.parse(text).gateway().pacing(), new PacingPolicy(true, 2_500));
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.gateway.GatewayOptions;
@@ -132,6 +133,7 @@
                 50,
                 Quotas.Slack.NONE,
                 RolloutPolicy.DEFAULT,
+                PacingPolicy.OFF,
                 GRACE_MILLIS,
                 0,
                 Map.of());
