--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.CallerLimits;
@@ -72,7 +73,8 @@
                 EntryView.EMPTY,
                 new EntryView(1, 1, true, List.of(), 0, List.of()),
                 List.of(),
-                List.of());
+                List.of(),
+                Set.of());
     }
 
     private Object translate(String method, Object[] arguments) {
