--- a/src/main/java/org/orioleshed/catalog/CatalogState.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogState.java
@@ -102,19 +102,22 @@
 
     /**
      * Applies all operators' entries as read from the store at a revision. A configuration or an
-     * order that is missing stays in force; an evacuation that is missing has ended. Entries later
-     * than the list, which later pages of it may hold, are left to the watch: changes between them
-     * and the list are not known yet.
+     * order that is missing stays in force; an evacuation that is missing has ended. Later pages of
+     * the list may hold entries later than its revision. The watch reports these again; until then
+     * this host does not claim to have all changes up to them, since a removal in between is not
+     * known yet.
      *
      * @return whether anything must be published
      */
     public boolean listOperators(List<Store.Entry> entries, long revision, long nowNanos) {
+        long previousRevision = operatorsRevision;
         boolean changed = false;
         Set<String> listed = new HashSet<>();
         for (Store.Entry entry : entries) {
             listed.add(entry.key());
-            changed |= entry.revision() <= revision && operator(entry, nowNanos, "store");
+            changed |= operator(entry, nowNanos, "store");
         }
+        operatorsRevision = Math.max(previousRevision, Math.min(operatorsRevision, revision));
         changed |= retainOperators(listed, revision, nowNanos, "store");
         evacuations.read(revision);
         return changed;
@@ -133,9 +136,13 @@
      * @return whether anything must be published
      */
     public boolean operatorWatched(Store.Entry entry, long nowNanos) {
+        long previousRevision = operatorsRevision;
         boolean changed = operator(entry, nowNanos, "store");
+        if (isInForce(entry)) {
+            operatorsRevision = Math.max(operatorsRevision, entry.revision());
+        }
         readBefore(entry.revision());
-        return changed;
+        return changed || operatorsRevision > previousRevision;
     }
 
     /**
@@ -150,6 +157,10 @@
         return changed;
     }
 
+    private boolean isInForce(Store.Entry entry) {
+        return operators.containsKey(entry.key()) || evacuations.contains(entry.key());
+    }
+
     /** Another key of the same revision may not have been reported yet. */
     private void readBefore(long revision) {
         evacuations.read(revision - 1);
--- a/src/main/java/org/orioleshed/catalog/EvacuationEntries.java
+++ b/src/main/java/org/orioleshed/catalog/EvacuationEntries.java
@@ -130,6 +130,10 @@
         return entry.revision() <= readRevision && !present.containsKey(entry.key());
     }
 
+    boolean contains(String key) {
+        return present.containsKey(key);
+    }
+
     /** Returns the evacuated failure domains. */
     Set<FailureDomain> domains() {
         return present.values().stream()
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -17,6 +17,7 @@
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.Scheduler;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
 
 /** Supplies schedulers with the servers, limits and rollouts in force. */
@@ -25,7 +26,7 @@
     private final Map<RolloutOrder, RolloutOutcome> recorded = new HashMap<>();
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
-    private Set<ServerId> evacuated = Set.of();
+    private Map<ServiceId, Set<ServerId>> evacuated = Map.of();
 
     /** Takes a newer snapshot. */
     void catalogChanged(CatalogSnapshot newer, long nowNanos) {
@@ -35,8 +36,10 @@
         evacuated =
                 newer.servers().stream()
                         .filter(this::isEvacuated)
-                        .map(PoolServer::id)
-                        .collect(Collectors.toUnmodifiableSet());
+                        .collect(
+                                Collectors.groupingBy(
+                                        PoolServer::service,
+                                        Collectors.mapping(PoolServer::id, Collectors.toSet())));
         newer.orders().forEach(order -> ordersSeenNanos.putIfAbsent(order, nowNanos));
     }
 
@@ -55,9 +58,9 @@
         return snapshot.evacuated().contains(server.domain());
     }
 
-    /** Returns the servers in evacuated failure domains. */
-    Set<ServerId> evacuated() {
-        return evacuated;
+    /** Returns a pool's servers in evacuated failure domains. */
+    Set<ServerId> evacuated(ServiceId service) {
+        return evacuated.getOrDefault(service, Set.of());
     }
 
     /**
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -27,6 +27,7 @@
 import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
 import org.orioleshed.peer.BadMessageException;
 import org.orioleshed.peer.MessageKind;
 import org.orioleshed.peer.PeerPort;
@@ -218,11 +219,11 @@
         }
     }
 
-    /** Returns the servers to which this host must send nothing now. */
-    Set<ServerId> avoided() {
+    /** Returns the servers to which this host must send none of a pool's requests now. */
+    Set<ServerId> avoided(ServiceId service) {
         Set<ServerId> noticed = notices.avoided(clock.getAsLong());
         // The primary may not have learned of an evacuation yet.
-        Set<ServerId> evacuated = feed.evacuated();
+        Set<ServerId> evacuated = feed.evacuated(service);
         if (evacuated.isEmpty()) {
             return noticed;
         }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -240,7 +240,7 @@
 
     /** Returns the servers already tried and those to which this host must send nothing now. */
     private Set<ServerId> excluded() {
-        Set<ServerId> avoided = context.dispatcher().avoided();
+        Set<ServerId> avoided = context.dispatcher().avoided(service);
         if (avoided.isEmpty()) {
             return excluded;
         }
--- a/src/test/java/org/orioleshed/catalog/EvacuationStateTest.java
+++ b/src/test/java/org/orioleshed/catalog/EvacuationStateTest.java
@@ -179,14 +179,20 @@
         assertEquals(evacuated(holder), domains());
     }
 
-    /** Guards against a claim to know all changes up to an entry of a list's later page. */
+    /**
+     * Guards against a claim to know all changes up to an entry of a list's later page: peers would
+     * not ask for a removal before it.
+     */
     @Test
-    public void entryLaterThanTheListIsLeftToTheWatch() {
+    public void removalBeforeAnEntryLaterThanTheListReachesPeers() {
         CatalogState state = state();
         assertTrue(state.operatorWatched(evacuation("a", 2), 0));
         Store.Entry later = entry("op/config", "2", 5);
-        assertFalse(state.listOperators(List.of(evacuation("a", 2), later), 3, 0));
+        assertTrue(state.listOperators(List.of(evacuation("a", 2), later), 3, 0));
+        assertEquals(state.snapshot(true).configRevision(), 5);
+        assertEquals(state.snapshot(true).operators().changed(), 3);
         assertTrue(state.removeOperator("op/evacuate/a", 4, 0));
+        assertEquals(state.snapshot(true).operators().changed(), 4);
         assertTrue(state.operatorWatched(later, 0));
         assertEquals(state.snapshot(true).operators().changed(), 5);
         assertEquals(evacuated(state), domains());
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -340,7 +340,7 @@
                         100,
                         quotaUnits,
                         content,
-                        dispatcher.avoided());
+                        dispatcher.avoided(PlainDecoder.SERVICE));
         open.add(number);
         units.put(key(number), quotaUnits);
         dispatcher.place(key(number), request, this);
