--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -18,6 +18,7 @@
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.Scheduler;
 import org.orioleshed.model.ServerId;
+import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
 
 /** Supplies schedulers with the servers, limits and rollouts in force. */
@@ -27,7 +28,7 @@
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
     private final LongSupplier wallClock;
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
-    private Set<ServerId> evacuated = Set.of();
+    private Map<ServiceId, Set<ServerId>> evacuated = Map.of();
 
     /** Makes a feed without servers; the clock returns the wall-clock time in Unix milliseconds. */
     CatalogFeed(LongSupplier wallClock) {
@@ -42,8 +43,10 @@
         evacuated =
                 newer.servers().stream()
                         .filter(this::isEvacuated)
-                        .map(PoolServer::id)
-                        .collect(Collectors.toUnmodifiableSet());
+                        .collect(
+                                Collectors.groupingBy(
+                                        PoolServer::service,
+                                        Collectors.mapping(PoolServer::id, Collectors.toSet())));
         newer.orders().forEach(order -> ordersSeenNanos.putIfAbsent(order, nowNanos));
     }
 
@@ -62,9 +65,9 @@
         return snapshot.evacuated().contains(server.domain());
     }
 
-    /** Returns the servers in evacuated failure domains. */
-    Set<ServerId> evacuated() {
-        return evacuated;
+    /** Returns a pool's servers in evacuated failure domains. */
+    Set<ServerId> evacuated(ServiceId service) {
+        return evacuated.getOrDefault(service, Set.of());
     }
 
     /**
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -228,11 +228,11 @@
         }
     }
 
-    /** Returns the servers to which this host must send nothing now. */
-    Set<ServerId> avoided() {
+    /** Returns the servers to which this host must send none of a pool's requests now. */
+    Set<ServerId> avoided(ServiceId service) {
         Set<ServerId> noticed = notices.avoided(clock.getAsLong());
         // The primary may not have learned of an evacuation yet.
-        Set<ServerId> evacuated = feed.evacuated();
+        Set<ServerId> evacuated = feed.evacuated(service);
         if (evacuated.isEmpty()) {
             return noticed;
         }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -294,7 +294,7 @@
 
     /** Returns the servers already tried and those to which this host must send nothing now. */
     private Set<ServerId> excluded() {
-        Set<ServerId> avoided = context.dispatcher().avoided();
+        Set<ServerId> avoided = context.dispatcher().avoided(service);
         Set<ServerId> unreachable = context.forwarding().unreachable(service);
         if (avoided.isEmpty() && unreachable.isEmpty()) {
             return excluded;
