--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -237,8 +237,8 @@
     private void place() {
         state = State.PLACING;
         run = context.nextRun();
-        if (relays.mustRefuse(service)) {
-            failUnplaced("relay_lost", 0);
+        if (relays.mustRefuse(service) || relays.isExhausted(service)) {
+            failUnplaced("no_relay", context.retryAfterMillis(remainingMillis(System.nanoTime())));
             return;
         }
         Optional<PoolServer> relay = relays.next(service);
@@ -710,10 +710,9 @@
             }
             case SENT -> {
                 context.forwarding()
-                        .observe(
-                                new ServerReachability.Event.AwaitsResponse(
-                                        currentAttempt.server().id(),
-                                        currentAttempt.silentMillis(nowNanos)));
+                        .awaitsResponse(
+                                currentAttempt.server().id(),
+                                currentAttempt.silentMillis(nowNanos));
                 if (nowNanos >= endNanos) {
                     timeOut();
                 } else if (retryRule.isSilent(currentAttempt, nowNanos) && mayRetry(false)) {
--- a/src/main/java/org/orioleshed/gateway/Forwarding.java
+++ b/src/main/java/org/orioleshed/gateway/Forwarding.java
@@ -115,6 +115,13 @@
         }
     }
 
+    /** Takes how long a server has not responded to a request. */
+    void awaitsResponse(ServerId server, long silentMillis) {
+        if (silentMillis > ServerReachability.POOL_SILENCE_MILLIS) {
+            observe(new ServerReachability.Event.AwaitsResponse(server));
+        }
+    }
+
     void serversChanged(List<PoolServer> servers) {
         observe(new ServerReachability.Event.ServersChanged(servers));
     }
--- a/src/main/java/org/orioleshed/gateway/RelayAttempts.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAttempts.java
@@ -102,6 +102,14 @@
         return refusals >= MAX_REFUSALS;
     }
 
+    /** Returns whether the request must be forwarded, but all relays were tried. */
+    boolean isExhausted(ServiceId service) {
+        return !atRelay
+                && !tried.isEmpty()
+                && forwarding.mustForward(service)
+                && forwarding.chooseRelay(service, tried).isEmpty();
+    }
+
     boolean isRelay(PoolServer server) {
         return server.equals(current);
     }
--- a/src/main/java/org/orioleshed/gateway/ServerReachability.java
+++ b/src/main/java/org/orioleshed/gateway/ServerReachability.java
@@ -29,6 +29,9 @@
      */
     private static final long TRIAL_INTERVAL_NANOS = 250 * NANOS_PER_MILLI;
 
+    /** A server that breaks connections or is slow gets one trial a second from each host. */
+    private static final long PROBE_INTERVAL_NANOS = 1_000 * NANOS_PER_MILLI;
+
     /** Covers the last round of trials, even if its connections hang until their timeout. */
     private static final long EVIDENCE_NANOS = 800 * NANOS_PER_MILLI;
 
@@ -48,7 +51,7 @@
     private static final double RETURNED_FRACTION = 0.5;
 
     /** A silence is a suspicion only if no server of the pool responded for this long. */
-    private static final long POOL_SILENCE_NANOS = 300 * NANOS_PER_MILLI;
+    static final long POOL_SILENCE_MILLIS = 300;
 
     /** After relays reported that they reach no server either, the pool is served directly. */
     private static final long DOWN_ELSEWHERE_NANOS = 1_000 * NANOS_PER_MILLI;
@@ -76,8 +79,11 @@
         /** A connection to a server was closed before the response was complete. */
         record ConnectionBroken(ServerId server) implements Event {}
 
-        /** A server has not yet responded to a request of this host. */
-        record AwaitsResponse(ServerId server, long silentMillis) implements Event {}
+        /**
+         * A server has not responded to a request of this host for longer than {@link
+         * #POOL_SILENCE_MILLIS}.
+         */
+        record AwaitsResponse(ServerId server) implements Event {}
 
         /** A server responded. */
         record Responded(ServerId server) implements Event {}
@@ -125,6 +131,17 @@
             knownNanos = nowNanos;
         }
 
+        boolean mayTry(long intervalNanos, long nowNanos) {
+            return !trying && (!tried || nowNanos - triedNanos >= intervalNanos);
+        }
+
+        Action startTrial(long nowNanos) {
+            trying = true;
+            tried = true;
+            triedNanos = nowNanos;
+            return new Action.Try(server);
+        }
+
         boolean isFresh(long nowNanos) {
             return known && nowNanos - knownNanos <= EVIDENCE_NANOS;
         }
@@ -154,6 +171,11 @@
             suspectedNanos = nowNanos;
         }
 
+        void responded(long nowNanos) {
+            responded = true;
+            respondedNanos = nowNanos;
+        }
+
         int tried(long nowNanos) {
             return (int) servers.values().stream().filter(it -> it.isFresh(nowNanos)).count();
         }
@@ -169,21 +191,22 @@
         List<Action> actions = new ArrayList<>();
         switch (event) {
             case Event.ServersChanged changed -> update(changed.servers());
-            case Event.ConnectFailed failed ->
-                    find(failed.server()).ifPresent(pool -> pool.suspect(nowNanos));
-            case Event.ConnectionBroken broken ->
-                    find(broken.server()).ifPresent(pool -> pool.suspect(nowNanos));
-            case Event.AwaitsResponse awaits ->
-                    find(awaits.server()).ifPresent(pool -> awaits(pool, awaits, nowNanos));
+            case Event.ConnectFailed failed -> {
+                find(failed.server()).ifPresent(pool -> pool.suspect(nowNanos));
+                decide(failed.server(), nowNanos, actions);
+            }
+            case Event.ConnectionBroken broken -> probe(broken.server(), nowNanos, actions);
+            case Event.AwaitsResponse awaits -> {
+                if (isPoolSilent(awaits.server(), nowNanos)) {
+                    probe(awaits.server(), nowNanos, actions);
+                }
+            }
             case Event.Responded responded ->
-                    find(responded.server())
-                            .ifPresent(
-                                    pool -> {
-                                        pool.responded = true;
-                                        pool.respondedNanos = nowNanos;
-                                    });
-            case Event.TrialEnded ended ->
-                    find(ended.server()).ifPresent(pool -> trialEnded(pool, ended, nowNanos));
+                    find(responded.server()).ifPresent(pool -> pool.responded(nowNanos));
+            case Event.TrialEnded ended -> {
+                find(ended.server()).ifPresent(pool -> trialEnded(pool, ended, nowNanos));
+                decide(ended.server(), nowNanos, actions);
+            }
             case Event.UnreachableElsewhere elsewhere -> {
                 PoolReach pool = pools.get(elsewhere.service());
                 if (pool != null) {
@@ -191,12 +214,33 @@
                     pool.downElsewhereNanos = nowNanos;
                 }
             }
-            case Event.Tick tick -> {}
+            case Event.Tick tick -> pools.values().forEach(pool -> decide(pool, nowNanos, actions));
         }
-        pools.values().forEach(pool -> decide(pool, nowNanos, actions));
         return actions;
     }
 
+    private void decide(ServerId server, long nowNanos, List<Action> actions) {
+        find(server).ifPresent(pool -> decide(pool, nowNanos, actions));
+    }
+
+    private boolean isPoolSilent(ServerId server, long nowNanos) {
+        return find(server)
+                .filter(
+                        pool ->
+                                !pool.responded
+                                        || nowNanos - pool.respondedNanos
+                                                > POOL_SILENCE_MILLIS * NANOS_PER_MILLI)
+                .isPresent();
+    }
+
+    /** Tries one server; only if that fails, the others of its pool are tried. */
+    private void probe(ServerId server, long nowNanos, List<Action> actions) {
+        find(server)
+                .map(pool -> pool.servers.get(server))
+                .filter(it -> it.mayTry(PROBE_INTERVAL_NANOS, nowNanos))
+                .ifPresent(it -> actions.add(it.startTrial(nowNanos)));
+    }
+
     private Optional<PoolReach> find(ServerId server) {
         return Optional.ofNullable(poolOfServer.get(server));
     }
@@ -224,20 +268,19 @@
                 .forEach(pool -> pool.servers.keySet().forEach(id -> poolOfServer.put(id, pool)));
     }
 
-    private static void awaits(PoolReach pool, Event.AwaitsResponse awaits, long nowNanos) {
-        boolean silentPool = !pool.responded || nowNanos - pool.respondedNanos > POOL_SILENCE_NANOS;
-        if (silentPool && awaits.silentMillis() * NANOS_PER_MILLI > POOL_SILENCE_NANOS) {
-            pool.suspect(nowNanos);
-        }
-    }
-
     private static void trialEnded(PoolReach pool, Event.TrialEnded ended, long nowNanos) {
         Reach reach = pool.servers.get(ended.server());
         reach.trying = false;
         reach.record(ended.connected(), nowNanos);
+        if (!ended.connected()) {
+            pool.suspect(nowNanos);
+        }
     }
 
     private static void decide(PoolReach pool, long nowNanos, List<Action> actions) {
+        if (!pool.lost && !pool.suspected) {
+            return;
+        }
         int tried = pool.tried(nowNanos);
         int failed = pool.failed(nowNanos);
         int reached = tried - failed;
@@ -251,6 +294,9 @@
         }
         if (failed > 1) {
             pool.suspect(nowNanos);
+        } else if (enough && !pool.lost) {
+            // Refuted: at most one server is affected.
+            pool.suspected = false;
         }
         pool.suspected &= nowNanos - pool.suspectedNanos <= SUSPICION_NANOS;
         pool.downElsewhere &= nowNanos - pool.downElsewhereNanos <= DOWN_ELSEWHERE_NANOS;
@@ -265,17 +311,10 @@
     private static void startTrials(PoolReach pool, long nowNanos, List<Action> actions) {
         long running = pool.servers.values().stream().filter(it -> it.trying).count();
         pool.servers.values().stream()
-                .filter(it -> !it.trying)
-                .filter(it -> !it.tried || nowNanos - it.triedNanos >= TRIAL_INTERVAL_NANOS)
+                .filter(it -> it.mayTry(TRIAL_INTERVAL_NANOS, nowNanos))
                 .sorted(TRIAL_ORDER)
                 .limit(Math.max(0, MAX_TRIALS - running))
-                .forEach(
-                        it -> {
-                            it.trying = true;
-                            it.tried = true;
-                            it.triedNanos = nowNanos;
-                            actions.add(new Action.Try(it.server));
-                        });
+                .forEach(it -> actions.add(it.startTrial(nowNanos)));
     }
 
     /** Returns whether requests of a pool are to be forwarded to other hosts. */
