Bound what a host buffers for slow callers, and read servers' responses to their end within it

A server's slot stayed in use until a slow caller had read the response. Where the settings state the host's memory, an eighth of it is buffered for slow callers.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -39,6 +40,9 @@
     /** Parts of pipelined requests to buffer while one is served; the rest stay in the socket. */
     private static final int MAX_PIPELINED_PARTS = 64;
 
+    /** When a large request that did not fit into memory is to be sent again, in seconds. */
+    private static final int RETRY_AFTER_SECONDS = 1;
+
     private final RequestAcceptor acceptor;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private final ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -86,11 +90,30 @@
 
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
+        CallerBuffers buffers = acceptor.buffers();
+        buffers.update(this);
         if (exchange != null) {
-            exchange.callerWritable(context.channel().isWritable());
+            exchange.callerWritable(channel.isWritable() || buffers.mayBuffer(this));
         }
     }
 
+    /** Returns what is read of a request and not written of responses, in bytes. */
+    long bufferedBytes() {
+        ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+        return body.size() + (unwritten == null ? 0 : unwritten.totalPendingWriteBytes());
+    }
+
+    /** Ends the connection and its request, as the caller is too slow. */
+    void cutOff() {
+        inputClosed = true;
+        head = null;
+        body.reset();
+        if (exchange != null) {
+            exchange.callerDisconnected();
+        }
+        abort();
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
@@ -181,6 +204,10 @@
             reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_length");
             return;
         }
+        if (!acceptor.buffers().mayRead(HttpUtil.getContentLength(request, 0L))) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory");
+            return;
+        }
         head = request;
         keepAlive = HttpUtil.isKeepAlive(request);
         chunkedResponse = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
@@ -216,7 +243,9 @@
         byte[] copy = new byte[bytes.readableBytes()];
         bytes.readBytes(copy);
         body.writeBytes(copy);
-        if (last) {
+        if (!last) {
+            acceptor.buffers().update(this);
+        } else {
             HttpRequest complete = head;
             head = null;
             CallerRequest request =
@@ -228,6 +257,7 @@
                             headNanos,
                             ++requestCount);
             body.reset();
+            acceptor.buffers().update(this);
             pendingStart = acceptor.startQueue().hold(this, request).orElse(null);
             if (pendingStart == null) {
                 serve(request);
@@ -260,6 +290,9 @@
         chunkedResponse = true;
         acceptor.rejected(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
+        if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            headers.set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+        }
         respond(status, headers, new byte[0]);
     }
 
@@ -308,6 +341,7 @@
                         headers,
                         DefaultHttpHeadersFactory.trailersFactory().newHeaders());
         finish(response, keep);
+        acceptor.buffers().update(this);
     }
 
     /** Writes the head of a streamed response. */
@@ -324,6 +358,11 @@
 
     void writeStreamPart(byte[] bytes) {
         channel.writeAndFlush(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+        CallerBuffers buffers = acceptor.buffers();
+        buffers.update(this);
+        if (exchange != null && !channel.isWritable() && !buffers.mayBuffer(this)) {
+            exchange.callerWritable(false);
+        }
     }
 
     void endStream() {
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -81,6 +81,7 @@
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
     private final AcceptBacklog backlog = new AcceptBacklog(ACCEPTED_PER_POLL);
+    private final CallerBuffers buffers;
     private final StartQueue startQueue;
     private final HostId self;
     private final PeerNetwork peers;
@@ -130,6 +131,7 @@
         this.random = random;
         this.self = FleetView.hostId(options.peer());
         this.shutdownPolicy = new ShutdownPolicy(options.graceMillis());
+        this.buffers = new CallerBuffers(callers, metrics, log::add);
         this.startQueue = new StartQueue(loop, loopClock.lag(), this, exchanges::size, metrics);
         this.nextRun = incarnation << RUN_BITS;
         this.firstEventMillis = histogram("first_event_millis");
@@ -442,6 +444,7 @@
     @Override
     public void closed(CallerConnection connection) {
         callers.remove(connection);
+        buffers.remove(connection);
     }
 
     @Override
@@ -464,6 +467,22 @@
         return startQueue;
     }
 
+    /**
+     * Sets the budget for what this host buffers for callers that read or write slowly; call before
+     * {@link #start}.
+     *
+     * @param budgetBytes the total, in bytes; 0 for none: the host stops reading a server's
+     *     response as soon as its caller does not read
+     */
+    public void bufferBudget(long budgetBytes) {
+        loop.execute(() -> buffers.limit(budgetBytes));
+    }
+
+    @Override
+    public CallerBuffers buffers() {
+        return buffers;
+    }
+
     @Override
     public Exchange exchange(CallerConnection connection, CallerRequest request) {
         acceptedRequests.inc();
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -18,6 +18,9 @@
     /** Returns the queue of requests that wait while this host is late. */
     StartQueue startQueue();
 
+    /** Returns what this host buffers for callers. */
+    CallerBuffers buffers();
+
     /** Creates the exchange for a request that was read whole. */
     Exchange exchange(CallerConnection connection, CallerRequest request);
 
--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -102,6 +102,7 @@
                                     case "random" -> new SplittableRandom(1);
                                     default -> null;
                                 });
+        CallerBuffers buffers = new CallerBuffers(List.of(), new MetricRegistry(), line -> {});
         StartQueue queue =
                 new StartQueue(
                         channel.eventLoop(),
@@ -115,6 +116,7 @@
                         (proxy, method, arguments) ->
                                 switch (method.getName()) {
                                     case "startQueue" -> queue;
+                                    case "buffers" -> buffers;
                                     case "limits" -> CallerLimits.DEFAULT;
                                     case "opened", "isLeaving" -> false;
                                     case "exchange" -> {
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -115,6 +115,11 @@
         node.gateway().stop();
     }
 
+    /** Sets what the gateway may buffer for slow callers, in bytes. */
+    void bufferBudget(long bytes) {
+        node.gateway().bufferBudget(bytes);
+    }
+
     /** Blocks the data thread for a time; returns once it is blocked. */
     void blockDataThread(long millis) throws InterruptedException {
         CountDownLatch blocked = new CountDownLatch(1);
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -32,6 +32,13 @@
         assertEquals(settings.store(), new InetSocketAddress("10.200.1.7", 8225));
     }
 
+    @Test
+    public void slowCallersMayUseAnEighthOfTheStatedMemory() throws BadSettingsException {
+        String stated = VALID.replace("\"odd\"", "\"limits\":{\"memory-mb\":400},\"odd\"");
+        assertEquals(NodeSettings.parse(stated).bufferBytes(), 50L << 20);
+        assertEquals(NodeSettings.parse(VALID).bufferBytes(), 0);
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
