--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -36,6 +36,11 @@
         gateway.withdraw(pending);
     }
 
+    @Override
+    public CallerBuffers buffers() {
+        return gateway.buffers();
+    }
+
     @Override
     public void closed(CallerConnection connection) {
         gateway.closed(connection);
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -24,6 +24,9 @@
     /** Removes a waiting request, whose caller disconnected. */
     void withdraw(StartQueue.PendingStart pending);
 
+    /** Returns what this host buffers for callers. */
+    CallerBuffers buffers();
+
     /** Creates the exchange for a request that was read whole. */
     Exchange exchange(CallerConnection connection, CallerRequest request);
 
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -100,6 +100,13 @@
         assertEquals(NodeSettings.parse(text).gateway().pacing(), new PacingPolicy(true, 2_500));
     }
 
+    @Test
+    public void slowCallersMayUseAnEighthOfTheStatedMemory() throws BadSettingsException {
+        String stated = VALID.replace("\"odd\"", "\"limits\":{\"memory-mb\":400},\"odd\"");
+        assertEquals(NodeSettings.parse(stated).bufferBytes(), 50L << 20);
+        assertEquals(NodeSettings.parse(VALID).bufferBytes(), 0);
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
