Limit the requests to cold servers

A cold server crashes if it gets requests at a rate well above the one that its pool declares. Entries and answers state how long a server is cold. Primaries pace the requests to it within their share; hosts without a primary share what is left of the operators' bound among as many hosts as it has whole requests. Times of cold servers count neither in speeds nor in rollouts.

--- a/src/main/java/org/orioleshed/catalog/CatalogState.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogState.java
@@ -161,7 +161,8 @@
 
     private Optional<PoolServer> decode(Store.Entry entry, String source) {
         try {
-            return Optional.of(decoder.server(entry.key(), entry.value().toBytes()));
+            PoolServer server = decoder.server(entry.key(), entry.value().toBytes());
+            return Optional.of(server.withWarmup(server.warmup().at(entry.revision())));
         } catch (BadCatalogException e) {
             log.accept(
                     "event=server_unreadable key=%s revision=%d source=%s reason=\"%s\""
--- /dev/null
+++ b/src/main/java/org/orioleshed/catalog/StatedWarmup.java
@@ -0,0 +1,22 @@
+package org.orioleshed.catalog;
+
+/**
+ * What a server's entry states of its warm-up.
+ *
+ * @param leftMillis how much longer the server is cold, in milliseconds; negative if not stated
+ * @param revision the revision of the entry; equal times in two revisions are two statements
+ */
+public record StatedWarmup(long leftMillis, long revision) {
+    /** Nothing is stated. */
+    public static final StatedWarmup NONE = new StatedWarmup(-1, 0);
+
+    /** Returns whether the entry states a time. */
+    public boolean isStated() {
+        return leftMillis >= 0;
+    }
+
+    /** Returns this statement as part of an entry of {@code entryRevision}. */
+    public StatedWarmup at(long entryRevision) {
+        return isStated() ? new StatedWarmup(leftMillis, entryRevision) : this;
+    }
+}
--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -77,6 +77,7 @@
                             .setLimitPerSecond(limited.limit().perSecond())
                             .build()
                             .toByteArray();
+            case DispatchEvent.ServerCold cold -> NoticeCodec.write(cold);
             case DispatchEvent.Survived survived ->
                     start(Dispatch.Kind.SURVIVED, survived.run()).build().toByteArray();
             case DispatchEvent.ReleaseOrdered ordered ->
@@ -229,6 +230,9 @@
                             wire.getMillis(),
                             new StatedLimit.Rate(wire.getLimitPerSecond())));
         }
+        if (wire.getKind() == Dispatch.Kind.SERVER_COLD) {
+            return new DispatchMessage.ToPrimary(NoticeCodec.readCold(wire));
+        }
         if (wire.getKind() == Dispatch.Kind.HOME_BEGINS) {
             return new DispatchMessage.PrimaryStarted();
         }
@@ -282,6 +286,7 @@
                     QUOTAS_HANDED,
                     SERVER_LEAVING,
                     SERVER_LIMITED,
+                    SERVER_COLD,
                     CRASHES_RECALLED,
                     MOVE_RECALLED,
                     QUARANTINE,
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -54,6 +54,15 @@
      */
     record ServerLeaving(ServerId server, long startMillis) implements DispatchEvent {}
 
+    /** A server stated something that limits what it may be sent. */
+    sealed interface ServerNotice extends DispatchEvent {
+        /** The server. */
+        ServerId server();
+
+        /** Which start of it, as {@link org.orioleshed.catalog.PoolServer#startMillis()}. */
+        long startMillis();
+    }
+
     /**
      * A host reports the rate limit that a server stated to it earlier.
      *
@@ -63,7 +72,29 @@
      * @param limit the stated rate limit
      */
     record ServerLimited(ServerId server, long startMillis, StatedLimit.Rate limit)
-            implements DispatchEvent {}
+            implements ServerNotice {}
+
+    /**
+     * A server stated how much longer it is cold.
+     *
+     * @param server the server
+     * @param startMillis which start of it, as {@link
+     *     org.orioleshed.catalog.PoolServer#startMillis()}
+     * @param leftMillis the stated time, in milliseconds; 0 if the server is not cold
+     * @param ageMillis how long ago that was stated, in milliseconds
+     * @param source where that was stated
+     */
+    record ServerCold(
+            ServerId server, long startMillis, long leftMillis, long ageMillis, Source source)
+            implements ServerNotice {
+        /** Where a notice was stated. */
+        public enum Source {
+            /** The server's entry in the store. */
+            ENTRY,
+            /** An answer of the server, to any host. */
+            ANSWER
+        }
+    }
 
     /** A server wrote on a watched run for longer than on one that crashes it. */
     record Survived(RunKey run) implements DispatchEvent {}
@@ -138,8 +169,14 @@
      *
      * @param slots from 0 (exclusive) to 1
      * @param quota from 0 (exclusive) to 1
+     * @param hosts the hosts among which servers in a special state are shared
      */
-    record ShareChanged(double slots, double quota) implements DispatchEvent {}
+    record ShareChanged(double slots, double quota, KnownHosts hosts) implements DispatchEvent {
+        /** Makes a change without known hosts. */
+        public ShareChanged(double slots, double quota) {
+            this(slots, quota, KnownHosts.NONE);
+        }
+    }
 
     /**
      * The previous primary stopped granting quotas and hands over what is left of them.
--- /dev/null
+++ b/src/main/java/org/orioleshed/dispatch/LimitCounts.java
@@ -0,0 +1,9 @@
+package org.orioleshed.dispatch;
+
+/**
+ * How many servers have a state that limits what they may be sent.
+ *
+ * @param limited servers with a stated request rate
+ * @param cold cold servers
+ */
+public record LimitCounts(int limited, int cold) {}
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -44,16 +44,14 @@
      */
     private static final long SILENT_MILLIS = 700;
 
-    private static final double MILLIS_PER_SECOND = 1_000;
-
     private final PoolState pool;
-    private final ServerRates rates;
+    private final ServerLimits limits;
     private final double slotShare;
     private final long nowNanos;
 
-    Placement(PoolState pool, ServerRates rates, double slotShare, long nowNanos) {
+    Placement(PoolState pool, ServerLimits limits, double slotShare, long nowNanos) {
         this.pool = pool;
-        this.rates = rates;
+        this.limits = limits;
         this.slotShare = slotShare;
         this.nowNanos = nowNanos;
     }
@@ -100,8 +98,8 @@
 
     /**
      * Returns the number of slots on usable servers: one if all servers are backing off or silent,
-     * and zero if all are draining. A server with a stated rate limit counts with the slots that
-     * its rate can keep busy.
+     * and zero if all are draining. A server that states a limit counts with the slots that the
+     * limit can keep busy.
      *
      * @param expectedRunMillis how long a request occupies a slot, in milliseconds
      */
@@ -117,14 +115,7 @@
     }
 
     private double effectiveSlots(ServerState server, double expectedRunMillis) {
-        double maxSlots = slotLimit(server);
-        return rates.of(server.server())
-                .map(
-                        rate ->
-                                Math.min(
-                                        maxSlots,
-                                        rate.perSecond() * expectedRunMillis / MILLIS_PER_SECOND))
-                .orElse(maxSlots);
+        return limits.slots(server, slotLimit(server), expectedRunMillis, nowNanos);
     }
 
     private boolean isEligible(ServerState server, PlacementRequest request) {
@@ -134,11 +125,11 @@
     private boolean isUsable(ServerState server) {
         return !server.isLeaving()
                 && !server.isBackingOff(nowNanos)
-                && !server.isSilent(SILENT_MILLIS, nowNanos);
+                && (isCold(server) || !server.isSilent(SILENT_MILLIS, nowNanos));
     }
 
     private boolean hasRoom(ServerState server, PlacementRequest request) {
-        if (server.running() >= slotLimit(server) || !rateAllows(server)) {
+        if (server.running() >= slotLimit(server) || !limits.admits(server, nowNanos)) {
             return false;
         }
         long memoryTokens = pool.definition().map(Pool::memoryTokens).orElse(0L);
@@ -149,9 +140,8 @@
                 || requiredTokens <= memoryTokens * MAX_MEMORY_FRACTION;
     }
 
-    /** Returns whether the stated rate limit of a server, if any, admits a request now. */
-    private boolean rateAllows(ServerState server) {
-        return rates.of(server.server()).map(rate -> rate.hasRoom(nowNanos)).orElse(true);
+    private boolean isCold(ServerState server) {
+        return limits.isCold(server.server(), nowNanos);
     }
 
     private int slotLimit(ServerState server) {
@@ -168,8 +158,10 @@
         double expectedMillis = engine ? engineMillis(server, request) : plainMillis(server, load);
         boolean sameDomain = server.server().domain().equals(request.domain());
         double domainPenalty = engine ? ENGINE_DOMAIN_PENALTY_MILLIS : PLAIN_DOMAIN_PENALTY_MILLIS;
-        double faultMillis =
-                server.faultRate(nowNanos) * FAULT_COST_TARGETS * TYPICAL_TARGET_MILLIS;
+        // A cold server is slower by an unknown factor: others are preferred unless their runs
+        // fail.
+        double faults = server.faultRate(nowNanos) + (isCold(server) ? 1 : 0);
+        double faultMillis = faults * FAULT_COST_TARGETS * TYPICAL_TARGET_MILLIS;
         return expectedMillis + faultMillis + (sameDomain ? 0 : domainPenalty);
     }
 
--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -151,6 +151,9 @@
     }
 
     private void recordLatency(ServerState server, ActiveRun running, long millis) {
+        if (running.duringWarmup()) {
+            return;
+        }
         double slowness = millis / speed.expectedMillis(running);
         rollout()
                 .ifPresent(
@@ -169,13 +172,13 @@
         if (plain && report.outcome() == RunReport.Outcome.ANSWERED) {
             recordLatency(server, running, report.totalMillis());
         }
+        RunReport.Outcome outcome =
+                running.isSlowByWarmup(report) ? RunReport.Outcome.CANCELLED : report.outcome();
         rollout()
                 .ifPresent(
                         active ->
                                 active.recordEnd(
-                                        server.server(),
-                                        running.request().route(),
-                                        report.outcome()));
+                                        server.server(), running.request().route(), outcome));
     }
 
     /** Updates the rollout, if there is one, with the runs under way and lets it decide. */
@@ -200,7 +203,7 @@
         for (ActiveRun run : server.runs().values()) {
             double millis = (nowNanos - run.sentNanos()) / NANOS_PER_MILLI;
             double slowness = millis / speed.expectedMillis(run);
-            if (run.waitsForFirst() && slowness > SLOW_RUN_FACTOR) {
+            if (run.waitsForFirst() && !run.duringWarmup() && slowness > SLOW_RUN_FACTOR) {
                 rollout.recordPending(server.server(), run.request().route(), slowness);
             }
         }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -7,10 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 import org.orioleshed.catalog.PoolServer;
-import org.orioleshed.catalog.RolloutOrder;
-import org.orioleshed.catalog.RolloutOutcome;
 import org.orioleshed.dispatch.DispatchAction.Reason;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
@@ -49,7 +46,7 @@
     private final Map<RunKey, ServerState> runs = new HashMap<>();
     private final QuarantineControl quarantine;
     private final Quotas quotas;
-    private final ServerRates rates;
+    private final ServerLimits limits;
     private final RolloutPolicy rolloutPolicy;
     private List<DispatchAction> actions = new ArrayList<>();
     private double slotShare = 1;
@@ -67,14 +64,19 @@
      * @param slack the tolerance beyond quotas
      * @param role whether it grants quotas as the primary or as a fallback
      * @param rolloutPolicy the bounds on the requests to a version that is not proved
+     * @param coldBound the bound on the requests to cold servers
      */
     public Scheduler(
-            double initialFill, Quotas.Slack slack, Quotas.Role role, RolloutPolicy rolloutPolicy) {
+            double initialFill,
+            Quotas.Slack slack,
+            Quotas.Role role,
+            RolloutPolicy rolloutPolicy,
+            ColdBound coldBound) {
         this.rolloutPolicy = rolloutPolicy;
         boolean decides = role == Quotas.Role.PRIMARY;
         this.quarantine = new QuarantineControl(decides, action -> actions.add(action));
         this.quotas = new Quotas(initialFill, slack, role);
-        this.rates = new ServerRates(role);
+        this.limits = new ServerLimits(role, coldBound, this::note);
     }
 
     @Override
@@ -108,12 +110,7 @@
             case DispatchEvent.HostGone gone -> removeHost(gone.host());
             case DispatchEvent.ServersChanged changed -> updateServers(changed.servers());
             case DispatchEvent.ServerLeaving leaving -> markLeaving(leaving);
-            case DispatchEvent.ServerLimited limited ->
-                    rates.recordReported(
-                            limited.server(),
-                            limited.startMillis(),
-                            limited.limit().perSecond(),
-                            nowNanos);
+            case DispatchEvent.ServerNotice notice -> applyNotice(notice);
             case DispatchEvent.LimitsChanged changed -> updateLimits(changed);
             case DispatchEvent.ShareChanged changed -> updateShare(changed);
             case DispatchEvent.QuotasHandedOver handed -> quotas.takeOver(handed.parts());
@@ -169,7 +166,7 @@
             refundAndRefuse(run, request, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
             return;
         }
-        Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        Placement placement = new Placement(pool, limits, slotShare, nowNanos);
         if (isNext(pool, request) && grant(pool, placement, run, request)) {
             return;
         }
@@ -216,22 +213,19 @@
         ServerState server = chosen.get();
         String inputs =
                 "running=%d pending_tokens=%d score_ms=%.0f faults=%.2f waiting=%d"
-                        .formatted(
-                                server.running(),
-                                server.pendingTokens(),
-                                placement.score(server, request),
-                                server.faultRate(nowNanos),
-                                pool.waiting());
-        String limitInput =
-                rates.of(server.server())
-                        .map(rate -> " limit_per_second=%.2f".formatted(rate.perSecond()))
-                        .orElse("");
+                                .formatted(
+                                        server.running(),
+                                        server.pendingTokens(),
+                                        placement.score(server, request),
+                                        server.faultRate(nowNanos),
+                                        pool.waiting())
+                        + limits.describe(server.server(), nowNanos);
         start(server, run, request);
         actions.add(
                 new DispatchAction.Grant(
                         run,
                         server.server().id(),
-                        inputs + limitInput,
+                        inputs,
                         quarantine.isSuspected(request.content())));
         return true;
     }
@@ -239,10 +233,17 @@
     private void start(ServerState server, RunKey run, PlacementRequest request) {
         boolean engine = request.promptTokens() > 0;
         long prefillTokens = engine ? server.pendingTokens() + request.promptTokens() : 0;
-        server.start(run, new ActiveRun(request, nowNanos, prefillTokens, true));
+        server.start(
+                run,
+                new ActiveRun(
+                        request,
+                        nowNanos,
+                        prefillTokens,
+                        true,
+                        limits.isCold(server.server(), nowNanos)));
         runs.put(run, server);
         quarantine.placed(request.content(), nowNanos);
-        rates.of(server.server()).ifPresent(rate -> rate.recordSent(nowNanos));
+        limits.recordSent(server.server(), nowNanos);
         PoolState pool = pool(request.service());
         pool.load().add(request.rank(), pool.expectedRunMillis(request), nowNanos);
         pool.rollout().ifPresent(rollout -> rollout.recordSent(server.server(), request.route()));
@@ -311,7 +312,7 @@
     private void recordLimit(ServerState server, RunKey run, StatedLimit limit) {
         ActiveRun running = server.runs().get(run);
         if (running != null) {
-            rates.recordStated(server.server(), limit, running.sentNanos(), nowNanos);
+            limits.recordStated(server.server(), limit, running.sentNanos(), nowNanos);
         }
     }
 
@@ -381,6 +382,14 @@
         }
     }
 
+    private void applyNotice(DispatchEvent.ServerNotice notice) {
+        limits.apply(notice, nowNanos);
+        pools.values().stream()
+                .flatMap(pool -> pool.servers().get(notice.server()).stream())
+                .filter(server -> limits.isCold(server.server(), nowNanos))
+                .forEach(ServerState::markWarmup);
+    }
+
     private void updateServer(PoolServer server) {
         PoolState pool = pool(server.service());
         for (PoolState other : pools.values()) {
@@ -395,13 +404,14 @@
 
     private void updateLimits(DispatchEvent.LimitsChanged changed) {
         changed.pools().forEach((service, pool) -> pool(service).define(pool));
+        limits.setPools(changed.pools());
         quotas.setLimits(changed.quotas(), nowNanos);
     }
 
     private void updateShare(DispatchEvent.ShareChanged changed) {
         slotShare = changed.slots();
         quotas.setShare(changed.quota(), nowNanos);
-        rates.setShare(changed.quota(), nowNanos);
+        limits.setShare(changed, nowNanos);
     }
 
     private void startRollout(DispatchEvent.RolloutOrdered ordered) {
@@ -437,17 +447,6 @@
                 .toList();
     }
 
-    /**
-     * The state of a rollout.
-     *
-     * @param order the order
-     * @param outcome the outcome so far
-     * @param step the traffic step that the new version has reached; -1 until it is proved
-     * @param evidence formats the evidence for the log
-     */
-    public record RolloutView(
-            RolloutOrder order, RolloutOutcome outcome, int step, Supplier<String> evidence) {}
-
     /**
      * Returns the observations of this scheduler that the next primary needs: crashes by content,
      * and the evidence of rollouts.
@@ -499,6 +498,11 @@
         }
     }
 
+    /** Returns how many servers have a state that limits what they may be sent. */
+    public LimitCounts limitCounts(long now) {
+        return limits.counts(now);
+    }
+
     /** Returns what is quarantined. */
     public List<CrashReport.Held> held(long now) {
         return quarantine.held(now);
@@ -527,6 +531,7 @@
     }
 
     private void tick() {
+        limits.tick(nowNanos);
         removeOverdue();
         if (quarantine.tick(this::hasOlderRuns, nowNanos)) {
             refuseHeldRequests();
@@ -560,7 +565,7 @@
     }
 
     private void refuseUnservable(PoolState pool) {
-        Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        Placement placement = new Placement(pool, limits, slotShare, nowNanos);
         double slots = placement.usableSlots(pool.meanQueuedRunMillis());
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         for (QueuedRequest queued : admission.unservable()) {
@@ -576,7 +581,7 @@
         if (pool.waiting() == 0) {
             return;
         }
-        Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        Placement placement = new Placement(pool, limits, slotShare, nowNanos);
         int skipped = 0;
         for (QueuedRequest queued : pool.inOrder()) {
             if (grant(pool, placement, queued.run(), queued.request())) {
--- a/src/main/java/org/orioleshed/dispatch/ServerRates.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerRates.java
@@ -36,6 +36,11 @@
         return sameStart ? Optional.of(entry.rate()) : Optional.empty();
     }
 
+    /** Returns the number of recorded limits. */
+    int count() {
+        return entries.size();
+    }
+
     /** Sets the share of each rate that belongs to this scheduler and its followers. */
     void setShare(double newShare, long nowNanos) {
         share = newShare;
--- a/src/main/java/org/orioleshed/dispatch/ServerState.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -62,6 +62,11 @@
         return statedLeaving || server.draining();
     }
 
+    /** Marks all runs as overlapping a time in which the server is cold. */
+    void markWarmup() {
+        runs.replaceAll((key, run) -> run.markedWarmup());
+    }
+
     int running() {
         return runs.size();
     }
@@ -105,10 +110,13 @@
             return;
         }
         pendingTokens -= run.request().promptTokens();
+        runs.put(key, run.afterFirstEvent());
+        if (run.duringWarmup()) {
+            return;
+        }
         double expectedMillis = pool.firstEventMillis(run.prefillTokens());
         firstEventFactor = smooth(firstEventFactor, firstMillis / expectedMillis);
         pool.recordFirstEvent(run.prefillTokens(), firstMillis / firstEventFactor);
-        runs.put(key, run.afterFirstEvent());
     }
 
     /** Removes a run that ended; returns whether it was recorded here. */
@@ -132,15 +140,19 @@
                 consecutiveFaults = 0;
                 backoffUntilNanos = Long.MIN_VALUE;
                 recordFault(0, nowNanos);
-                recordSpeed(run, report, pool);
+                if (!run.duringWarmup()) {
+                    recordSpeed(run, report, pool);
+                }
             }
             case FAILED -> {
                 lastActivityNanos = nowNanos;
                 recordFault(1, nowNanos);
             }
             case UNREACHABLE, BROKEN, TIMED_OUT -> {
-                recordFault(1, nowNanos);
-                backOff(nowNanos);
+                if (!run.isSlowByWarmup(report)) {
+                    recordFault(1, nowNanos);
+                    backOff(nowNanos);
+                }
             }
             case REJECTED -> backOffUntil(nowNanos + REJECTED_BACKOFF_MILLIS * NANOS_PER_MILLI);
             case MISDIRECTED -> backOffUntil(nowNanos + MAX_BACKOFF_MILLIS * NANOS_PER_MILLI);
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -22,11 +22,13 @@
     private final Map<RolloutOrder, Long> ordersSeenNanos = new HashMap<>();
     private final Map<RolloutOrder, RolloutOutcome> recorded = new HashMap<>();
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
+    private final WarmupRecord warmups = new WarmupRecord();
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
 
     /** Takes a newer snapshot. */
     void catalogChanged(CatalogSnapshot newer, long nowNanos) {
         snapshot = newer;
+        warmups.update(newer.servers(), nowNanos);
         servers.clear();
         newer.servers().forEach(server -> servers.put(server.id(), server));
         newer.orders().forEach(order -> ordersSeenNanos.putIfAbsent(order, nowNanos));
@@ -56,6 +58,8 @@
         }
         recorded.forEach(
                 (order, outcome) -> events.add(new DispatchEvent.RolloutSettled(order, outcome)));
+        // Cold servers are marked before queued requests are sent to the new ones among them.
+        events.addAll(warmups.events(snapshot, nowNanos));
         events.add(new DispatchEvent.ServersChanged(snapshot.servers()));
         List<DispatchAction> actions = new ArrayList<>();
         events.forEach(event -> actions.addAll(scheduler.on(nowNanos, event)));
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -13,13 +13,16 @@
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.catalog.RolloutOutcome;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.DispatchCodec;
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.DispatchMessage;
+import org.orioleshed.dispatch.LimitCounts;
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
+import org.orioleshed.dispatch.RolloutView;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
 import org.orioleshed.dispatch.Scheduler;
@@ -71,6 +74,7 @@
     private final Followers followers = new Followers();
     private final Quotas.Slack slack;
     private final RolloutPolicy rolloutPolicy;
+    private final ColdBound coldBound;
     private final ServerNotices notices = new ServerNotices();
     private final CatalogFeed feed = new CatalogFeed();
     private final Map<RolloutOrder, LoggedState> loggedStates = new HashMap<>();
@@ -128,13 +132,16 @@
             FleetView fleet,
             Quotas.Slack slack,
             RolloutPolicy rolloutPolicy,
+            ColdBound coldBound,
             LongSupplier clock,
             Consumer<String> log) {
         this.clock = clock;
         this.self = self;
         this.slack = slack;
         this.rolloutPolicy = rolloutPolicy;
-        this.fallback = new Scheduler(INITIAL_FILL, slack, Quotas.Role.FALLBACK, rolloutPolicy);
+        this.coldBound = coldBound;
+        this.fallback =
+                new Scheduler(INITIAL_FILL, slack, Quotas.Role.FALLBACK, rolloutPolicy, coldBound);
         this.primaryScheduler = newPrimary(INITIAL_FILL);
         this.peers = peers;
         this.fleet = fleet;
@@ -143,7 +150,7 @@
     }
 
     private Scheduler newPrimary(double fill) {
-        return new Scheduler(fill, slack, Quotas.Role.PRIMARY, rolloutPolicy);
+        return new Scheduler(fill, slack, Quotas.Role.PRIMARY, rolloutPolicy, coldBound);
     }
 
     /** Requests a slot; the listener may be called before this returns. */
@@ -233,6 +240,7 @@
         if (update.newlyLeaving()) {
             notifySchedulers(leaving(server));
         }
+        notices.stated(server, responseHeaders).forEach(this::notifySchedulers);
         return update;
     }
 
@@ -461,7 +469,7 @@
     }
 
     /** Logs and records the state of a rollout if it changed. */
-    private void record(Scheduler.RolloutView rollout) {
+    private void record(RolloutView rollout) {
         LoggedState now = new LoggedState(rollout.outcome(), rollout.step());
         LoggedState before = loggedStates.put(rollout.order(), now);
         if (now.equals(before)) {
@@ -556,7 +564,10 @@
         double quotaUsers = fleet.quotaUserCount();
         double slotShare = Math.min(1, 2 / quotaUsers);
         var unused =
-                fallback.on(nowNanos, new DispatchEvent.ShareChanged(slotShare, 1 / quotaUsers));
+                fallback.on(
+                        nowNanos,
+                        new DispatchEvent.ShareChanged(
+                                slotShare, 1 / quotaUsers, fleet.knownHosts()));
         quotaShare = 0;
         updatePrimaryShare();
     }
@@ -610,7 +621,7 @@
     private void replayState() {
         long nowNanos = clock.getAsLong();
         notices.leaving().forEach(server -> reportToPrimary(leaving(server)));
-        notices.limits(nowNanos).forEach(this::reportToPrimary);
+        notices.reports(nowNanos).forEach(this::reportToPrimary);
         fallback.reports(self, nowNanos).forEach(this::reportToPrimary);
         active.forEach(
                 (run, placed) ->
@@ -627,6 +638,12 @@
         reportToPrimary(fallback.crashReport(self, clock.getAsLong()));
     }
 
+    /** Returns how many servers have a state that limits what they may be sent. */
+    LimitCounts limitCounts() {
+        Scheduler scheduler = primary.isSelf() ? primaryScheduler : fallback;
+        return scheduler.limitCounts(clock.getAsLong());
+    }
+
     /** Returns what is quarantined, as far as this host knows. */
     List<CrashReport.Held> held() {
         long nowNanos = clock.getAsLong();
--- a/src/main/java/org/orioleshed/gateway/FleetView.java
+++ b/src/main/java/org/orioleshed/gateway/FleetView.java
@@ -3,11 +3,14 @@
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
+import org.orioleshed.dispatch.KnownHosts;
 import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.membership.Member;
 import org.orioleshed.membership.Membership;
@@ -196,6 +199,18 @@
         registeredNanos = clock.getAsLong();
     }
 
+    /** Returns the hosts among which servers in a special state are shared without a primary. */
+    KnownHosts knownHosts() {
+        int assumed = quotaUserCount();
+        Set<HostId> possible = new HashSet<>(diedNanos.keySet());
+        possible.add(self.id());
+        members.forEach(member -> possible.add(member.id()));
+        Set<HostId> live = new HashSet<>(others());
+        live.add(self.id());
+        return new KnownHosts(
+                Optional.of(self.id()), List.copyOf(live), List.copyOf(possible), assumed);
+    }
+
     /** Returns the number of hosts that may be using quotas, including dead ones for a while. */
     int quotaUserCount() {
         long nowNanos = clock.getAsLong();
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -35,6 +35,7 @@
 import org.orioleshed.catalog.CatalogWatcher;
 import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.catalog.RolloutOutcome;
+import org.orioleshed.dispatch.LimitCounts;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.FailureDomain;
@@ -83,6 +84,7 @@
     private final MetricRegistry metrics = new MetricRegistry();
     private MetricsText metricsText;
     private volatile int quarantined;
+    private volatile LimitCounts limitCounts = new LimitCounts(0, 0);
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -142,6 +144,8 @@
         this.acceptedRequests = metrics.counter("requests");
         metrics.gauge("log_lines_dropped", () -> log::dropped);
         metrics.gauge("quarantined", () -> () -> quarantined);
+        metrics.gauge("rate_limited_servers", () -> () -> limitCounts.limited());
+        metrics.gauge("cold_servers", () -> () -> limitCounts.cold());
         this.peers =
                 new PeerNetwork(
                         self,
@@ -167,6 +171,7 @@
                         fleet,
                         options.quotaSlack(),
                         options.rolloutPolicy(),
+                        options.coldBound(),
                         System::nanoTime,
                         log::add);
         dispatcher.onRequestSent(ticker::reschedule);
@@ -332,6 +337,7 @@
         List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
         dispatcher.tick();
         quarantined = dispatcher.held().size();
+        limitCounts = dispatcher.limitCounts();
         propagation.tick();
         if (nowNanos - slowTickNanos >= SLOW_TICK_NANOS) {
             slowTickNanos = nowNanos;
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
 import org.orioleshed.model.FailureDomain;
@@ -23,6 +24,7 @@
  * @param rolloutPolicy the limits on the damage of a bad version
  * @param graceMillis the time from the stop signal to the end of the process, in milliseconds;
  *     positive
+ * @param coldBound the bound on requests to cold servers
  */
 public record GatewayOptions(
         FailureDomain domain,
@@ -37,7 +39,8 @@
         double retrySlack,
         Quotas.Slack quotaSlack,
         RolloutPolicy rolloutPolicy,
-        long graceMillis) {
+        long graceMillis,
+        ColdBound coldBound) {
     /**
      * Copies the seeds.
      *
@@ -49,4 +52,36 @@
             throw new IllegalArgumentException("window and grace must be positive");
         }
     }
+
+    /** Makes options without a bound of their own on requests to cold servers. */
+    public GatewayOptions(
+            FailureDomain domain,
+            InetSocketAddress callers,
+            InetSocketAddress ready,
+            InetSocketAddress metrics,
+            InetSocketAddress peer,
+            List<InetSocketAddress> seeds,
+            int minHosts,
+            double retryRatio,
+            long retryWindowMillis,
+            double retrySlack,
+            Quotas.Slack quotaSlack,
+            RolloutPolicy rolloutPolicy,
+            long graceMillis) {
+        this(
+                domain,
+                callers,
+                ready,
+                metrics,
+                peer,
+                seeds,
+                minHosts,
+                retryRatio,
+                retryWindowMillis,
+                retrySlack,
+                quotaSlack,
+                rolloutPolicy,
+                graceMillis,
+                ColdBound.DEFAULT);
+    }
 }
--- a/src/main/java/org/orioleshed/gateway/ResponseHeaders.java
+++ b/src/main/java/org/orioleshed/gateway/ResponseHeaders.java
@@ -14,6 +14,7 @@
  * @param backoffMillis how long this host must send the server nothing, in milliseconds; 0 if not
  *     stated
  * @param limit the request rate that the server accepts from all hosts together
+ * @param warmupMillis how much longer the server is cold, in milliseconds; 0 if not stated
  */
 public record ResponseHeaders(
         String id,
@@ -22,4 +23,17 @@
         long keepAliveMillis,
         boolean leaving,
         long backoffMillis,
-        StatedLimit limit) {}
+        StatedLimit limit,
+        long warmupMillis) {
+    /** Makes the values of a response that states nothing of a warm-up. */
+    public ResponseHeaders(
+            String id,
+            boolean signed,
+            boolean notRun,
+            long keepAliveMillis,
+            boolean leaving,
+            long backoffMillis,
+            StatedLimit limit) {
+        this(id, signed, notRun, keepAliveMillis, leaving, backoffMillis, limit, 0);
+    }
+}
--- a/src/main/java/org/orioleshed/gateway/ServerNotices.java
+++ b/src/main/java/org/orioleshed/gateway/ServerNotices.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -37,6 +38,8 @@
         private long backoffUntilNanos;
         private StatedLimit limit = StatedLimit.NONE;
         private long limitNanos;
+        private long warmupMillis;
+        private long warmupNanos;
 
         Notice(PoolServer server, long nowNanos) {
             this.server = server;
@@ -56,6 +59,23 @@
                     : Optional.empty();
         }
 
+        /** Takes a statement that the server is cold. */
+        void updateWarmup(long leftMillis, long nowNanos) {
+            if (leftMillis > 0) {
+                warmupMillis = leftMillis;
+                warmupNanos = nowNanos;
+            }
+        }
+
+        Optional<DispatchEvent.ServerCold> recentWarmup(long nowNanos) {
+            long ageNanos = nowNanos - warmupNanos;
+            boolean cold =
+                    ageNanos < LIMIT_RETENTION_NANOS && ageNanos / NANOS_PER_MILLI < warmupMillis;
+            return cold
+                    ? Optional.of(cold(server, warmupMillis, ageNanos / NANOS_PER_MILLI))
+                    : Optional.empty();
+        }
+
         /** Updates the limit from a response; returns whether it changed. */
         boolean updateLimit(StatedLimit stated, long nowNanos) {
             limitNanos = nowNanos;
@@ -97,12 +117,16 @@
         }
         boolean newlyLeaving = responseHeaders.leaving() && !notice.leaving;
         notice.leaving |= responseHeaders.leaving();
+        notice.updateWarmup(responseHeaders.warmupMillis(), nowNanos);
         return new Update(newlyLeaving, notice.updateLimit(responseHeaders.limit(), nowNanos));
     }
 
     private static boolean statesNothing(ResponseHeaders responseHeaders) {
         boolean limited = responseHeaders.limit() instanceof StatedLimit.Rate;
-        return !responseHeaders.leaving() && responseHeaders.backoffMillis() <= 0 && !limited;
+        return !responseHeaders.leaving()
+                && responseHeaders.backoffMillis() <= 0
+                && responseHeaders.warmupMillis() <= 0
+                && !limited;
     }
 
     /** Returns whether this host must send nothing to this incarnation of a server now. */
@@ -141,6 +165,30 @@
                 .toList();
     }
 
+    /** Returns what schedulers must be told of a response at once, before its run ends. */
+    List<DispatchEvent.ServerNotice> stated(PoolServer server, ResponseHeaders responseHeaders) {
+        return responseHeaders.warmupMillis() > 0
+                ? List.of(cold(server, responseHeaders.warmupMillis(), 0))
+                : List.of();
+    }
+
+    private static DispatchEvent.ServerCold cold(
+            PoolServer server, long leftMillis, long ageMillis) {
+        return new DispatchEvent.ServerCold(
+                server.id(),
+                server.startMillis(),
+                leftMillis,
+                ageMillis,
+                DispatchEvent.ServerCold.Source.ANSWER);
+    }
+
+    /** Returns what servers stated recently, for a new primary. */
+    List<DispatchEvent.ServerNotice> reports(long nowNanos) {
+        List<DispatchEvent.ServerNotice> result = new ArrayList<>(limits(nowNanos));
+        notices.values().forEach(it -> it.recentWarmup(nowNanos).ifPresent(result::add));
+        return result;
+    }
+
     private static boolean hasRestarted(PoolServer server, Map<ServerId, PoolServer> present) {
         PoolServer current = present.get(server.id());
         return current != null && !server.sameStart(current);
--- a/src/main/java/org/orioleshed/trial/PrimaryPolicy.java
+++ b/src/main/java/org/orioleshed/trial/PrimaryPolicy.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.orioleshed.catalog.Pool;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.PlacementRequest;
@@ -33,7 +34,12 @@
 
     private final Context context;
     private final Scheduler scheduler =
-            new Scheduler(1, Quotas.Slack.NONE, Quotas.Role.PRIMARY, RolloutPolicy.DEFAULT);
+            new Scheduler(
+                    1,
+                    Quotas.Slack.NONE,
+                    Quotas.Role.PRIMARY,
+                    RolloutPolicy.DEFAULT,
+                    ColdBound.DEFAULT);
     private final Map<RunKey, TrialRequest> requestsByRun = new HashMap<>();
 
     PrimaryPolicy(Context context, SimulatedEngine.Spec spec) {
--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -96,6 +96,21 @@
                         new ServerId("i-1"), startMillis, new StatedLimit.Rate(perSecond)));
     }
 
+    @Property(tries = 50, seed = "9")
+    void coldNoticesRoundTrip(
+            @ForAll long startMillis,
+            @ForAll @LongRange long leftMillis,
+            @ForAll @LongRange long ageMillis)
+            throws BadMessageException {
+        assertRoundTrip(
+                new DispatchEvent.ServerCold(
+                        new ServerId("i-1"),
+                        startMillis,
+                        leftMillis,
+                        ageMillis,
+                        DispatchEvent.ServerCold.Source.ANSWER));
+    }
+
     @Property(tries = 50, seed = "8")
     void reportsRoundTrip(
             @ForAll long content, @ForAll @IntRange(max = 100) int count, @ForAll boolean isNew)
--- a/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
@@ -37,7 +37,11 @@
     }
 
     SchedulerFixture(Quotas.Role role) {
-        scheduler = new Scheduler(1, Quotas.Slack.NONE, role, RolloutPolicy.DEFAULT);
+        this(role, ColdBound.DEFAULT);
+    }
+
+    SchedulerFixture(Quotas.Role role, ColdBound coldBound) {
+        scheduler = new Scheduler(1, Quotas.Slack.NONE, role, RolloutPolicy.DEFAULT, coldBound);
         pool(1_000_000);
     }
 
@@ -70,6 +74,11 @@
         return send(new DispatchEvent.ServersChanged(servers));
     }
 
+    /** Returns a server in the near domain. */
+    static PoolServer poolServer(String id, int slots) {
+        return server(id, slots, NEAR, false, 1);
+    }
+
     private static PoolServer server(
             String id, int slots, FailureDomain domain, boolean draining, long startMillis) {
         return new PoolServer(
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -13,6 +13,7 @@
 import org.orioleshed.catalog.CatalogState;
 import org.orioleshed.catalog.PlainDecoder;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.Quotas;
@@ -88,7 +89,14 @@
         catalog = new CatalogState(all.decoder(), line -> {});
         dispatcher =
                 new Dispatcher(
-                        id, this, fleet, SLACK, RolloutPolicy.DEFAULT, all::nowNanos, line -> {});
+                        id,
+                        this,
+                        fleet,
+                        SLACK,
+                        RolloutPolicy.DEFAULT,
+                        ColdBound.DEFAULT,
+                        all::nowNanos,
+                        line -> {});
         propagation =
                 new CatalogPropagation(
                         member,
--- a/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
@@ -9,8 +9,10 @@
 import org.orioleshed.catalog.BadCatalogException;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
+import org.orioleshed.catalog.Pool;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.Repeatability;
+import org.orioleshed.catalog.StatedWarmup;
 import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
@@ -114,6 +116,49 @@
         assertEquals(server.startMillis(), 5);
     }
 
+    @DataProvider
+    Object[][] warmups() {
+        return new Object[][] {
+            {"3000", 3_000L},
+            {"2500.7", 2_500L},
+            {"0", 0L},
+            {"-1", -1L},
+            {"\"soon\"", -1L},
+            {"null", -1L},
+            {"1e300", Long.MAX_VALUE}
+        };
+    }
+
+    /** A value that can't be read must neither hide the server nor make it cold. */
+    @Test(dataProvider = "warmups")
+    public void readsHowLongAServerIsCold(String value, long leftMillis)
+            throws BadCatalogException {
+        String entry = entry("\"ready\"", "\"10.1.2.3:80\"", "3");
+        String warming = entry.replace("{", "{\"warmup-left-ms\":" + value + ",");
+        assertEquals(decoder.server("servers/i", bytes(warming)).warmup().leftMillis(), leftMillis);
+        assertEquals(decoder.server("servers/i", bytes(entry)).warmup(), StatedWarmup.NONE);
+    }
+
+    @DataProvider
+    Object[][] poolWarmups() {
+        return new Object[][] {
+            {"", 0L, 0.0},
+            {",\"warmup-s\":3.5,\"warmup-per-s\":12.0", 3_500L, 12.0},
+            {",\"warmup-s\":3,\"warmup-per-s\":0", 3_000L, 0.0},
+            {",\"warmup-s\":-3,\"warmup-per-s\":\"x\"", 0L, 0.0}
+        };
+    }
+
+    @Test(dataProvider = "poolWarmups")
+    public void readsTheWarmupOfAPool(String fields, long millis, double perSecond)
+            throws BadCatalogException {
+        byte[] config = bytes("{\"services\":[{\"name\":\"s\"%s}]}".formatted(fields));
+        Pool pool = decoder.config(config).pools().get(new ServiceId("s"));
+        assertEquals(pool.warmupMillis(), millis);
+        assertEquals(pool.warmupPerSecond(), perSecond);
+        assertEquals(pool.hasWarmup(), perSecond > 0);
+    }
+
     @DataProvider
     Object[][] badServers() {
         return new Object[][] {
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -6,6 +6,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.platform.NodeSettings.BadSettingsException;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
@@ -32,6 +33,15 @@
         assertEquals(settings.store(), new InetSocketAddress("10.200.1.7", 8225));
     }
 
+    @Test
+    public void readsTheBoundOnColdServersIfThereIsOne() throws BadSettingsException {
+        assertEquals(NodeSettings.parse(VALID).gateway().coldBound(), ColdBound.DEFAULT);
+        String bounds = "\"bounds\":{\"cold-over\":1.5,\"cold-slack\":5,";
+        assertEquals(
+                NodeSettings.parse(VALID.replace("\"bounds\":{", bounds)).gateway().coldBound(),
+                new ColdBound(1.5, 5));
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
@@ -43,6 +53,7 @@
             {VALID.replace("10.1.0.25:8221", "front:8221"), "/listen/front"},
             {VALID.replace("10.2.0.17:8229", "nowhere"), "/seeds"},
             {VALID.replace("\"retry-ratio\":0.2", "\"retry-ratio\":\"x\""), "/bounds/retry-ratio"},
+            {VALID.replace("\"bounds\":{", "\"bounds\":{\"cold-over\":1,"), "/bounds/cold-slack"},
             {VALID.replace("10.200.1.7:8225", ""), "/platform/address"},
         };
     }
--- a/src/test/java/org/orioleshed/platform/PlatformHeaderTranslatorTest.java
+++ b/src/test/java/org/orioleshed/platform/PlatformHeaderTranslatorTest.java
@@ -156,6 +156,26 @@
         assertEquals(translator.readResponse(503, headers).limit(), limit);
     }
 
+    @DataProvider
+    Object[][] warmups() {
+        return new Object[][] {
+            {"2500", 2_500L},
+            {"0", 0L},
+            {"12.5", 12L},
+            {"-1", 0L},
+            {"soon", 0L},
+            {"", 0L},
+            {"1e999", 0L},
+            {"9".repeat(18), 999_999_999_999_999_999L}
+        };
+    }
+
+    @Test(dataProvider = "warmups")
+    public void readsHowLongTheServerIsCold(String stated, long millis) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("X-Warmup-Ms", stated);
+        assertEquals(translator.readResponse(200, headers).warmupMillis(), millis);
+    }
+
     @Test
     public void ownResponsesHaveRetryAfterAndNoSignature() {
         HttpHeaders headers = new DefaultHttpHeaders();
