--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -48,7 +48,7 @@
     private final QuarantineControl quarantine;
     private final HostConnectivity connectivity = new HostConnectivity();
     private final Quotas quotas;
-    private final ServerRates rates;
+    private final ServerLimits limits;
     private final RolloutPolicy rolloutPolicy;
     private final PacedServers paced;
     private List<DispatchAction> actions = new ArrayList<>();
@@ -68,19 +68,21 @@
      * @param role whether it grants quotas as the primary or as a fallback
      * @param rolloutPolicy the bounds on the requests to a version that is not proved
      * @param pacing whether servers that have just started or recovered are paced
+     * @param coldBound the bound on the requests to cold servers
      */
     public Scheduler(
             double initialFill,
             Quotas.Slack slack,
             Quotas.Role role,
             RolloutPolicy rolloutPolicy,
-            PacingPolicy pacing) {
+            PacingPolicy pacing,
+            ColdBound coldBound) {
         this.paced = new PacedServers(pacing, line -> actions.add(new DispatchAction.Note(line)));
         this.rolloutPolicy = rolloutPolicy;
         boolean decides = role == Quotas.Role.PRIMARY;
         this.quarantine = new QuarantineControl(decides, action -> actions.add(action));
         this.quotas = new Quotas(initialFill, slack, role);
-        this.rates = new ServerRates(role);
+        this.limits = new ServerLimits(role, coldBound, this::note);
     }
 
     @Override
@@ -114,12 +116,7 @@
             case DispatchEvent.HostGone gone -> removeHost(gone.host());
             case DispatchEvent.ServersChanged changed -> updateServers(changed);
             case DispatchEvent.ServerLeaving leaving -> markLeaving(leaving);
-            case DispatchEvent.ServerLimited limited ->
-                    rates.recordReported(
-                            limited.server(),
-                            limited.startMillis(),
-                            limited.limit().perSecond(),
-                            nowNanos);
+            case DispatchEvent.ServerNotice notice -> applyNotice(notice);
             case DispatchEvent.LimitsChanged changed -> updateLimits(changed);
             case DispatchEvent.ShareChanged changed -> updateShare(changed);
             case DispatchEvent.QuotasHandedOver handed -> quotas.takeOver(handed.parts());
@@ -180,7 +177,7 @@
             refundAndRefuse(run, request, Reason.NO_SERVER, (double) NO_SERVER_RETRY_MILLIS);
             return;
         }
-        Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        Placement placement = new Placement(pool, limits, slotShare, nowNanos);
         if (isNext(pool, request) && grant(pool, placement, run, request)) {
             return;
         }
@@ -232,22 +229,19 @@
         ServerState server = chosen.get();
         String inputs =
                 "running=%d pending_tokens=%d score_ms=%.0f faults=%.2f waiting=%d"
-                        .formatted(
-                                server.running(),
-                                server.pendingTokens(),
-                                placement.score(server, request),
-                                server.faultRate(nowNanos),
-                                pool.waiting());
-        String limitInput =
-                rates.of(server.server())
-                        .map(rate -> " limit_per_second=%.2f".formatted(rate.perSecond()))
-                        .orElse("");
+                                .formatted(
+                                        server.running(),
+                                        server.pendingTokens(),
+                                        placement.score(server, request),
+                                        server.faultRate(nowNanos),
+                                        pool.waiting())
+                        + limits.describe(server.server(), nowNanos);
         start(server, run, request);
         actions.add(
                 new DispatchAction.Grant(
                         run,
                         server.server().id(),
-                        inputs + limitInput,
+                        inputs,
                         quarantine.isSuspected(request.content())));
         return true;
     }
@@ -255,10 +249,17 @@
     private void start(ServerState server, RunKey run, PlacementRequest request) {
         boolean engine = request.promptTokens() > 0;
         long prefillTokens = engine ? server.pendingTokens() + request.promptTokens() : 0;
-        server.start(run, new ActiveRun(request, nowNanos, prefillTokens, true));
+        server.start(
+                run,
+                new ActiveRun(
+                        request,
+                        nowNanos,
+                        prefillTokens,
+                        true,
+                        limits.isCold(server.server(), nowNanos)));
         runs.put(run, server);
         quarantine.placed(request.content(), nowNanos);
-        rates.of(server.server()).ifPresent(rate -> rate.recordSent(nowNanos));
+        limits.recordSent(server.server(), nowNanos);
         PoolState pool = pool(request.service());
         pool.load().add(request.rank(), pool.expectedRunMillis(request), nowNanos);
         pool.rollout().ifPresent(rollout -> rollout.recordSent(server.server(), request.route()));
@@ -328,7 +329,7 @@
     private void recordLimit(ServerState server, RunKey run, StatedLimit limit) {
         ActiveRun running = server.runs().get(run);
         if (running != null) {
-            rates.recordStated(server.server(), limit, running.sentNanos(), nowNanos);
+            limits.recordStated(server.server(), limit, running.sentNanos(), nowNanos);
         }
     }
 
@@ -422,6 +423,14 @@
         }
     }
 
+    private void applyNotice(DispatchEvent.ServerNotice notice) {
+        limits.apply(notice, nowNanos);
+        pools.values().stream()
+                .flatMap(pool -> pool.servers().get(notice.server()).stream())
+                .filter(server -> limits.isCold(server.server(), nowNanos))
+                .forEach(ServerState::markWarmup);
+    }
+
     private void updateServer(PoolServer server) {
         PoolState pool = pool(server.service());
         for (PoolState other : pools.values()) {
@@ -436,13 +445,14 @@
 
     private void updateLimits(DispatchEvent.LimitsChanged changed) {
         changed.pools().forEach((service, pool) -> pool(service).define(pool));
+        limits.setPools(changed.pools());
         quotas.setLimits(changed.quotas(), nowNanos);
     }
 
     private void updateShare(DispatchEvent.ShareChanged changed) {
         slotShare = changed.slots();
         quotas.setShare(changed.quota(), nowNanos);
-        rates.setShare(changed.quota(), nowNanos);
+        limits.setShare(changed, nowNanos);
     }
 
     private void startRollout(DispatchEvent.RolloutOrdered ordered) {
@@ -529,6 +539,11 @@
         }
     }
 
+    /** Returns how many servers have a state that limits what they may be sent. */
+    public LimitCounts limitCounts(long now) {
+        return limits.counts(now);
+    }
+
     /** Returns what is quarantined. */
     public List<CrashReport.Held> held(long now) {
         return quarantine.held(now);
@@ -557,6 +572,7 @@
     }
 
     private void tick() {
+        limits.tick(nowNanos);
         removeOverdue();
         if (quarantine.tick(this::hasOlderRuns, nowNanos)) {
             refuseHeldRequests();
@@ -590,7 +606,7 @@
     }
 
     private void refuseUnservable(PoolState pool) {
-        Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        Placement placement = new Placement(pool, limits, slotShare, nowNanos);
         double slots = placement.usableSlots(pool.meanQueuedRunMillis());
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         for (QueuedRequest queued : admission.unservable()) {
@@ -606,7 +622,7 @@
         if (pool.waiting() == 0) {
             return;
         }
-        Placement placement = new Placement(pool, rates, slotShare, nowNanos);
+        Placement placement = new Placement(pool, limits, slotShare, nowNanos);
         // Requests for a region without free slots must not hold back those for other regions.
         Map<Optional<Set<FailureDomain>>, Integer> skipped = new HashMap<>();
         RequestQueue.Cursor cursor = pool.queue().cursor();
--- a/src/main/java/org/orioleshed/dispatch/ServerState.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerState.java
@@ -89,6 +89,11 @@
         return pacing.limit();
     }
 
+    /** Marks all runs as overlapping a time in which the server is cold. */
+    void markWarmup() {
+        runs.replaceAll((key, run) -> run.markedWarmup());
+    }
+
     int running() {
         return runs.size();
     }
@@ -132,14 +137,18 @@
             return;
         }
         pendingTokens -= run.request().promptTokens();
+        runs.put(key, run.afterFirstEvent());
         double expectedMillis = pool.firstEventMillis((double) run.prefillTokens());
-        double explainedMillis = firstEventFactor * expectedMillis;
+        double explainedMillis =
+                run.duringWarmup() ? (double) firstMillis : firstEventFactor * expectedMillis;
         if (pacing.recordFirst(server, run, (double) firstMillis, explainedMillis, nowNanos)) {
             faultRate = faultRateBefore;
         }
+        if (run.duringWarmup()) {
+            return;
+        }
         firstEventFactor = smooth(firstEventFactor, firstMillis / expectedMillis);
         pool.recordFirstEvent(run.prefillTokens(), firstMillis / firstEventFactor);
-        runs.put(key, run.afterFirstEvent());
     }
 
     /** Removes a run that ended; returns whether it was recorded here. */
@@ -157,14 +166,18 @@
     }
 
     private void recordOutcome(ActiveRun run, RunReport report, PoolSpeed pool, long nowNanos) {
-        switch (report.outcome()) {
+        RunReport.Outcome outcome =
+                run.isSlowByWarmup(report) ? RunReport.Outcome.CANCELLED : report.outcome();
+        switch (outcome) {
             case ANSWERED -> {
                 lastActivityNanos = nowNanos;
                 consecutiveFaults = 0;
                 backoffUntilNanos = Long.MIN_VALUE;
                 recordFault(0, nowNanos);
                 recordPacedAnswer(run, report, pool, nowNanos);
-                recordSpeed(run, report, pool);
+                if (!run.duringWarmup()) {
+                    recordSpeed(run, report, pool);
+                }
             }
             case FAILED -> {
                 lastActivityNanos = nowNanos;
@@ -175,7 +188,7 @@
             case MISDIRECTED -> backOffUntil(nowNanos + MAX_BACKOFF_MILLIS * NANOS_PER_MILLI);
             case CANCELLED -> {}
         }
-        pacing.recordUnanswered(server, run, report.outcome(), nowNanos);
+        pacing.recordUnanswered(server, run, outcome, nowNanos);
     }
 
     private void recordUnavailable(long nowNanos) {
@@ -190,8 +203,11 @@
 
     private void recordPacedAnswer(ActiveRun run, RunReport report, PoolSpeed pool, long nowNanos) {
         boolean plain = run.request().promptTokens() == 0;
-        double explainedMillis = firstEventFactor * pool.expectedMillis(run);
         long firstMillis = plain ? report.totalMillis() : report.firstMillis();
+        double explainedMillis =
+                run.duringWarmup()
+                        ? (double) firstMillis
+                        : firstEventFactor * pool.expectedMillis(run);
         boolean firstResponse = plain || run.prefillTokens() > 0;
         boolean onlyPaused =
                 firstResponse
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -27,6 +27,7 @@
     private final Map<RolloutOrder, RolloutOutcome> recorded = new HashMap<>();
     private final Map<ServerId, PoolServer> servers = new HashMap<>();
     private final LongSupplier wallClock;
+    private final WarmupRecord warmups = new WarmupRecord();
     private CatalogSnapshot snapshot = CatalogSnapshot.EMPTY;
     private Map<ServiceId, Set<ServerId>> evacuated = Map.of();
 
@@ -38,6 +39,7 @@
     /** Takes a newer snapshot. */
     void catalogChanged(CatalogSnapshot newer, long nowNanos) {
         snapshot = newer;
+        warmups.update(newer.servers(), nowNanos);
         servers.clear();
         newer.servers().forEach(server -> servers.put(server.id(), server));
         evacuated =
@@ -84,6 +86,8 @@
         }
         recorded.forEach(
                 (order, outcome) -> events.add(new DispatchEvent.RolloutSettled(order, outcome)));
+        // Cold servers are marked before queued requests are sent to the new ones among them.
+        events.addAll(warmups.events(snapshot, nowNanos));
         events.add(
                 new DispatchEvent.ServersChanged(
                         snapshot.servers(), snapshot.evacuated(), wallClock.getAsLong()));
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -14,10 +14,12 @@
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.catalog.RolloutOutcome;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.DispatchCodec;
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.DispatchMessage;
+import org.orioleshed.dispatch.LimitCounts;
 import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.PlacementRequest;
 import org.orioleshed.dispatch.Quotas;
@@ -76,6 +78,7 @@
     private final Quotas.Slack slack;
     private final RolloutPolicy rolloutPolicy;
     private final PacingPolicy pacing;
+    private final ColdBound coldBound;
     private final ServerNotices notices = new ServerNotices();
     private final CatalogFeed feed;
     private final Map<RolloutOrder, LoggedState> loggedStates = new HashMap<>();
@@ -135,6 +138,7 @@
             Quotas.Slack slack,
             RolloutPolicy rolloutPolicy,
             PacingPolicy pacing,
+            ColdBound coldBound,
             LongSupplier clock,
             LongSupplier wallClock,
             Consumer<String> log) {
@@ -144,8 +148,15 @@
         this.slack = slack;
         this.rolloutPolicy = rolloutPolicy;
         this.pacing = pacing;
+        this.coldBound = coldBound;
         this.fallback =
-                new Scheduler(INITIAL_FILL, slack, Quotas.Role.FALLBACK, rolloutPolicy, pacing);
+                new Scheduler(
+                        INITIAL_FILL,
+                        slack,
+                        Quotas.Role.FALLBACK,
+                        rolloutPolicy,
+                        pacing,
+                        coldBound);
         this.primaryScheduler = newPrimary(INITIAL_FILL);
         this.peers = peers;
         this.fleet = fleet;
@@ -154,7 +165,7 @@
     }
 
     private Scheduler newPrimary(double fill) {
-        return new Scheduler(fill, slack, Quotas.Role.PRIMARY, rolloutPolicy, pacing);
+        return new Scheduler(fill, slack, Quotas.Role.PRIMARY, rolloutPolicy, pacing, coldBound);
     }
 
     /** Requests a slot; the listener may be called before this returns. */
@@ -262,6 +273,7 @@
         if (update.newlyLeaving()) {
             notifySchedulers(leaving(server));
         }
+        notices.stated(server, responseHeaders).forEach(this::notifySchedulers);
         return update;
     }
 
@@ -592,7 +604,10 @@
         double quotaUsers = fleet.quotaUserCount();
         double slotShare = Math.min(1, 2 / quotaUsers);
         var unused =
-                fallback.on(nowNanos, new DispatchEvent.ShareChanged(slotShare, 1 / quotaUsers));
+                fallback.on(
+                        nowNanos,
+                        new DispatchEvent.ShareChanged(
+                                slotShare, 1 / quotaUsers, fleet.knownHosts()));
         quotaShare = 0;
         updatePrimaryShare();
     }
@@ -646,7 +661,7 @@
     private void replayState() {
         long nowNanos = clock.getAsLong();
         notices.leaving().forEach(server -> reportToPrimary(leaving(server)));
-        notices.limits(nowNanos).forEach(this::reportToPrimary);
+        notices.reports(nowNanos).forEach(this::reportToPrimary);
         fallback.reports(self, nowNanos).forEach(this::reportToPrimary);
         active.forEach(
                 (run, placed) ->
@@ -663,6 +678,12 @@
         reportToPrimary(fallback.crashReport(self, clock.getAsLong()));
     }
 
+    /** Returns how many servers have a state that limits what they may be sent. */
+    LimitCounts limitCounts() {
+        Scheduler scheduler = primary.isSelf() ? primaryScheduler : fallback;
+        return scheduler.limitCounts(clock.getAsLong());
+    }
+
     /** Returns what is quarantined, as far as this host knows. */
     List<CrashReport.Held> held() {
         long nowNanos = clock.getAsLong();
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -36,6 +36,7 @@
 import org.orioleshed.catalog.CatalogWatcher;
 import org.orioleshed.catalog.RolloutOrder;
 import org.orioleshed.catalog.RolloutOutcome;
+import org.orioleshed.dispatch.LimitCounts;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.membership.Member;
 import org.orioleshed.model.FailureDomain;
@@ -84,6 +85,7 @@
     private volatile int quarantined;
     private volatile int evacuatedDomains;
     private volatile int pacedServers;
+    private volatile LimitCounts limitCounts = new LimitCounts(0, 0);
     private final EventLoopClock loopClock = new EventLoopClock(NioIoHandler.newFactory());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
@@ -150,6 +152,8 @@
         metrics.gauge("quarantined", () -> () -> quarantined);
         metrics.gauge("emptied_domains", () -> () -> evacuatedDomains);
         metrics.gauge("paced_servers", () -> () -> pacedServers);
+        metrics.gauge("rate_limited_servers", () -> () -> limitCounts.limited());
+        metrics.gauge("cold_servers", () -> () -> limitCounts.cold());
         this.peers =
                 new PeerNetwork(
                         self,
@@ -177,6 +181,7 @@
                         options.quotaSlack(),
                         options.rolloutPolicy(),
                         options.pacing(),
+                        options.coldBound(),
                         System::nanoTime,
                         System::currentTimeMillis,
                         log::add);
@@ -368,6 +373,7 @@
         dispatcher.tick();
         quarantined = dispatcher.held().size();
         pacedServers = dispatcher.pacedServers();
+        limitCounts = dispatcher.limitCounts();
         propagation.tick();
         if (nowNanos - slowTickNanos >= SLOW_TICK_NANOS) {
             slowTickNanos = nowNanos;
--- a/src/main/java/org/orioleshed/gateway/GatewayOptions.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayOptions.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
@@ -33,6 +34,7 @@
  * @param cpuMillicores the processor time that the host may use, in thousandths of a core; 0 if
  *     unknown
  * @param regions the region of each failure domain; empty if none is stated
+ * @param coldBound the bound on requests to cold servers
  */
 public record GatewayOptions(
         FailureDomain domain,
@@ -51,7 +53,8 @@
         PacingPolicy pacing,
         long graceMillis,
         int cpuMillicores,
-        Map<FailureDomain, Region> regions) {
+        Map<FailureDomain, Region> regions,
+        ColdBound coldBound) {
     /**
      * Copies the seeds and the regions.
      *
--- a/src/main/java/org/orioleshed/trial/PrimaryPolicy.java
+++ b/src/main/java/org/orioleshed/trial/PrimaryPolicy.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.orioleshed.catalog.Pool;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.DispatchEvent;
 import org.orioleshed.dispatch.PacingPolicy;
@@ -39,7 +40,8 @@
                     Quotas.Slack.NONE,
                     Quotas.Role.PRIMARY,
                     RolloutPolicy.DEFAULT,
-                    PacingPolicy.OFF);
+                    PacingPolicy.OFF,
+                    ColdBound.DEFAULT);
     private final Map<RunKey, TrialRequest> requestsByRun = new HashMap<>();
 
     PrimaryPolicy(Context context, SimulatedEngine.Spec spec) {
--- a/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerFixture.java
@@ -39,15 +39,20 @@
     }
 
     SchedulerFixture(Quotas.Role role) {
-        this(role, PacingPolicy.OFF);
+        this(role, PacingPolicy.OFF, ColdBound.DEFAULT);
     }
 
     SchedulerFixture(PacingPolicy pacing) {
-        this(Quotas.Role.PRIMARY, pacing);
+        this(Quotas.Role.PRIMARY, pacing, ColdBound.DEFAULT);
     }
 
-    private SchedulerFixture(Quotas.Role role, PacingPolicy pacing) {
-        scheduler = new Scheduler(1, Quotas.Slack.NONE, role, RolloutPolicy.DEFAULT, pacing);
+    SchedulerFixture(Quotas.Role role, ColdBound coldBound) {
+        this(role, PacingPolicy.OFF, coldBound);
+    }
+
+    private SchedulerFixture(Quotas.Role role, PacingPolicy pacing, ColdBound coldBound) {
+        scheduler =
+                new Scheduler(1, Quotas.Slack.NONE, role, RolloutPolicy.DEFAULT, pacing, coldBound);
         pool(1_000_000);
     }
 
@@ -108,6 +113,11 @@
         return send(new DispatchEvent.ServersChanged(servers, evacuated, wallMillis));
     }
 
+    /** Returns a server in the near domain. */
+    static PoolServer poolServer(String id, int slots) {
+        return server(id, slots, NEAR, false, 1);
+    }
+
     private static PoolServer server(
             String id, int slots, FailureDomain domain, boolean draining, long startMillis) {
         return new PoolServer(
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -13,6 +13,7 @@
 import org.orioleshed.catalog.CatalogState;
 import org.orioleshed.catalog.PlainDecoder;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.PlacementRequest;
@@ -105,6 +106,7 @@
                         SLACK,
                         RolloutPolicy.DEFAULT,
                         PacingPolicy.OFF,
+                        ColdBound.DEFAULT,
                         all::nowNanos,
                         () -> 0,
                         line -> {});
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
@@ -135,7 +136,8 @@
                         PacingPolicy.OFF,
                         graceMillis,
                         0,
-                        regions);
+                        regions,
+                        ColdBound.DEFAULT);
         node = new PlatformNode(options, store.address(), log, 1);
         node.start();
     }
--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.Region;
@@ -107,6 +108,15 @@
         assertEquals(NodeSettings.parse(VALID).bufferBytes(), 0);
     }
 
+    @Test
+    public void readsTheBoundOnColdServersIfThereIsOne() throws BadSettingsException {
+        assertEquals(NodeSettings.parse(VALID).gateway().coldBound(), ColdBound.DEFAULT);
+        String bounds = "\"bounds\":{\"cold-over\":1.5,\"cold-slack\":5,";
+        assertEquals(
+                NodeSettings.parse(VALID.replace("\"bounds\":{", bounds)).gateway().coldBound(),
+                new ColdBound(1.5, 5));
+    }
+
     @DataProvider
     Object[][] invalidSettings() {
         return new Object[][] {
@@ -118,6 +128,7 @@
             {VALID.replace("10.1.0.25:8221", "front:8221"), "/listen/front"},
             {VALID.replace("10.2.0.17:8229", "nowhere"), "/seeds"},
             {VALID.replace("\"retry-ratio\":0.2", "\"retry-ratio\":\"x\""), "/bounds/retry-ratio"},
+            {VALID.replace("\"bounds\":{", "\"bounds\":{\"cold-over\":1,"), "/bounds/cold-slack"},
             {VALID.replace("10.200.1.7:8225", ""), "/platform/address"},
         };
     }
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.dispatch.ColdBound;
 import org.orioleshed.dispatch.PacingPolicy;
 import org.orioleshed.dispatch.Quotas;
 import org.orioleshed.dispatch.RolloutPolicy;
@@ -136,7 +137,8 @@
                 PacingPolicy.OFF,
                 GRACE_MILLIS,
                 0,
-                Map.of());
+                Map.of(),
+                ColdBound.DEFAULT);
     }
 
     private List<String> entries(boolean overPaths) {
