--- a/src/test/java/org/orioleshed/gateway/ServerLimitRetentionTest.java
+++ b/src/test/java/org/orioleshed/gateway/ServerLimitRetentionTest.java
@@ -75,6 +75,30 @@
         assertEquals(reported(54), List.of());
     }
 
+    @DataProvider
+    public static Object[][] warmupAges() {
+        return new Object[][] {{0L, true}, {2L, true}, {3L, false}, {40L, false}};
+    }
+
+    /** A new primary must not send at full rate to a server that stated to a host to be cold. */
+    @Test(dataProvider = "warmupAges")
+    public void aWarmupIsReportedWithItsAgeUntilItIsOver(long ageSeconds, boolean isReported) {
+        ServerNotices fresh = new ServerNotices();
+        ResponseHeaders cold =
+                new ResponseHeaders("", true, false, -1, false, 0, StatedLimit.NONE, 3_000);
+        var unused = fresh.record(server(1), cold, 5 * NANOS_PER_SECOND);
+        DispatchEvent.ServerCold report =
+                new DispatchEvent.ServerCold(
+                        new ServerId("a"),
+                        1,
+                        3_000,
+                        ageSeconds * 1_000,
+                        DispatchEvent.ServerCold.Source.ANSWER);
+        assertEquals(
+                fresh.reports((5 + ageSeconds) * NANOS_PER_SECOND),
+                isReported ? List.of(report) : List.of());
+    }
+
     @Test
     public void aRestartedServerHasNoLimit() {
         respond(ONE, 5);
