--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -276,6 +276,11 @@
         exchange.start();
     }
 
+    /** Ends the connection because of an internal fault. */
+    void failed(Throwable cause) {
+        channel.pipeline().fireExceptionCaught(cause);
+    }
+
     /** Refuses the request that waits to be served. */
     void refuse(HttpResponseStatus status, HttpHeaders headers) {
         pendingStart = null;
--- a/src/main/java/org/orioleshed/gateway/LoadShedder.java
+++ b/src/main/java/org/orioleshed/gateway/LoadShedder.java
@@ -49,7 +49,10 @@
     private int servedInRound;
     private boolean mayServe;
     private boolean refusalsChosen;
+
+    /** Whether the last round left requests waiting, or began none, and was one poll ago. */
     private boolean saturated;
+
     private long otherWorkNanos;
     private long nanosPerStart;
     private long ownWorkNanos;
@@ -127,6 +130,7 @@
      * @param begun the number of requests that are served and have not ended
      */
     void beginRound(long nowNanos, long lagNanos, int begun) {
+        saturated &= nowNanos - roundNanos <= 2 * lagNanos + ROUND_NANOS;
         long otherNanos = Math.max(0, lagNanos - ownWorkNanos);
         long usualOtherNanos = saturated ? Math.min(otherWorkNanos, otherNanos) : 0;
         nanosPerStart =
@@ -163,7 +167,7 @@
             chooseRefusals(nowNanos);
         }
         if (refusals.isEmpty()) {
-            saturated = !queue.isEmpty();
+            saturated = !queue.isEmpty() || !mayServe;
             ownWorkNanos = nowNanos - roundNanos;
             return Optional.empty();
         }
--- a/src/main/java/org/orioleshed/gateway/StartQueue.java
+++ b/src/main/java/org/orioleshed/gateway/StartQueue.java
@@ -134,6 +134,20 @@
     }
 
     private void act(LoadShedder.Action<PendingStart> action) {
+        CallerConnection connection =
+                switch (action) {
+                    case LoadShedder.Serve<PendingStart> serve -> serve.request().connection;
+                    case LoadShedder.Refuse<PendingStart> refuse -> refuse.request().connection;
+                };
+        try {
+            serveOrRefuse(action);
+        } catch (RuntimeException e) {
+            // The other requests still need their rounds.
+            connection.failed(e);
+        }
+    }
+
+    private void serveOrRefuse(LoadShedder.Action<PendingStart> action) {
         switch (action) {
             case LoadShedder.Serve<PendingStart> serve ->
                     serve.request().connection.serve(serve.request().request);
--- a/src/test/java/org/orioleshed/gateway/LoadShedderTest.java
+++ b/src/test/java/org/orioleshed/gateway/LoadShedderTest.java
@@ -208,6 +208,20 @@
         assertEquals(shedder.next(30 * MILLI), Optional.empty());
         shedder.beginRound(230 * MILLI, 230 * MILLI, 50);
         assertTrue(shedder.next(230 * MILLI).orElseThrow() instanceof LoadShedder.Refuse);
+        assertEquals(shedder.waiting(), 0);
+    }
+
+    /** Guards against an overload long ago that makes a single stall count as two. */
+    @Test
+    public void stallLongAfterAnOverloadIsNotAnOverload() {
+        LoadShedder<Integer> shedder = new LoadShedder<>(0);
+        shedder.arrive(new LoadShedder.Arrival<>(1, 0, 0, TIMEOUT_NANOS, WAIT_NANOS));
+        shedder.arrive(new LoadShedder.Arrival<>(2, 0, 0, TIMEOUT_NANOS, WAIT_NANOS));
+        shedder.beginRound(0, 200 * MILLI, 50);
+        assertEquals(shedder.next(0), Optional.of(new LoadShedder.Serve<>(2)));
+        assertEquals(shedder.next(30 * MILLI), Optional.empty());
+        shedder.beginRound(2_000 * MILLI, 200 * MILLI, 50);
+        assertEquals(shedder.next(2_000 * MILLI), Optional.of(new LoadShedder.Serve<>(1)));
     }
 
     /** Guards against an urgent request that waits for others, and old ones served before new. */
--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -156,6 +156,16 @@
         assertEquals(metrics.counter("requests_shed").getCount(), 1);
     }
 
+    /** Guards against requests that wait forever behind one whose start fails. */
+    @Test
+    public void aFaultEndsOnlyTheConnectionOfItsRequest() {
+        deadlineMillis = 4_000;
+        send();
+        channel.runPendingTasks();
+        assertTrue(exchangeCreated);
+        assertFalse(channel.isOpen());
+    }
+
     /** Guards against work for a caller that disconnected while its request waited. */
     @Test
     public void callerThatDisconnectsWhileItsRequestWaitsIsForgotten() {
