--- a/src/main/java/org/orioleshed/gateway/CallerRequest.java
+++ b/src/main/java/org/orioleshed/gateway/CallerRequest.java
@@ -1,7 +1,14 @@
 package org.orioleshed.gateway;
 
+import com.google.common.hash.Hashing;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
 import org.orioleshed.model.Payload;
 
 /**
@@ -29,6 +36,39 @@
         return query < 0 ? uri : uri.substring(0, query);
     }
 
+    /** Returns the host name that the caller used, without the port. */
+    String hostName() {
+        String host = headers.get(HttpHeaderNames.HOST);
+        int port = host.lastIndexOf(':');
+        return port < 0 ? host : host.substring(0, port);
+    }
+
+    /** Returns a fingerprint of the URI, the caller's key and the body. */
+    long fingerprint(String key) {
+        return Hashing.murmur3_128()
+                .newHasher()
+                .putUnencodedChars(uri)
+                .putUnencodedChars(key)
+                .putBytes(body.toBytes())
+                .hash()
+                .asLong();
+    }
+
+    /** Returns the request to send on, with other header fields, to which it adds the length. */
+    FullHttpRequest withHeaders(HttpHeaders newHeaders) {
+        byte[] bytes = body.toBytes();
+        if (bytes.length > 0 || method.equals(HttpMethod.POST)) {
+            newHeaders.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+        }
+        return new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                method,
+                uri,
+                Unpooled.wrappedBuffer(bytes),
+                newHeaders,
+                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
+    }
+
     long ageMillis(long nowNanos) {
         return (nowNanos - arrivedNanos) / NANOS_PER_MILLI;
     }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -1,16 +1,9 @@
 package org.orioleshed.gateway;
 
-import com.google.common.hash.Hashing;
-import io.netty.buffer.Unpooled;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpVersion;
 import java.util.HashSet;
 import java.util.Locale;
 import java.util.Optional;
@@ -179,7 +172,7 @@
     }
 
     private void serve(Catalog catalog) {
-        Optional<CallRoute> matched = catalog.route(hostName(), request.path());
+        Optional<CallRoute> matched = catalog.route(request.hostName(), request.path());
         if (matched.isEmpty()) {
             fail(HttpResponseStatus.NOT_FOUND, "no_route", -1);
             return;
@@ -200,7 +193,10 @@
             waitMillis = Math.min(waitMillis, callHeaders.deadlineMillis());
         }
         endNanos = request.arrivedNanos() + waitMillis * NANOS_PER_MILLI;
-        content = new RequestContent(fingerprint(), Set.copyOf(callHeaders.sharedParts()));
+        content =
+                new RequestContent(
+                        request.fingerprint(callHeaders.key().orElse("")),
+                        Set.copyOf(callHeaders.sharedParts()));
         if (context.shutdownPolicy().begun() && !acceptsWhileStopping()) {
             fail(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING, 0);
             return;
@@ -228,12 +224,6 @@
         return accepted;
     }
 
-    private String hostName() {
-        String host = request.headers().get(HttpHeaderNames.HOST);
-        int port = host.lastIndexOf(':');
-        return port < 0 ? host : host.substring(0, port);
-    }
-
     private void place() {
         state = State.PLACING;
         run = context.nextRun();
@@ -295,17 +285,6 @@
                 callerRemainingMillis(nowNanos), context.shutdownPolicy().leftMillis(nowNanos));
     }
 
-    /** Returns a fingerprint of the request's URI, key and body. */
-    private long fingerprint() {
-        return Hashing.murmur3_128()
-                .newHasher()
-                .putUnencodedChars(request.uri())
-                .putUnencodedChars(callHeaders.key().orElse(""))
-                .putBytes(request.body().toBytes())
-                .hash()
-                .asLong();
-    }
-
     private int rank() {
         return PlacementRequest.rank(
                 workspaceConfig.flatMap(WorkspaceConfig::priority).orElse(0), route.priority());
@@ -361,28 +340,13 @@
         }
         context.pool(server.address())
                 .send(
-                        toServer(server, nowNanos),
+                        request.withHeaders(headersFor(server, nowNanos)),
                         callHeaders.id(),
                         route.mayRunAgain() ? UNLIMITED_IDLE_MILLIS : RUN_ONCE_MAX_IDLE_MILLIS,
                         currentAttempt,
                         currentAttempt.pendingSend());
     }
 
-    private FullHttpRequest toServer(PoolServer server, long nowNanos) {
-        HttpHeaders headers = headersFor(server, nowNanos);
-        byte[] body = request.body().toBytes();
-        if (body.length > 0 || request.method().equals(HttpMethod.POST)) {
-            headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        }
-        return new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.method(),
-                request.uri(),
-                Unpooled.wrappedBuffer(body),
-                headers,
-                DefaultHttpHeadersFactory.trailersFactory().newHeaders());
-    }
-
     private HttpHeaders headersFor(PoolServer server, long nowNanos) {
         long leftMillis = Math.max(1, callerRemainingMillis(nowNanos));
         Optional<String> lastEvent = streaming ? framer.lastId() : Optional.empty();
