--- a/src/main/java/org/orioleshed/gateway/StartQueue.java
+++ b/src/main/java/org/orioleshed/gateway/StartQueue.java
@@ -76,7 +76,8 @@
             return Optional.empty();
         }
         Optional<Catalog> catalog = context.snapshot().usable();
-        Optional<CallRoute> route = catalog.flatMap(it -> it.route(request.host(), request.path()));
+        Optional<CallRoute> route =
+                catalog.flatMap(it -> it.route(request.hostName(), request.path()));
         if (route.isEmpty()) {
             return Optional.empty();
         }
