--- a/src/test/java/org/orioleshed/dispatch/RetryReservationsTest.java
+++ b/src/test/java/org/orioleshed/dispatch/RetryReservationsTest.java
@@ -12,7 +12,6 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
     private final RetryReservations retries = new RetryReservations();
 
-
     /** Guards against callers that return together and are refused again. */
     @Test
     public void eachRefusalNamesALaterTimeUntilTheReservedWorkIsDone() {
