--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -249,14 +249,19 @@
         return accepted;
     }
 
+    /** Returns whether the request's body may be sent to a host of a failure domain. */
+    private boolean mayReceiveBody(FailureDomain host) {
+        return context.regionRule().mayReceiveBody(allowedDomains, host);
+    }
+
     private void place() {
         state = State.PLACING;
         run = context.nextRun();
-        if (relays.mustRefuse(service) || relays.isExhausted(service)) {
+        if (relays.mustRefuse(service) || relays.isExhausted(service, this::mayReceiveBody)) {
             failUnplaced("no_relay", context.retryAfterMillis(remainingMillis(System.nanoTime())));
             return;
         }
-        Optional<PoolServer> relay = relays.next(service);
+        Optional<PoolServer> relay = relays.next(service, this::mayReceiveBody);
         if (relay.isPresent()) {
             send(relay.get(), "by=relay");
             return;
--- a/src/main/java/org/orioleshed/gateway/Forwarding.java
+++ b/src/main/java/org/orioleshed/gateway/Forwarding.java
@@ -16,11 +16,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.DispatchCodec;
 import org.orioleshed.dispatch.DispatchMessage;
 import org.orioleshed.membership.Member;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
@@ -216,9 +218,16 @@
         return enabled ? reachability.unreachable(service, System.nanoTime()) : Set.of();
     }
 
-    /** Returns a relay to which a request was not sent yet; empty if there is none. */
-    Optional<Member> chooseRelay(ServiceId service, Set<HostId> tried) {
-        return selector.choose(fleet.live(), service, tried, System.nanoTime());
+    /**
+     * Returns a relay to which a request was not sent yet; empty if there is none.
+     *
+     * @param mayReceiveBody whether the body may be sent to a host of a failure domain
+     */
+    Optional<Member> chooseRelay(
+            ServiceId service, Set<HostId> tried, Predicate<FailureDomain> mayReceiveBody) {
+        List<Member> allowed =
+                fleet.live().stream().filter(it -> mayReceiveBody.test(it.domain())).toList();
+        return selector.choose(allowed, service, tried, System.nanoTime());
     }
 
     void sent(Member relay) {
--- a/src/main/java/org/orioleshed/gateway/RelayAttempts.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAttempts.java
@@ -4,9 +4,11 @@
 import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunReport;
 import org.orioleshed.membership.Member;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
@@ -70,13 +72,15 @@
     /**
      * Returns the relay for the request, in the form of a server; empty if this host places it. A
      * relay never forwards a request again.
+     *
+     * @param mayReceiveBody whether the body may be sent to a host of a failure domain
      */
-    Optional<PoolServer> next(ServiceId service) {
+    Optional<PoolServer> next(ServiceId service, Predicate<FailureDomain> mayReceiveBody) {
         if (atRelay || !forwarding.mustForward(service)) {
             return Optional.empty();
         }
         return forwarding
-                .chooseRelay(service, tried)
+                .chooseRelay(service, tried, mayReceiveBody)
                 .map(
                         member -> {
                             relay = member;
@@ -103,11 +107,11 @@
     }
 
     /** Returns whether the request must be forwarded, but all relays were tried. */
-    boolean isExhausted(ServiceId service) {
+    boolean isExhausted(ServiceId service, Predicate<FailureDomain> mayReceiveBody) {
         return !atRelay
                 && !tried.isEmpty()
                 && forwarding.mustForward(service)
-                && forwarding.chooseRelay(service, tried).isEmpty();
+                && forwarding.chooseRelay(service, tried, mayReceiveBody).isEmpty();
     }
 
     boolean isRelay(PoolServer server) {
