Mend what the review of forwarding and slow callers found

- A relay that stops ends a request at a server as possibly run, not as "not run".
- A relay states that it can't reach a pool only if it lost the pool itself; a single unreachable server no longer ends forwarding.
It also states whether it charged the request's quota.
- A server's failure through a relay ends the attempt there, and counts as charged and reached; a quota refusal after a possible run is no "not run".
- Callers are cut off in a later task: a cut-off in the middle of the same request revived it.
- Buffered bytes are recorded anew on each slow tick; a connection whose caller still reads the end of a response is not idle; a paused caller is no silence of the server.
- A relay marks requests that it rejects unread; a failure of one exchange's tick is isolated; a placement that is abandoned after its grant arrived reports its end.

--- a/src/main/java/org/orioleshed/gateway/CallerBuffers.java
+++ b/src/main/java/org/orioleshed/gateway/CallerBuffers.java
@@ -49,11 +49,18 @@
                     "event=caller_cut_off caller_bytes=%d buffered_bytes=%d"
                             .formatted(slowest.get().bufferedBytes(), budget.totalBytes()));
             remove(slowest.get());
-            slowest.get().cutOff();
+            slowest.get().cutOffLater();
             slowest = budget.cutOff();
         }
     }
 
+    /** Records what was written out without a notification, so that it no longer counts. */
+    void refresh() {
+        if (budget.totalBytes() > 0) {
+            callers.forEach(this::record);
+        }
+    }
+
     private void record(CallerConnection caller) {
         budget.update(caller, caller.bufferedBytes(), System.nanoTime());
         bufferedBytes = budget.totalBytes();
--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -50,6 +50,7 @@
     private HttpRequest head;
     private long headNanos;
     private long idleSinceNanos;
+    private long lastUnwrittenBytes;
     private int requestCount;
     private Exchange exchange;
     private StartQueue.PendingStart pendingStart;
@@ -103,9 +104,16 @@
         return body.size() + (unwritten == null ? 0 : unwritten.totalPendingWriteBytes());
     }
 
-    /** Ends the connection and its request, as the caller is too slow. */
-    void cutOff() {
+    /**
+     * Ends the connection and its request, as the caller is too slow. Runs later, since the caller
+     * of this method may be in the middle of the same request.
+     */
+    void cutOffLater() {
         inputClosed = true;
+        channel.eventLoop().execute(this::cutOff);
+    }
+
+    private void cutOff() {
         head = null;
         body.reset();
         if (exchange != null) {
@@ -298,14 +306,23 @@
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
             headers.set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
         }
+        acceptor.markRejected(headers);
         respond(status, headers, new byte[0]);
     }
 
-    /** Closes the connection if it was idle, or took too long to send a request. */
+    /**
+     * Closes the connection if it was idle, or took too long to send a request. It is not idle
+     * while its caller reads the end of a response.
+     */
     void checkIdle(long nowNanos, CallerLimits limits) {
         if (isBusy() || inputClosed) {
             return;
         }
+        long unwrittenBytes = bufferedBytes();
+        if (unwrittenBytes < lastUnwrittenBytes) {
+            idleSinceNanos = nowNanos;
+        }
+        lastUnwrittenBytes = unwrittenBytes;
         long since = head != null ? headNanos : idleSinceNanos;
         long timeoutMillis =
                 head != null
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -72,6 +72,7 @@
     private boolean reachedServer;
     private boolean streaming;
     private boolean firstEventReported;
+    private boolean readingPaused;
 
     /** Creates the exchange for a request of this host's own caller. */
     Exchange(GatewayContext context, CallerConnection caller, CallerRequest request) {
@@ -155,6 +156,7 @@
             case PLACING -> returnToCaller();
             case SENT -> {
                 abandonAttempt(RunReport.Outcome.CANCELLED);
+                retryRule.ran();
                 fail(HttpResponseStatus.BAD_GATEWAY, LEAVING, -1);
             }
             case DONE -> {}
@@ -257,8 +259,11 @@
     private void place() {
         state = State.PLACING;
         run = context.nextRun();
-        if (relays.mustRefuse(service) || relays.isExhausted(service, this::mayReceiveBody)) {
-            failUnplaced("no_relay", context.retryAfterMillis(remainingMillis(System.nanoTime())));
+        boolean mustRefuse = relays.mustRefuse(service);
+        if (mustRefuse || relays.isExhausted(service, this::mayReceiveBody)) {
+            failUnplaced(
+                    mustRefuse ? Forwarding.POOL_UNREACHABLE : "no_relay",
+                    context.retryAfterMillis(remainingMillis(System.nanoTime())));
             return;
         }
         Optional<PoolServer> relay = relays.next(service, this::mayReceiveBody);
@@ -464,7 +469,7 @@
             return;
         }
         String reasonCode = reason.name().toLowerCase(Locale.ROOT);
-        if (reason == DispatchAction.Reason.QUOTA) {
+        if (reason == DispatchAction.Reason.QUOTA && !retryRule.mayHaveRun()) {
             fail(HttpResponseStatus.TOO_MANY_REQUESTS, reasonCode, retryAfterMillis);
             return;
         }
@@ -501,7 +506,7 @@
     private void refusedByRelay(ServerAttempt attempt, RunReport.Outcome outcome, String detail) {
         relays.ended();
         RelayRefusal refusal = relays.refused(attempt, outcome);
-        charged |= refusal.kind() == RelayRefusal.Kind.UNREACHABLE;
+        charged |= refusal.charged();
         String reason = "relay_" + refusal.kind().name().toLowerCase(Locale.ROOT) + ":" + detail;
         if (refusal.kind() == RelayRefusal.Kind.REFUSED || relays.isRefused()) {
             long retryAfterMillis =
@@ -592,9 +597,12 @@
         int status = head.status().code();
         boolean fault = status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code();
         RunReport.Outcome outcome = fault ? RunReport.Outcome.FAILED : RunReport.Outcome.ANSWERED;
+        relays.ended();
         context.dispatcher().ended(attempt.run(), attempt.end(outcome));
         retryRule.ran();
         excluded.add(attempt.server().id());
+        charged = true;
+        reachedServer = true;
         if (fault && mayRetry(false)) {
             retryOrFail(false, "status=" + status);
             return;
@@ -639,6 +647,9 @@
 
     /** Sends the request to another server if that is allowed, else ends it. */
     private void retryOrFail(boolean proved, String reason) {
+        if (state == State.DONE) {
+            return;
+        }
         context.log(
                 "event=failed_try request=%s run=%s server=%s proved=%s try=%d reason=\"%s\""
                                 .formatted(
@@ -694,7 +705,7 @@
         finish(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         if (retryRule == null || !retryRule.mayHaveRun()) {
-            relays.markNotRun(headers, reason);
+            relays.markNotRun(headers, reason, charged);
         }
         context.translator().markLocalResponse(headers, callHeaders.id(), retryAfterMillis);
         caller.respond(status, headers, new byte[0]);
@@ -735,14 +746,19 @@
     private void abandonAttempt(RunReport.Outcome outcome) {
         if (state == State.PLACING) {
             context.dispatcher().withdraw(run);
+            // A grant may have arrived whose send is deferred.
+            context.dispatcher().ended(run, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
         } else if (state == State.SENT) {
             currentAttempt.cancel();
             context.dispatcher().ended(run, currentAttempt.end(outcome));
         }
     }
 
+    /** Pauses reading from the server while its caller reads nothing, which is no silence. */
     void callerWritable(boolean writable) {
+        readingPaused = !writable;
         if (state == State.SENT) {
+            currentAttempt.restartSilence();
             currentAttempt.pendingSend().setReading(writable);
         }
     }
@@ -773,7 +789,9 @@
                                 currentAttempt.silentMillis(nowNanos));
                 if (nowNanos >= endNanos) {
                     timeOut();
-                } else if (retryRule.isSilent(currentAttempt, nowNanos) && mayRetry(false)) {
+                } else if (!readingPaused
+                        && retryRule.isSilent(currentAttempt, nowNanos)
+                        && mayRetry(false)) {
                     abandonSilentServer();
                 }
             }
--- a/src/main/java/org/orioleshed/gateway/Forwarding.java
+++ b/src/main/java/org/orioleshed/gateway/Forwarding.java
@@ -38,6 +38,9 @@
     /** The relay listener's port, relative to the peer port; metrics are between them. */
     static final int PORT_OFFSET = 2;
 
+    /** The reason of a relay that can't reach the pool itself. */
+    static final String POOL_UNREACHABLE = "pool_unreachable";
+
     /** A connection that is reset after it was established is reset within a round trip. */
     private static final long TRIAL_HOLD_MILLIS = 50;
 
@@ -243,7 +246,7 @@
     RelayRefusal refusal(HttpHeaders headers) {
         return translator
                 .relayRefusal(headers)
-                .orElse(new RelayRefusal(RelayRefusal.Kind.BUSY, -1));
+                .orElse(new RelayRefusal(RelayRefusal.Kind.BUSY, false, -1));
     }
 
     /** Records that a relay did not run a request. */
@@ -276,13 +279,13 @@
     }
 
     /** Marks a response to a forwarding host as "not run". */
-    void markNotRun(HttpHeaders headers, String reason) {
-        translator.markNotRun(headers, kind(reason));
+    void markNotRun(HttpHeaders headers, String reason, boolean charged) {
+        translator.markNotRun(headers, kind(reason), charged);
     }
 
     private static RelayRefusal.Kind kind(String reason) {
         String code = reason.toLowerCase(Locale.ROOT);
-        if (code.startsWith("unreachable")) {
+        if (code.equals(POOL_UNREACHABLE)) {
             return RelayRefusal.Kind.UNREACHABLE;
         }
         return Set.of("quota", "overload", "no_server", "held", "time_over").contains(code)
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
@@ -367,9 +368,18 @@
         }
     }
 
+    /** A failure of one exchange must not delay the deadlines of the others. */
+    private void tick(Exchange exchange, long nowNanos) {
+        try {
+            exchange.tick(nowNanos);
+        } catch (RuntimeException e) {
+            failed("exchange", e);
+        }
+    }
+
     private void tickNow() {
         long nowNanos = System.nanoTime();
-        List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
+        List.copyOf(exchanges).forEach(exchange -> tick(exchange, nowNanos));
         dispatcher.tick();
         quarantined = dispatcher.held().size();
         pacedServers = dispatcher.pacedServers();
@@ -379,6 +389,7 @@
             slowTickNanos = nowNanos;
             fleet.tick();
             forwarding.tick();
+            buffers.refresh();
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeExpired(nowNanos));
         }
@@ -539,6 +550,9 @@
         return buffers;
     }
 
+    @Override
+    public void markRejected(HttpHeaders headers) {}
+
     @Override
     public Exchange exchange(CallerConnection connection, CallerRequest request) {
         acceptedRequests.inc();
--- a/src/main/java/org/orioleshed/gateway/HeaderTranslator.java
+++ b/src/main/java/org/orioleshed/gateway/HeaderTranslator.java
@@ -72,8 +72,13 @@
     /** Reads what a forwarding host states; empty unless the request was forwarded. */
     Optional<ForwardedRequest> forwarded(HttpHeaders headers);
 
-    /** Marks a relay's own response: the request did not run, for the given reason. */
-    void markNotRun(HttpHeaders headers, RelayRefusal.Kind kind);
+    /**
+     * Marks a relay's own response: the request did not run.
+     *
+     * @param kind the reason
+     * @param charged whether the request was charged to its quota
+     */
+    void markNotRun(HttpHeaders headers, RelayRefusal.Kind kind, boolean charged);
 
     /** Reads why a relay did not run a request; empty if it does not state that. */
     Optional<RelayRefusal> relayRefusal(HttpHeaders headers);
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.orioleshed.catalog.CallerLimits;
 
@@ -36,6 +37,11 @@
         gateway.withdraw(pending);
     }
 
+    @Override
+    public void markRejected(HttpHeaders headers) {
+        context.forwarding().markNotRun(headers, "rejected", false);
+    }
+
     @Override
     public CallerBuffers buffers() {
         return gateway.buffers();
--- a/src/main/java/org/orioleshed/gateway/RelayAttempts.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAttempts.java
@@ -137,16 +137,16 @@
         refusals++;
         RelayRefusal refusal =
                 outcome == RunReport.Outcome.UNREACHABLE
-                        ? new RelayRefusal(RelayRefusal.Kind.BUSY, -1)
+                        ? new RelayRefusal(RelayRefusal.Kind.BUSY, false, -1)
                         : forwarding.refusal(attempt.headers());
         forwarding.refused(relay, attempt.server().service(), refusal);
         return refusal;
     }
 
     /** Marks a response of this host's own as "not run" for the forwarding host. */
-    void markNotRun(HttpHeaders headers, String reason) {
+    void markNotRun(HttpHeaders headers, String reason, boolean charged) {
         if (atRelay) {
-            forwarding.markNotRun(headers, reason);
+            forwarding.markNotRun(headers, reason, charged);
         }
     }
 
--- a/src/main/java/org/orioleshed/gateway/RelayRefusal.java
+++ b/src/main/java/org/orioleshed/gateway/RelayRefusal.java
@@ -4,14 +4,15 @@
  * Why a relay did not run a request that another host forwarded to it.
  *
  * @param kind the reason
+ * @param charged whether the request was charged to its quota
  * @param retryAfterMillis when the caller should retry, in milliseconds; negative if not stated
  */
-public record RelayRefusal(Kind kind, long retryAfterMillis) {
+public record RelayRefusal(Kind kind, boolean charged, long retryAfterMillis) {
     /** The reason of a refusal. */
     public enum Kind {
-        /** The relay accepts no more forwarded requests now; another relay may. */
+        /** The relay could not serve the request now; another relay may. */
         BUSY,
-        /** The relay reaches no server either. */
+        /** The relay can't reach the pool either. */
         UNREACHABLE,
         /** The request was refused as it would be on any host. */
         REFUSED
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import io.netty.handler.codec.http.HttpHeaders;
 import java.util.Optional;
 import org.orioleshed.catalog.CallerLimits;
 
@@ -27,6 +28,9 @@
     /** Returns what this host buffers for callers. */
     CallerBuffers buffers();
 
+    /** Adds what the sender needs to know of a request that was rejected before it was read. */
+    void markRejected(HttpHeaders headers);
+
     /** Creates the exchange for a request that was read whole. */
     Exchange exchange(CallerConnection connection, CallerRequest request);
 
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -152,6 +152,11 @@
         return (nowNanos - lastProgressNanos) / NANOS_PER_MILLI;
     }
 
+    /** Begins to measure silence anew, after reading was paused or resumed. */
+    void restartSilence() {
+        lastProgressNanos = System.nanoTime();
+    }
+
     /** Ends the attempt at once by closing the connection; the listener is not called any more. */
     void cancel() {
         finished = true;
