Adaptive concurrency: at most sixteen times as many responses per step, and no memory across versions

Found by reading: a server whose runs break now and then for another reason stayed at one request for thousands of responses. A free slot of a server that admits nothing is none, which saves a scan for each queued request; a record of a host keeps its processor time when an earlier version passes it on.

--- a/src/main/java/org/orioleshed/dispatch/AdaptiveConcurrencyLimit.java
+++ b/src/main/java/org/orioleshed/dispatch/AdaptiveConcurrencyLimit.java
@@ -22,8 +22,11 @@
     /** The number of doublings from the initial to the longest pause. */
     private static final int MAX_DOUBLINGS = 4;
 
-    /** Keeps the number of responses that raise the window finite. */
-    private static final int MAX_COUNTED_FAULTS = 30;
+    /**
+     * Sixteen times as many responses per step: with more, a server whose runs break now and then
+     * for another reason stayed at one request for thousands of responses.
+     */
+    private static final int MAX_COUNTED_FAULTS = 4;
 
     private boolean paced;
     private double window;
--- a/src/main/java/org/orioleshed/dispatch/Placement.java
+++ b/src/main/java/org/orioleshed/dispatch/Placement.java
@@ -143,7 +143,11 @@
      */
     boolean hasFreeSlot() {
         return pool.servers().all().stream()
-                .anyMatch(server -> isUsable(server) && server.running() < slotLimit(server));
+                .anyMatch(
+                        server ->
+                                isUsable(server)
+                                        && server.running() < slotLimit(server)
+                                        && limits.admits(server, nowNanos));
     }
 
     private boolean isEligible(ServerState server, PlacementRequest request) {
--- a/src/main/java/org/orioleshed/dispatch/PoolServers.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolServers.java
@@ -71,7 +71,7 @@
             return false;
         }
         ServerPacing pacing = paced.create(server, nowNanos);
-        if (recorded != null) {
+        if (recorded != null && recorded.server().version().equals(server.version())) {
             pacing.inherit(recorded.pacing());
         }
         present.put(server.id(), new ServerState(server, pacing, nowNanos));
--- a/src/main/java/org/orioleshed/membership/Member.java
+++ b/src/main/java/org/orioleshed/membership/Member.java
@@ -59,7 +59,17 @@
         Member newer = version >= other.version ? this : other;
         Health worst = health.compareTo(other.health) >= 0 ? health : other.health;
         Health merged = version == other.version ? worst : newer.health;
-        return newer.with(newer.version, leaving || other.leaving, merged);
+        return newer.withCpu(Math.max(cpuMillicores, other.cpuMillicores))
+                .with(newer.version, leaving || other.leaving, merged);
+    }
+
+    /** A host of an earlier version passes records on without the processor time. */
+    private Member withCpu(int newMillicores) {
+        if (newMillicores == cpuMillicores) {
+            return this;
+        }
+        return new Member(
+                id, domain, address, incarnation, version, leaving, health, newMillicores);
     }
 
     Member withHealth(Health newHealth) {
