Evacuate a failure domain in the fault soak

Four seeds in 64 evacuate a failure domain and end that some seconds later. EvacuationChecks reports requests from undisturbed hosts that reach servers of the domain after the bound. Seed 20 becomes a default seed.

--- a/src/test/java/org/orioleshed/soak/FaultInjector.java
+++ b/src/test/java/org/orioleshed/soak/FaultInjector.java
@@ -47,6 +47,7 @@
                 case Fault.DrainServer it -> drain(it);
                 case Fault.CrashServer it -> crash(it);
                 case Fault.LimitServer it -> limit(it);
+                case Fault.EvacuateZone it -> evacuate(it);
                 case Fault.ImpairServer it -> impairServer(it);
                 case Fault.ImpairStore it -> impairStore(it);
             }
@@ -126,6 +127,15 @@
                 new History.Limit(server.id(), fault.perSecond(), fromNanos, System.nanoTime()));
     }
 
+    private void evacuate(Fault.EvacuateZone fault) throws InterruptedException {
+        fleet.operator().evacuate(fault.zone());
+        long acknowledgedNanos = System.nanoTime();
+        Thread.sleep(fault.millis());
+        long removalNanos = System.nanoTime();
+        fleet.operator().endEvacuation(fault.zone());
+        history.add(new History.Evacuation(fault.zone(), acknowledgedNanos, removalNanos));
+    }
+
     private void impairServer(Fault.ImpairServer fault) throws InterruptedException {
         SoakServer server = fleet.server(fault.choice());
         impair(
--- a/src/test/java/org/orioleshed/soak/FaultPlan.java
+++ b/src/test/java/org/orioleshed/soak/FaultPlan.java
@@ -30,6 +30,15 @@
      */
     private static final long LIMIT_SEED_OFFSET = 1_000_003;
 
+    /** Evacuations are drawn from a separate generator for the same reason. */
+    private static final long EVACUATION_SEED_OFFSET = 2_000_003;
+
+    private static final long MAX_EVACUATION_START_MILLIS = 1_500;
+
+    /** The time for which an evacuation stays in force beyond its bound. */
+    private static final long MIN_EVACUATED_MILLIS = 2_000;
+
+    private static final int EVACUATED_RANGE_MILLIS = 1_500;
     private static final long DURATION_MILLIS = 11_000;
     private static final long FIRST_STOP_MILLIS = 800;
     private static final long MIN_STOP_INTERVAL_MILLIS = 1_200;
@@ -63,6 +72,9 @@
             addUnplannedFaults(random, profile == Profile.ALL ? 7 : 10, steps);
         }
         addLimits(new Random(seed + LIMIT_SEED_OFFSET), steps);
+        if (hasEvacuation(seed)) {
+            addEvacuation(new Random(seed + EVACUATION_SEED_OFFSET), steps);
+        }
         steps.sort(Comparator.comparingLong(Step::atMillis));
         boolean full = profile == Profile.FULL || (profile == Profile.ALL && random.nextBoolean());
         return new FaultPlan(
@@ -78,6 +90,11 @@
         return Math.floorMod(seed, 16) / 4 == 2;
     }
 
+    /** Returns whether a seed is one of the four in 64 with an evacuation of a failure domain. */
+    private static boolean hasEvacuation(long seed) {
+        return Math.floorMod(seed, 64) / 4 == 5;
+    }
+
     private static void addStops(Random random, List<Step> steps) {
         List<Integer> order = new ArrayList<>();
         for (int host = 0; host < SoakFleet.HOSTS; host++) {
@@ -116,6 +133,16 @@
         steps.add(new Step(atMillis, new Fault.LimitServer(server, perSecond, LIMIT_MILLIS)));
     }
 
+    private static void addEvacuation(Random random, List<Step> steps) {
+        String zone = SoakFleet.ZONES.get(random.nextInt(SoakFleet.ZONES.size()));
+        long atMillis = random.nextInt((int) MAX_EVACUATION_START_MILLIS);
+        long millis =
+                HostSettings.EVACUATE_MILLIS
+                        + MIN_EVACUATED_MILLIS
+                        + random.nextInt(EVACUATED_RANGE_MILLIS);
+        steps.add(new Step(atMillis, new Fault.EvacuateZone(zone, millis)));
+    }
+
     private static void addUnplannedFaults(Random random, int count, List<Step> steps) {
         for (int i = 0; i < count; i++) {
             steps.add(new Step(randomTimeMillis(random), unplannedFault(random)));
--- a/src/test/java/org/orioleshed/soak/FaultSoakTest.java
+++ b/src/test/java/org/orioleshed/soak/FaultSoakTest.java
@@ -11,9 +11,9 @@
 
 /**
  * Guards against requests that are lost, run twice, answered wrongly or sent beyond a drain, a
- * limit or a quota, and against late or outdated configurations, while hosts, servers and the store
- * stop or fail. Each build runs a few fixed seeds; {@code -Dsoak.seeds} selects others, such as
- * {@code 1-50} or {@code 3,17}.
+ * limit, a quota or an evacuation, and against late or outdated configurations, while hosts,
+ * servers and the store stop or fail. Each build runs a few fixed seeds; {@code -Dsoak.seeds}
+ * selects others, such as {@code 1-50} or {@code 3,17}.
  */
 public class FaultSoakTest {
     private static final String SEEDS_PROPERTY = "soak.seeds";
@@ -23,9 +23,10 @@
      * than slots; found requests that a stopping host accepted too late or dropped from its queue,
      * and once a host that never received a drain. 32: planned operations under normal load; found
      * requests accepted too late, and once a workspace beyond its quota. 8: a part of prompts that
-     * crashes servers, beside planned operations.
+     * crashes servers, beside planned operations. 20: guards against requests sent to servers of an
+     * evacuated failure domain after the bound, while hosts stop and start again.
      */
-    private static final String DEFAULT_SEEDS = "7,8,13,32";
+    private static final String DEFAULT_SEEDS = "7,8,13,20,32";
 
     @DataProvider
     public Object[][] seeds() {
--- a/src/test/java/org/orioleshed/soak/History.java
+++ b/src/test/java/org/orioleshed/soak/History.java
@@ -45,6 +45,14 @@
     /** A server's draining state, with the time when the store acknowledged its write. */
     record Drain(String server, long acknowledgedNanos) {}
 
+    /**
+     * An evacuation of a failure domain.
+     *
+     * @param acknowledgedNanos the time when the store acknowledged the write of the key
+     * @param removalNanos the time just before the removal of the key was sent
+     */
+    record Evacuation(String zone, long acknowledgedNanos, long removalNanos) {}
+
     /** A limit of requests per second that a server stated in its responses. */
     record Limit(String server, double perSecond, long fromNanos, long toNanos) {}
 
@@ -101,6 +109,10 @@
                                     millis(it.toNanos),
                                     it.server,
                                     it.perSecond);
+            case Evacuation it ->
+                    "%7d to %d ms: evacuation zone=%s"
+                            .formatted(
+                                    millis(it.acknowledgedNanos), millis(it.removalNanos), it.zone);
             case PartCrash it ->
                     "%7d ms: deadly part crashed server=%s call=%s"
                             .formatted(millis(it.atNanos), it.server, it.callId);
--- a/src/test/java/org/orioleshed/soak/HostSettings.java
+++ b/src/test/java/org/orioleshed/soak/HostSettings.java
@@ -13,6 +13,13 @@
     static final long QUOTA_WINDOW_SECONDS = 8;
     static final double QUOTA_OVER_RATIO = 0.1;
     static final long QUOTA_SLACK_TOKENS = 2_000;
+
+    /**
+     * The time within which an evacuation is obeyed; no shorter than the time for which a fault may
+     * have effects on a host.
+     */
+    static final long EVACUATE_MILLIS = 3_000;
+
     private static final int MAX_SEEDS = 3;
     private static final String TEMPLATE =
             """
@@ -21,7 +28,7 @@
              "listen":{"front":"%1$s:%6$d","ready":"%1$s:%7$d"},
              "bounds":{"grace-s":%8$d,"retry-ratio":0.2,"retry-window-s":10,"retry-slack":%9$d,
                        "quota-over":%10$s,"quota-slack":%11$d,
-                       "expose-share":0.1,"expose-slack":50},
+                       "expose-share":0.1,"expose-slack":50,"evacuate-ms":%13$d},
              "platform":{"address":"127.0.0.1:%12$d"}}
             """;
 
@@ -53,7 +60,8 @@
                         retrySlack,
                         QUOTA_OVER_RATIO,
                         QUOTA_SLACK_TOKENS,
-                        storePort);
+                        storePort,
+                        EVACUATE_MILLIS);
         Path partFile = file.resolveSibling(file.getFileName() + ".part");
         Files.writeString(partFile, text);
         Files.move(
--- a/src/test/java/org/orioleshed/soak/Operator.java
+++ b/src/test/java/org/orioleshed/soak/Operator.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import org.orioleshed.platform.StoreFake;
 
-/** Writes configurations, each with a version and a route that only it and the next one have. */
+/**
+ * Writes configurations, each with a version and a route that only it and the next one have, and
+ * evacuates failure domains.
+ */
 final class Operator {
     static final String PLAIN_KEY = "plain-key";
     static final String LIMITED_KEY = "limited-key";
@@ -12,6 +15,7 @@
     static final String LIMITED_WORKSPACE = "limited";
     static final long LIMITED_TOKENS_PER_SECOND = 400;
     static final long LIMITED_BURST_TOKENS = 800;
+    private static final String EVACUATIONS_PREFIX = "op/evacuate/";
     private static final long TIMEOUT_MILLIS = 15_000;
     private static final long STREAM_TARGET_MILLIS = 2_000;
 
@@ -49,6 +53,15 @@
         history.add(new History.ConfigWrite(next, sentNanos, System.nanoTime()));
     }
 
+    /** Starts the evacuation of a failure domain; the store acknowledged it on return. */
+    void evacuate(String zone) {
+        store.put(EVACUATIONS_PREFIX + zone, "{}");
+    }
+
+    void endEvacuation(String zone) {
+        store.delete(EVACUATIONS_PREFIX + zone);
+    }
+
     private static String config(int version) {
         List<String> routes = new ArrayList<>();
         CallKind.ALL.forEach(kind -> routes.add(route(kind.name(), kind, kind.prefix())));
--- a/src/test/java/org/orioleshed/soak/Run.java
+++ b/src/test/java/org/orioleshed/soak/Run.java
@@ -3,6 +3,7 @@
 /**
  * One arrival of a request at a server, and its execution there if it was not refused.
  *
+ * @param zone the failure domain of the server
  * @param startedNanos the start time of the execution; 0 where it was refused
  * @param workspace the workspace that the request's header named; empty where it named none
  * @param keyPassed whether the request had the caller's API key
@@ -10,6 +11,7 @@
 record Run(
         String id,
         String server,
+        String zone,
         long arrivedNanos,
         long startedNanos,
         long endNanos,
--- a/src/test/java/org/orioleshed/soak/Soak.java
+++ b/src/test/java/org/orioleshed/soak/Soak.java
@@ -36,6 +36,7 @@
         new StopChecks(index, findings).check();
         new ConfigChecks(index, findings).check();
         new DeadlyPartChecks(index, findings).check();
+        new EvacuationChecks(index, findings).check();
         history.all(History.Problem.class).forEach(it -> findings.add("PROBLEM", "", it.text()));
         List<String> logLines = logLines();
         logLines.stream()
@@ -104,6 +105,7 @@
         }
         report.append("faults:\n");
         history.describeFaults().forEach(it -> report.append("  ").append(it).append('\n'));
+        report.append(EvacuationChecks.describe(history));
         return report.toString();
     }
 
--- a/src/test/java/org/orioleshed/soak/SoakServer.java
+++ b/src/test/java/org/orioleshed/soak/SoakServer.java
@@ -107,6 +107,7 @@
                     new Run(
                             request.id(),
                             id,
+                            zone,
                             arrivedNanos,
                             startedNanos,
                             System.nanoTime(),
