Return evacuated servers cold in the fault soak

The servers of an evacuated failure domain are cold for 3 s when the evacuation ends. They state it in their entries and responses, and crash at 1.5 times the requests that the rule allows in a second. ColdChecks reports more requests in a second than allowed.

--- a/src/test/java/org/orioleshed/soak/Fault.java
+++ b/src/test/java/org/orioleshed/soak/Fault.java
@@ -31,7 +31,7 @@
     /** A server states a limit of requests per second in its responses for a while. */
     record LimitServer(int choice, double perSecond, long millis) implements Fault {}
 
-    /** An evacuation of a failure domain, which ends after some time. */
+    /** An evacuation of a failure domain, whose servers are cold when it ends. */
     record EvacuateZone(String zone, long millis) implements Fault {}
 
     record ImpairServer(int choice, FaultProxy.Mode mode, long millis) implements Fault {}
--- a/src/test/java/org/orioleshed/soak/FaultInjector.java
+++ b/src/test/java/org/orioleshed/soak/FaultInjector.java
@@ -132,8 +132,19 @@
         long acknowledgedNanos = System.nanoTime();
         Thread.sleep(fault.millis());
         long removalNanos = System.nanoTime();
-        fleet.operator().endEvacuation(fault.zone());
         history.add(new History.Evacuation(fault.zone(), acknowledgedNanos, removalNanos));
+        returnCold(fault.zone());
+    }
+
+    /** Ends a failure domain's evacuation, with servers that are cold for a while. */
+    private void returnCold(String zone) throws InterruptedException {
+        List<SoakServer> servers = fleet.turnCold(zone);
+        long coldNanos = System.nanoTime();
+        fleet.operator().endEvacuation(zone);
+        Thread.sleep(TimeUnit.SECONDS.toMillis(ColdState.WARMUP_SECONDS));
+        long warmNanos = System.nanoTime();
+        servers.forEach(fleet::updateEntry);
+        servers.forEach(it -> history.add(new History.Cold(it.id(), coldNanos, warmNanos)));
     }
 
     private void impairServer(Fault.ImpairServer fault) throws InterruptedException {
--- a/src/test/java/org/orioleshed/soak/FaultPlan.java
+++ b/src/test/java/org/orioleshed/soak/FaultPlan.java
@@ -12,9 +12,15 @@
  * @param slots the slots of each server
  * @param overloadCallers the additional callers that exceed the servers' slots
  * @param deadlyPart whether some requests contain a part that crashes servers
+ * @param evacuates whether a failure domain is evacuated and returns with cold servers
  */
 record FaultPlan(
-        Profile profile, int slots, int overloadCallers, boolean deadlyPart, List<Step> steps) {
+        Profile profile,
+        int slots,
+        int overloadCallers,
+        boolean deadlyPart,
+        boolean evacuates,
+        List<Step> steps) {
     private static final List<FaultProxy.Mode> IMPAIRMENT_MODES =
             List.of(FaultProxy.Mode.REFUSE, FaultProxy.Mode.SILENCE, FaultProxy.Mode.DELAY);
     private static final int FULL_SLOTS = 2;
@@ -82,6 +88,7 @@
                 full ? FULL_SLOTS : DEFAULT_SLOTS,
                 full ? FULL_OVERLOAD_CALLERS : 0,
                 hasDeadlyPart(seed),
+                hasEvacuation(seed),
                 List.copyOf(steps));
     }
 
--- a/src/test/java/org/orioleshed/soak/FaultSoakTest.java
+++ b/src/test/java/org/orioleshed/soak/FaultSoakTest.java
@@ -24,7 +24,8 @@
      * and once a host that never received a drain. 32: planned operations under normal load; found
      * requests accepted too late, and once a workspace beyond its quota. 8: a part of prompts that
      * crashes servers, beside planned operations. 20: guards against requests sent to servers of an
-     * evacuated failure domain after the bound, while hosts stop and start again.
+     * evacuated failure domain after the bound, and beyond the rate of its servers when they return
+     * cold, while hosts stop and start again.
      */
     private static final String DEFAULT_SEEDS = "7,8,13,20,32";
 
--- a/src/test/java/org/orioleshed/soak/History.java
+++ b/src/test/java/org/orioleshed/soak/History.java
@@ -53,6 +53,12 @@
      */
     record Evacuation(String zone, long acknowledgedNanos, long removalNanos) {}
 
+    /** A server's cold state, from the time when the store acknowledged its entry. */
+    record Cold(String server, long fromNanos, long toNanos) {}
+
+    /** A crash of a cold server that received requests too fast. */
+    record ColdCrash(String server, long atNanos) {}
+
     /** A limit of requests per second that a server stated in its responses. */
     record Limit(String server, double perSecond, long fromNanos, long toNanos) {}
 
@@ -113,6 +119,12 @@
                     "%7d to %d ms: evacuation zone=%s"
                             .formatted(
                                     millis(it.acknowledgedNanos), millis(it.removalNanos), it.zone);
+            case Cold it ->
+                    "%7d to %d ms: cold server=%s"
+                            .formatted(millis(it.fromNanos), millis(it.toNanos), it.server);
+            case ColdCrash it ->
+                    "%7d ms: requests crashed cold server=%s"
+                            .formatted(millis(it.atNanos), it.server);
             case PartCrash it ->
                     "%7d ms: deadly part crashed server=%s call=%s"
                             .formatted(millis(it.atNanos), it.server, it.callId);
--- a/src/test/java/org/orioleshed/soak/HostCost.java
+++ b/src/test/java/org/orioleshed/soak/HostCost.java
@@ -31,7 +31,7 @@
         double rate = Double.parseDouble(arguments[2]);
         Path directory = Files.createTempDirectory("host-cost");
         History history = new History();
-        try (SoakFleet fleet = new SoakFleet(directory, hosts, SLOTS, history)) {
+        try (SoakFleet fleet = new SoakFleet(directory, hosts, SLOTS, false, history)) {
             fleet.start();
             print("start", hosts);
             AtomicInteger succeeded = new AtomicInteger();
--- a/src/test/java/org/orioleshed/soak/HostSettings.java
+++ b/src/test/java/org/orioleshed/soak/HostSettings.java
@@ -20,6 +20,8 @@
      */
     static final long EVACUATE_MILLIS = 3_000;
 
+    static final double COLD_OVER = 1.5;
+    static final double COLD_SLACK = 5;
     private static final int MAX_SEEDS = 3;
     private static final String TEMPLATE =
             """
@@ -28,7 +30,8 @@
              "listen":{"front":"%1$s:%6$d","ready":"%1$s:%7$d"},
              "bounds":{"grace-s":%8$d,"retry-ratio":0.2,"retry-window-s":10,"retry-slack":%9$d,
                        "quota-over":%10$s,"quota-slack":%11$d,
-                       "expose-share":0.1,"expose-slack":50,"evacuate-ms":%13$d},
+                       "expose-share":0.1,"expose-slack":50,"evacuate-ms":%13$d,
+                       "cold-over":%14$s,"cold-slack":%15$s},
              "platform":{"address":"127.0.0.1:%12$d"}}
             """;
 
@@ -61,7 +64,9 @@
                         QUOTA_OVER_RATIO,
                         QUOTA_SLACK_TOKENS,
                         storePort,
-                        EVACUATE_MILLIS);
+                        EVACUATE_MILLIS,
+                        COLD_OVER,
+                        COLD_SLACK);
         Path partFile = file.resolveSibling(file.getFileName() + ".part");
         Files.writeString(partFile, text);
         Files.move(
--- a/src/test/java/org/orioleshed/soak/Operator.java
+++ b/src/test/java/org/orioleshed/soak/Operator.java
@@ -15,6 +15,9 @@
     static final String LIMITED_WORKSPACE = "limited";
     static final long LIMITED_TOKENS_PER_SECOND = 400;
     static final long LIMITED_BURST_TOKENS = 800;
+    private static final String WARMUP_FIELDS =
+            "\"warmup-s\":%d,\"warmup-per-s\":%s,"
+                    .formatted(ColdState.WARMUP_SECONDS, ColdState.PER_SECOND);
     private static final String EVACUATIONS_PREFIX = "op/evacuate/";
     private static final long TIMEOUT_MILLIS = 15_000;
     private static final long STREAM_TARGET_MILLIS = 2_000;
@@ -29,11 +32,18 @@
 
     private final StoreFake store;
     private final History history;
+    private final boolean warmsUp;
     private int version;
 
-    Operator(StoreFake store, History history) {
+    /**
+     * Creates an operator.
+     *
+     * @param warmsUp whether the configuration states a warm-up of servers
+     */
+    Operator(StoreFake store, History history, boolean warmsUp) {
         this.store = store;
         this.history = history;
+        this.warmsUp = warmsUp;
     }
 
     static String routePrefix(int route) {
@@ -62,14 +72,14 @@
         store.delete(EVACUATIONS_PREFIX + zone);
     }
 
-    private static String config(int version) {
+    private String config(int version) {
         List<String> routes = new ArrayList<>();
         CallKind.ALL.forEach(kind -> routes.add(route(kind.name(), kind, kind.prefix())));
         routes.add(route("only" + version, CallKind.IDEMPOTENT, routePrefix(version)));
         routes.add(route("only" + (version - 1), CallKind.IDEMPOTENT, routePrefix(version - 1)));
         return """
                {"version":%d,"routes":[%s],
-                "services":[{"name":"pool","max-conns":200,
+                "services":[{"name":"pool","max-conns":200,%s
                              "engine":{"kv-capacity":1000000,"stride":1}}],
                 "limits":{"max-header-bytes":4096,"max-body-bytes":65536,
                           "header-timeout-ms":3000,"idle-timeout-ms":15000},
@@ -80,6 +90,7 @@
                 .formatted(
                         version,
                         String.join(",", routes),
+                        warmsUp ? WARMUP_FIELDS : "",
                         PLAIN_WORKSPACE,
                         PLAIN_KEY,
                         LIMITED_WORKSPACE,
--- a/src/test/java/org/orioleshed/soak/Soak.java
+++ b/src/test/java/org/orioleshed/soak/Soak.java
@@ -27,7 +27,9 @@
 
     /** Runs the soak and the checks; returns a report of the violations, empty without any. */
     String run() throws IOException, InterruptedException {
-        try (SoakFleet fleet = new SoakFleet(directory, SoakFleet.HOSTS, plan.slots(), history)) {
+        try (SoakFleet fleet =
+                new SoakFleet(
+                        directory, SoakFleet.HOSTS, plan.slots(), plan.evacuates(), history)) {
             fleet.start();
             run(fleet);
         }
@@ -37,6 +39,7 @@
         new ConfigChecks(index, findings).check();
         new DeadlyPartChecks(index, findings).check();
         new EvacuationChecks(index, findings).check();
+        new ColdChecks(index, findings).check();
         history.all(History.Problem.class).forEach(it -> findings.add("PROBLEM", "", it.text()));
         List<String> logLines = logLines();
         logLines.stream()
@@ -105,7 +108,7 @@
         }
         report.append("faults:\n");
         history.describeFaults().forEach(it -> report.append("  ").append(it).append('\n'));
-        report.append(EvacuationChecks.describe(history));
+        report.append(EvacuationChecks.describe(history)).append(ColdChecks.describe(index));
         return report.toString();
     }
 
--- a/src/test/java/org/orioleshed/soak/SoakFleet.java
+++ b/src/test/java/org/orioleshed/soak/SoakFleet.java
@@ -29,11 +29,16 @@
     private final int slots;
     private final List<SoakServer> allServers = new CopyOnWriteArrayList<>();
 
-    /** Creates the fleet without starting its hosts and servers. */
-    SoakFleet(Path directory, int hostCount, int slots, History history) throws IOException {
+    /**
+     * Creates the fleet without starting its hosts and servers.
+     *
+     * @param warmsUp whether the configuration states a warm-up of servers
+     */
+    SoakFleet(Path directory, int hostCount, int slots, boolean warmsUp, History history)
+            throws IOException {
         this.history = history;
         this.slots = slots;
-        this.operator = new Operator(store, history);
+        this.operator = new Operator(store, history, warmsUp);
         List<String> ips = HostAddresses.choose(hostCount);
         for (int host = 0; host < hostCount; host++) {
             Files.deleteIfExists(directory.resolve(SoakHost.logName(host)));
@@ -132,6 +137,21 @@
         history.add(new History.Drain(server.id(), System.nanoTime()));
     }
 
+    /** Turns the servers of a failure domain cold, and returns them. */
+    synchronized List<SoakServer> turnCold(String zone) {
+        List<SoakServer> cold = servers.stream().filter(it -> it.zone().equals(zone)).toList();
+        cold.forEach(SoakServer::turnCold);
+        cold.forEach(it -> store.put(it.key(), it.entry()));
+        return cold;
+    }
+
+    /** Writes a server's entry again unless a fault has removed the server. */
+    synchronized void updateEntry(SoakServer server) {
+        if (servers.contains(server)) {
+            store.put(server.key(), server.entry());
+        }
+    }
+
     /** Deletes a server's entry from the store. */
     void deregister(SoakServer server) {
         store.delete(server.key());
--- a/src/test/java/org/orioleshed/soak/SoakServer.java
+++ b/src/test/java/org/orioleshed/soak/SoakServer.java
@@ -24,6 +24,7 @@
     private final Consumer<SoakServer> onCrash;
     private final Semaphore freeSlots;
     private final AtomicInteger waiting = new AtomicInteger();
+    private final ColdState cold = new ColdState();
     private volatile boolean draining;
     private volatile String limitHeader = "";
 
@@ -47,6 +48,10 @@
         return id;
     }
 
+    String zone() {
+        return zone;
+    }
+
     FaultProxy proxy() {
         return proxy;
     }
@@ -68,8 +73,15 @@
         limitHeader = "";
     }
 
+    /** Turns the server cold from now on; its next entry states it. */
+    void turnCold() {
+        cold.begin(System.nanoTime());
+    }
+
     private String head(WorkerFake.Request request, int status, boolean signed) {
-        return WorkerFake.head(request, status, signed) + limitHeader;
+        return WorkerFake.head(request, status, signed)
+                + limitHeader
+                + cold.header(System.nanoTime());
     }
 
     boolean isIdle() {
@@ -78,8 +90,13 @@
 
     String entry() {
         return ("{\"service\":\"pool\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\","
-                        + "\"version\":\"v1\",\"batch-slots\":%d,\"state\":\"%s\",\"seq\":1}")
-                .formatted(proxy.address().getPort(), zone, slots, draining ? "draining" : "ready");
+                        + "\"version\":\"v1\",\"batch-slots\":%d,\"state\":\"%s\",\"seq\":1%s}")
+                .formatted(
+                        proxy.address().getPort(),
+                        zone,
+                        slots,
+                        draining ? "draining" : "ready",
+                        cold.entryField(System.nanoTime()));
     }
 
     private boolean handle(WorkerFake.Request request, OutputStream out, InputStream in)
@@ -91,10 +108,16 @@
         }
         long arrivedNanos = System.nanoTime();
         long deadlineMillis = Long.parseLong(headers.getOrDefault("x-deadline-ms", "0"));
-        boolean acquired = acquireSlot(deadlineMillis);
+        boolean crashes = cold.crashes(arrivedNanos);
+        boolean acquired = !crashes && acquireSlot(deadlineMillis);
         long startedNanos = acquired ? System.nanoTime() : 0;
         Run.End end = acquired ? Run.End.ABORTED : Run.End.REFUSED;
         try {
+            if (crashes) {
+                history.add(new History.ColdCrash(id, arrivedNanos));
+                onCrash.accept(this);
+                return false;
+            }
             if (!acquired) {
                 refuse(request, 503, out);
                 return true;
