--- a/src/test/java/org/orioleshed/soak/FaultInjector.java
+++ b/src/test/java/org/orioleshed/soak/FaultInjector.java
@@ -47,6 +47,7 @@
                 case Fault.DrainServer it -> drain(it);
                 case Fault.CrashServer it -> crash(it);
                 case Fault.LimitServer it -> limit(it);
+                case Fault.EvacuateZone it -> evacuate(it);
                 case Fault.ImpairServer it -> impairServer(it);
                 case Fault.ImpairStore it -> impairStore(it);
             }
@@ -126,6 +127,26 @@
                 new History.Limit(server.id(), fault.perSecond(), fromNanos, System.nanoTime()));
     }
 
+    private void evacuate(Fault.EvacuateZone fault) throws InterruptedException {
+        fleet.operator().evacuate(fault.zone());
+        long acknowledgedNanos = System.nanoTime();
+        Thread.sleep(fault.millis());
+        long removalNanos = System.nanoTime();
+        history.add(new History.Evacuation(fault.zone(), acknowledgedNanos, removalNanos));
+        returnCold(fault.zone());
+    }
+
+    /** Ends a failure domain's evacuation, with servers that are cold for a while. */
+    private void returnCold(String zone) throws InterruptedException {
+        List<SoakServer> servers = fleet.turnCold(zone);
+        long coldNanos = System.nanoTime();
+        fleet.operator().endEvacuation(zone);
+        Thread.sleep(TimeUnit.SECONDS.toMillis(ColdState.WARMUP_SECONDS));
+        long warmNanos = System.nanoTime();
+        servers.forEach(fleet::updateEntry);
+        servers.forEach(it -> history.add(new History.Cold(it.id(), coldNanos, warmNanos)));
+    }
+
     private void impairServer(Fault.ImpairServer fault) throws InterruptedException {
         SoakServer server = fleet.server(fault.choice());
         impair(
