--- a/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchCodec.java
@@ -60,12 +60,18 @@
             case DispatchEvent.Withdrawn withdrawn ->
                     start(Dispatch.Kind.WITHDRAWN, withdrawn.run()).build().toByteArray();
             case DispatchEvent.First first ->
-                    write(first.limit(), start(Dispatch.Kind.FIRST, first.run()))
+                    writeBrittle(
+                                    first.brittle(),
+                                    write(first.limit(), start(Dispatch.Kind.FIRST, first.run())))
                             .setMillis(first.firstMillis())
                             .build()
                             .toByteArray();
             case DispatchEvent.Ended ended ->
-                    write(ended.report().limit(), start(Dispatch.Kind.ENDED, ended.run()))
+                    writeBrittle(
+                                    ended.report().brittle(),
+                                    write(
+                                            ended.report().limit(),
+                                            start(Dispatch.Kind.ENDED, ended.run())))
                             .setEnd(write(ended.report()))
                             .build()
                             .toByteArray();
@@ -86,6 +92,7 @@
                             .build()
                             .toByteArray();
             case DispatchEvent.ServerCold cold -> NoticeCodec.write(cold);
+            case DispatchEvent.ServerBrittle brittle -> NoticeCodec.write(brittle);
             case DispatchEvent.Survived survived ->
                     start(Dispatch.Kind.SURVIVED, survived.run()).build().toByteArray();
             case DispatchEvent.ReleaseOrdered ordered ->
@@ -172,6 +179,14 @@
         };
     }
 
+    private static Dispatch.Builder writeBrittle(StatedLimit brittle, Dispatch.Builder wire) {
+        return switch (brittle) {
+            case StatedLimit.Rate rate -> wire.setBrittlePerSecond(rate.perSecond());
+            case StatedLimit.None none -> wire.setNotBrittle(true);
+            case StatedLimit.Unknown unknown -> wire;
+        };
+    }
+
     private static Dispatch.Reason write(DispatchAction.Reason reason) {
         return switch (reason) {
             case QUOTA -> Dispatch.Reason.QUOTA;
@@ -246,6 +261,9 @@
         if (wire.getKind() == Dispatch.Kind.SERVER_COLD) {
             return new DispatchMessage.ToPrimary(NoticeCodec.readCold(wire));
         }
+        if (wire.getKind() == Dispatch.Kind.SERVER_BRITTLE) {
+            return new DispatchMessage.ToPrimary(NoticeCodec.readBrittle(wire));
+        }
         if (wire.getKind() == Dispatch.Kind.HOME_BEGINS) {
             return new DispatchMessage.PrimaryStarted();
         }
@@ -284,10 +302,10 @@
                                     run, read(wire.getAsk()), new ServerId(wire.getServer())));
             case FIRST ->
                     new DispatchMessage.ToPrimary(
-                            new DispatchEvent.First(run, wire.getMillis(), readLimit(wire)));
+                            new DispatchEvent.First(
+                                    run, wire.getMillis(), readLimit(wire), readBrittle(wire)));
             case ENDED ->
-                    new DispatchMessage.ToPrimary(
-                            new DispatchEvent.Ended(run, read(wire.getEnd(), readLimit(wire))));
+                    new DispatchMessage.ToPrimary(new DispatchEvent.Ended(run, readReport(wire)));
             case GRANT ->
                     new DispatchMessage.FromPrimary(
                             new DispatchAction.Grant(
@@ -307,6 +325,7 @@
                     SERVER_LEAVING,
                     SERVER_LIMITED,
                     SERVER_COLD,
+                    SERVER_BRITTLE,
                     CRASHES_RECALLED,
                     MOVE_RECALLED,
                     QUARANTINE,
@@ -326,6 +345,14 @@
         };
     }
 
+    private static StatedLimit readBrittle(Dispatch wire) {
+        return switch (wire.getStatedBrittleCase()) {
+            case BRITTLE_PER_SECOND -> new StatedLimit.Rate(wire.getBrittlePerSecond());
+            case NOT_BRITTLE -> StatedLimit.NONE;
+            case STATEDBRITTLE_NOT_SET -> StatedLimit.UNKNOWN;
+        };
+    }
+
     private static DispatchEvent.QuotasHandedOver readQuotas(Dispatch wire) {
         Map<WorkspaceId, Double> parts = new HashMap<>();
         for (Dispatch.QuotaPart quota : wire.getQuotasList()) {
@@ -377,13 +404,15 @@
                 : Optional.empty();
     }
 
-    private static RunReport read(Dispatch.End wire, StatedLimit limit) {
+    private static RunReport readReport(Dispatch wire) {
+        Dispatch.End end = wire.getEnd();
         return new RunReport(
-                RunReport.Outcome.valueOf(wire.getOutcome().name()),
-                wire.getEvents(),
-                wire.getFirstMillis(),
-                wire.getTotalMillis(),
-                wire.getStreamedMillis(),
-                limit);
+                RunReport.Outcome.valueOf(end.getOutcome().name()),
+                end.getEvents(),
+                end.getFirstMillis(),
+                end.getTotalMillis(),
+                end.getStreamedMillis(),
+                readLimit(wire),
+                readBrittle(wire));
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchEvent.java
@@ -33,12 +33,20 @@
      * @param run the run
      * @param firstMillis the time from sending the request to its first event, in milliseconds
      * @param limit the rate limit that the server stated in the answer
+     * @param brittle the rejections per second above which the server crashes, as it stated in the
+     *     answer
      */
-    record First(RunKey run, long firstMillis, StatedLimit limit) implements DispatchEvent {
-        /** Makes an event without a stated rate limit. */
+    record First(RunKey run, long firstMillis, StatedLimit limit, StatedLimit brittle)
+            implements DispatchEvent {
+        /** Makes an event of an answer that is not known to state a limit. */
         public First(RunKey run, long firstMillis) {
             this(run, firstMillis, StatedLimit.UNKNOWN);
         }
+
+        /** Makes an event of an answer that is not known to state that the server is brittle. */
+        public First(RunKey run, long firstMillis, StatedLimit limit) {
+            this(run, firstMillis, limit, StatedLimit.UNKNOWN);
+        }
     }
 
     /** A run ended. */
@@ -76,6 +84,17 @@
     record ServerLimited(ServerId server, long startMillis, StatedLimit.Rate limit)
             implements ServerNotice {}
 
+    /**
+     * A host reports that a server stated to it earlier to be brittle.
+     *
+     * @param server the server
+     * @param startMillis which start of it, as {@link
+     *     org.orioleshed.catalog.PoolServer#startMillis()}
+     * @param rejections the rejections per second above which it crashes
+     */
+    record ServerBrittle(ServerId server, long startMillis, StatedLimit.Rate rejections)
+            implements ServerNotice {}
+
     /**
      * A server stated how much longer it is cold.
      *
--- a/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
+++ b/src/main/java/org/orioleshed/dispatch/DispatchMessage.java
@@ -13,8 +13,9 @@
      *     DispatchEvent.Withdrawn}, {@link DispatchEvent.Placed}, {@link DispatchEvent.First},
      *     {@link DispatchEvent.Ended}, {@link DispatchEvent.QuotasHandedOver}, {@link
      *     DispatchEvent.ServerLeaving}, {@link DispatchEvent.ServerLimited}, {@link
-     *     DispatchEvent.CrashesReported}, {@link DispatchEvent.RolloutReported}, {@link
-     *     DispatchEvent.Survived}, {@link DispatchEvent.ReleaseOrdered}
+     *     DispatchEvent.ServerBrittle}, {@link DispatchEvent.CrashesReported}, {@link
+     *     DispatchEvent.RolloutReported}, {@link DispatchEvent.Survived}, {@link
+     *     DispatchEvent.ReleaseOrdered}
      */
     record ToPrimary(DispatchEvent event) implements DispatchMessage {}
 
--- a/src/main/java/org/orioleshed/dispatch/HostConnectivity.java
+++ b/src/main/java/org/orioleshed/dispatch/HostConnectivity.java
@@ -97,7 +97,8 @@
                 report.firstMillis(),
                 report.totalMillis(),
                 report.streamedMillis(),
-                report.limit());
+                report.limit(),
+                report.brittle());
     }
 
     /** Forgets a host that is gone. */
--- a/src/main/java/org/orioleshed/dispatch/LimitCounts.java
+++ b/src/main/java/org/orioleshed/dispatch/LimitCounts.java
@@ -5,5 +5,6 @@
  *
  * @param limited servers with a stated request rate
  * @param cold cold servers
+ * @param brittle servers that crash when they reject too many requests
  */
-public record LimitCounts(int limited, int cold) {}
+public record LimitCounts(int limited, int cold, int brittle) {}
--- a/src/main/java/org/orioleshed/dispatch/NoticeCodec.java
+++ b/src/main/java/org/orioleshed/dispatch/NoticeCodec.java
@@ -19,6 +19,23 @@
                 .toByteArray();
     }
 
+    static byte[] write(DispatchEvent.ServerBrittle brittle) {
+        return Dispatch.newBuilder()
+                .setKind(Dispatch.Kind.SERVER_BRITTLE)
+                .setServer(brittle.server().value())
+                .setMillis(brittle.startMillis())
+                .setBrittlePerSecond(brittle.rejections().perSecond())
+                .build()
+                .toByteArray();
+    }
+
+    static DispatchEvent.ServerBrittle readBrittle(Dispatch wire) {
+        return new DispatchEvent.ServerBrittle(
+                new ServerId(wire.getServer()),
+                wire.getMillis(),
+                new StatedLimit.Rate(wire.getBrittlePerSecond()));
+    }
+
     static DispatchEvent.ServerCold readCold(Dispatch wire) {
         return new DispatchEvent.ServerCold(
                 new ServerId(wire.getServer()),
--- a/src/main/java/org/orioleshed/dispatch/RunReport.java
+++ b/src/main/java/org/orioleshed/dispatch/RunReport.java
@@ -12,6 +12,8 @@
  *     plain service
  * @param limit the rate limit that the server stated in its answer; unknown if it was reported with
  *     the first event already
+ * @param brittle the rejections per second above which the server crashes, as it stated in its
+ *     answer; unknown if it was reported with the first event already
  */
 public record RunReport(
         Outcome outcome,
@@ -19,7 +21,8 @@
         long firstMillis,
         long totalMillis,
         long streamedMillis,
-        StatedLimit limit) {
+        StatedLimit limit,
+        StatedLimit brittle) {
     /**
      * Makes a report without a stated rate limit, of a run whose last event, if any, was just
      * before its end.
@@ -37,7 +40,8 @@
                 firstMillis,
                 totalMillis,
                 events == 0 ? 0 : Math.max(0, totalMillis - firstMillis),
-                limit);
+                limit,
+                StatedLimit.UNKNOWN);
     }
 
     /** The outcome of a run. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -319,20 +319,14 @@
             return;
         }
         connectivity.answered(first.run().origin(), server.server().id(), nowNanos);
-        recordLimit(server, first.run(), first.limit());
-        quarantine.runWrote(server, server.runs().get(first.run()), nowNanos);
+        ActiveRun running = server.runs().get(first.run());
+        limits.recordFirst(server.server(), first, running.sentNanos(), nowNanos);
+        quarantine.runWrote(server, running, nowNanos);
         PoolState pool = pool(server.server().service());
         pool.recordFirstEvent(server, first.run(), first.firstMillis());
         server.recordFirstEvent(first.run(), first.firstMillis(), pool.speed(), nowNanos);
     }
 
-    private void recordLimit(ServerState server, RunKey run, StatedLimit limit) {
-        ActiveRun running = server.runs().get(run);
-        if (running != null) {
-            limits.recordStated(server.server(), limit, running.sentNanos(), nowNanos);
-        }
-    }
-
     private void end(RunKey run, RunReport reported) {
         ServerState server = runs.remove(run);
         if (server == null) {
@@ -341,8 +335,9 @@
         RunReport report =
                 connectivity.attribute(run.origin(), server.server().id(), reported, nowNanos);
         PoolState pool = pool(server.server().service());
-        recordLimit(server, run, report.limit());
-        quarantine.runEnded(server, server.runs().get(run), report, nowNanos);
+        ActiveRun ended = server.runs().get(run);
+        limits.recordEnd(server, report, ended.sentNanos(), nowNanos);
+        quarantine.runEnded(server, ended, report, nowNanos);
         pool.recordEnd(server, run, report);
         server.end(run, report, pool.speed(), nowNanos);
         serveQueue(pool);
--- a/src/main/java/org/orioleshed/dispatch/ServerLimits.java
+++ b/src/main/java/org/orioleshed/dispatch/ServerLimits.java
@@ -7,14 +7,15 @@
 import org.orioleshed.model.ServiceId;
 
 /**
- * What servers state that limits the requests to them: a request rate, and that they are cold. A
- * server that states nothing is not limited.
+ * What servers state that limits the requests to them: a request rate, that they are cold, and that
+ * they are brittle. A server that states nothing is not limited.
  */
 final class ServerLimits {
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final ServerRates rates;
     private final ColdServers cold;
+    private final BrittleServers brittle;
 
     /**
      * Makes an empty set of limits.
@@ -26,6 +27,7 @@
     ServerLimits(Quotas.Role role, ColdBound coldBound, Consumer<String> log) {
         this.rates = new ServerRates(role);
         this.cold = new ColdServers(coldBound, role, log);
+        this.brittle = new BrittleServers(role, log);
     }
 
     /** Takes the pools in force. */
@@ -37,6 +39,7 @@
     void setShare(DispatchEvent.ShareChanged changed, long nowNanos) {
         rates.setShare(changed.quota(), nowNanos);
         cold.setShare(changed);
+        brittle.setHosts(changed.hosts());
     }
 
     /** Takes what a server stated, as a host reports it. */
@@ -49,23 +52,38 @@
                             limited.limit().perSecond(),
                             nowNanos);
             case DispatchEvent.ServerCold stated -> cold.state(stated, nowNanos);
+            case DispatchEvent.ServerBrittle stated -> brittle.recordReported(stated, nowNanos);
         }
     }
 
     /**
-     * Records the limit that a server stated in an answer.
+     * Records the first event of a run, with what the server stated in the answer.
      *
      * @param sentNanos when the answered request was placed, on the monotonic clock
      */
-    void recordStated(PoolServer server, StatedLimit limit, long sentNanos, long nowNanos) {
-        rates.recordStated(server, limit, sentNanos, nowNanos);
+    void recordFirst(PoolServer server, DispatchEvent.First first, long sentNanos, long nowNanos) {
+        rates.recordStated(server, first.limit(), sentNanos, nowNanos);
+        brittle.recordStated(server, first.brittle(), sentNanos, nowNanos);
+    }
+
+    /**
+     * Records the end of a run, which its server still counts, with what the server stated.
+     *
+     * @param sentNanos when the request was placed, on the monotonic clock
+     */
+    void recordEnd(ServerState state, RunReport report, long sentNanos, long nowNanos) {
+        PoolServer server = state.server();
+        rates.recordStated(server, report.limit(), sentNanos, nowNanos);
+        brittle.recordStated(server, report.brittle(), sentNanos, nowNanos);
+        brittle.recordEnd(state, report.outcome(), nowNanos);
     }
 
     /** Returns whether a request may be sent to a server now. */
     boolean admits(ServerState state, long nowNanos) {
         PoolServer server = state.server();
         return rates.of(server).map(rate -> rate.hasRoom(nowNanos)).orElse(true)
-                && cold.admits(server, nowNanos);
+                && cold.admits(server, nowNanos)
+                && brittle.admits(state, nowNanos);
     }
 
     /**
@@ -76,13 +94,14 @@
      */
     double slots(ServerState state, double maxSlots, double expectedRunMillis, long nowNanos) {
         PoolServer server = state.server();
+        double most = Math.min(maxSlots, brittle.window(server));
         double perSecond = rates.of(server).map(ServerRate::perSecond).orElse(Double.MAX_VALUE);
         if (cold.isCold(server, nowNanos)) {
             perSecond = Math.min(perSecond, cold.perSecond(server));
         }
         return perSecond == Double.MAX_VALUE
-                ? maxSlots
-                : Math.min(maxSlots, perSecond * expectedRunMillis / MILLIS_PER_SECOND);
+                ? most
+                : Math.min(most, perSecond * expectedRunMillis / MILLIS_PER_SECOND);
     }
 
     /** Counts a request that was sent to a server, whichever scheduler placed it. */
@@ -114,6 +133,6 @@
 
     /** Returns how many servers have each state. */
     LimitCounts counts(long nowNanos) {
-        return new LimitCounts(rates.count(), cold.count(nowNanos));
+        return new LimitCounts(rates.count(), cold.count(nowNanos), brittle.count());
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/StatedLimit.java
+++ b/src/main/java/org/orioleshed/dispatch/StatedLimit.java
@@ -1,6 +1,9 @@
 package org.orioleshed.dispatch;
 
-/** The rate limit that an answer of a server states for the requests of all hosts together. */
+/**
+ * A limit that an answer of a server states for the requests of all hosts together: the requests
+ * that it accepts, or the rejections above which it crashes.
+ */
 public sealed interface StatedLimit {
     /** An answer without a limit. */
     StatedLimit NONE = new None();
@@ -11,7 +14,7 @@
     /**
      * A stated rate.
      *
-     * @param perSecond the rate in requests per second; finite and not negative
+     * @param perSecond the rate in requests or rejections per second; finite and not negative
      */
     record Rate(double perSecond) implements StatedLimit {
         /** Checks the rate. */
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -213,9 +213,9 @@
         }
     }
 
-    /** Takes the first event of a run, and the server's limit stated in that response. */
-    void firstEvent(RunKey run, long firstMillis, StatedLimit limit) {
-        notifySchedulers(new DispatchEvent.First(run, firstMillis, limit));
+    /** Takes the first event of a run, and the server's limits stated in that response. */
+    void firstEvent(RunKey run, long firstMillis, StatedLimit limit, StatedLimit brittle) {
+        notifySchedulers(new DispatchEvent.First(run, firstMillis, limit, brittle));
     }
 
     /**
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -561,7 +561,11 @@
         if (attempt.run().equals(run) && !firstEventReported) {
             firstEventReported = true;
             context.dispatcher()
-                    .firstEvent(run, Math.max(1, attempt.firstMillis()), attempt.limit());
+                    .firstEvent(
+                            run,
+                            Math.max(1, attempt.firstMillis()),
+                            attempt.limit(),
+                            attempt.brittle());
         }
         if (!streaming) {
             streaming = true;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -85,7 +85,7 @@
     private volatile int quarantined;
     private volatile int evacuatedDomains;
     private volatile int pacedServers;
-    private volatile LimitCounts limitCounts = new LimitCounts(0, 0);
+    private volatile LimitCounts limitCounts = new LimitCounts(0, 0, 0);
     private final EventLoopClock loopClock = new EventLoopClock(NioIoHandler.newFactory());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
@@ -154,6 +154,7 @@
         metrics.gauge("paced_servers", () -> () -> pacedServers);
         metrics.gauge("rate_limited_servers", () -> () -> limitCounts.limited());
         metrics.gauge("cold_servers", () -> () -> limitCounts.cold());
+        metrics.gauge("brittle_servers", () -> () -> limitCounts.brittle());
         this.peers =
                 new PeerNetwork(
                         self,
--- a/src/main/java/org/orioleshed/gateway/ResponseHeaders.java
+++ b/src/main/java/org/orioleshed/gateway/ResponseHeaders.java
@@ -15,6 +15,7 @@
  *     stated
  * @param limit the request rate that the server accepts from all hosts together
  * @param warmupMillis how much longer the server is cold, in milliseconds; 0 if not stated
+ * @param brittle the rejections per second above which the server crashes
  */
 public record ResponseHeaders(
         String id,
@@ -24,7 +25,8 @@
         boolean leaving,
         long backoffMillis,
         StatedLimit limit,
-        long warmupMillis) {
+        long warmupMillis,
+        StatedLimit brittle) {
     /** Makes the values of a response that states nothing of a warm-up. */
     public ResponseHeaders(
             String id,
@@ -36,4 +38,26 @@
             StatedLimit limit) {
         this(id, signed, notRun, keepAliveMillis, leaving, backoffMillis, limit, 0);
     }
+
+    /** Makes the values of a response that does not state that the server is brittle. */
+    public ResponseHeaders(
+            String id,
+            boolean signed,
+            boolean notRun,
+            long keepAliveMillis,
+            boolean leaving,
+            long backoffMillis,
+            StatedLimit limit,
+            long warmupMillis) {
+        this(
+                id,
+                signed,
+                notRun,
+                keepAliveMillis,
+                leaving,
+                backoffMillis,
+                limit,
+                warmupMillis,
+                StatedLimit.NONE);
+    }
 }
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -145,6 +145,11 @@
         return responseHeaders == null ? StatedLimit.UNKNOWN : responseHeaders.limit();
     }
 
+    /** Returns the rejections per second above which the server crashes, as it stated. */
+    StatedLimit brittle() {
+        return responseHeaders == null ? StatedLimit.UNKNOWN : responseHeaders.brittle();
+    }
+
     /**
      * Returns the time since the last complete event or part of a plain response, in milliseconds.
      */
@@ -162,13 +167,15 @@
     RunReport end(RunReport.Outcome outcome) {
         long totalMillis = (System.nanoTime() - sentNanos) / NANOS_PER_MILLI;
         StatedLimit limit = hasEvents() ? StatedLimit.UNKNOWN : limit();
+        StatedLimit brittle = hasEvents() ? StatedLimit.UNKNOWN : brittle();
         return new RunReport(
                 outcome,
                 framer.events() - eventsBefore,
                 firstMillis,
                 totalMillis,
                 streamedMillis(),
-                limit);
+                limit,
+                brittle);
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/ServerNotices.java
+++ b/src/main/java/org/orioleshed/gateway/ServerNotices.java
@@ -16,8 +16,9 @@
 
 /**
  * The state that servers stated in their responses to this host: that they are leaving, until when
- * this host must send them nothing, and which request rate they accept from all hosts together.
- * Servers may state this before the store does, or while the store is unavailable.
+ * this host must send them nothing, which request rate they accept from all hosts together, that
+ * they are cold, and that they are brittle. Servers may state this before the store does, or while
+ * the store is unavailable.
  */
 final class ServerNotices {
     private static final long NANOS_PER_MILLI = 1_000_000;
@@ -38,6 +39,8 @@
         private long backoffUntilNanos;
         private StatedLimit limit = StatedLimit.NONE;
         private long limitNanos;
+        private StatedLimit brittle = StatedLimit.NONE;
+        private long brittleNanos;
         private long warmupMillis;
         private long warmupNanos;
 
@@ -59,6 +62,23 @@
                     : Optional.empty();
         }
 
+        /** Takes what a response states of rejections that crash the server. */
+        void updateBrittle(StatedLimit stated, long nowNanos) {
+            if (!(stated instanceof StatedLimit.Unknown)) {
+                brittle = stated;
+                brittleNanos = nowNanos;
+            }
+        }
+
+        Optional<DispatchEvent.ServerBrittle> recentBrittle(long nowNanos) {
+            boolean recent = nowNanos - brittleNanos < LIMIT_RETENTION_NANOS;
+            return recent && brittle instanceof StatedLimit.Rate rate
+                    ? Optional.of(
+                            new DispatchEvent.ServerBrittle(
+                                    server.id(), server.startMillis(), rate))
+                    : Optional.empty();
+        }
+
         /** Takes a statement that the server is cold. */
         void updateWarmup(long leftMillis, long nowNanos) {
             if (leftMillis > 0) {
@@ -118,6 +138,7 @@
         boolean newlyLeaving = responseHeaders.leaving() && !notice.leaving;
         notice.leaving |= responseHeaders.leaving();
         notice.updateWarmup(responseHeaders.warmupMillis(), nowNanos);
+        notice.updateBrittle(responseHeaders.brittle(), nowNanos);
         return new Update(newlyLeaving, notice.updateLimit(responseHeaders.limit(), nowNanos));
     }
 
@@ -126,7 +147,8 @@
         return !responseHeaders.leaving()
                 && responseHeaders.backoffMillis() <= 0
                 && responseHeaders.warmupMillis() <= 0
-                && !limited;
+                && !limited
+                && !(responseHeaders.brittle() instanceof StatedLimit.Rate);
     }
 
     /** Returns whether this host must send nothing to this incarnation of a server now. */
@@ -186,6 +208,7 @@
     List<DispatchEvent.ServerNotice> reports(long nowNanos) {
         List<DispatchEvent.ServerNotice> result = new ArrayList<>(limits(nowNanos));
         notices.values().forEach(it -> it.recentWarmup(nowNanos).ifPresent(result::add));
+        notices.values().forEach(it -> it.recentBrittle(nowNanos).ifPresent(result::add));
         return result;
     }
 
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -305,7 +305,7 @@
         }
         ResponseHeaders responseHeaders = new ResponseHeaders("", true, false, -1, false, 0, limit);
         dispatcher.noticed(server, responseHeaders);
-        dispatcher.firstEvent(run, 20, limit);
+        dispatcher.firstEvent(run, 20, limit, StatedLimit.NONE);
     }
 
     @Override
