--- a/src/main/java/org/orioleshed/dispatch/PoolState.java
+++ b/src/main/java/org/orioleshed/dispatch/PoolState.java
@@ -2,6 +2,8 @@
 
 import java.util.Optional;
 import org.orioleshed.catalog.Pool;
+import org.orioleshed.catalog.RolloutOrder;
+import org.orioleshed.model.HostId;
 
 /** The state of one pool: its servers, their speed, its queued requests and its rollout. */
 final class PoolState {
@@ -47,8 +49,38 @@
         return Optional.ofNullable(rollout);
     }
 
-    void setRollout(VersionRollout newRollout) {
-        rollout = newRollout;
+    /** Returns the rollout if its order is this one. */
+    Optional<VersionRollout> rolloutOf(RolloutOrder order) {
+        return rollout().filter(active -> active.order().equals(order));
+    }
+
+    /** Starts a rollout, unless it is the present one already. */
+    void startRollout(DispatchEvent.RolloutOrdered ordered, RolloutPolicy policy) {
+        if (rolloutOf(ordered.order()).isEmpty()) {
+            rollout = new VersionRollout(ordered.order(), policy, ordered.observedNanos());
+        }
+    }
+
+    /** Returns the most recently ordered rollout with its outcome so far. */
+    Optional<RolloutView> rolloutView() {
+        return rollout()
+                .map(
+                        active ->
+                                new RolloutView(
+                                        active.order(),
+                                        active.outcome(),
+                                        active.step(),
+                                        active::evidence));
+    }
+
+    /** Returns the evidence of a rollout under way, for the next primary. */
+    Optional<DispatchEvent.RolloutReported> rolloutReport(HostId self) {
+        return rollout()
+                .filter(active -> !active.isSettled())
+                .map(
+                        active ->
+                                new DispatchEvent.RolloutReported(
+                                        self, active.order(), active.tallies()));
     }
 
     /** Returns the queued requests. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -451,36 +451,19 @@
     }
 
     private void startRollout(DispatchEvent.RolloutOrdered ordered) {
-        PoolState pool = pool(ordered.order().service());
-        boolean alreadyOrdered =
-                pool.rollout()
-                        .map(rollout -> rollout.order().equals(ordered.order()))
-                        .orElse(false);
-        if (!alreadyOrdered) {
-            RolloutPolicy policy = ordered.evidenceHere() ? rolloutPolicy : new RolloutPolicy(0, 0);
-            pool.setRollout(new VersionRollout(ordered.order(), policy, ordered.observedNanos()));
-        }
+        RolloutPolicy policy = ordered.evidenceHere() ? rolloutPolicy : new RolloutPolicy(0, 0);
+        pool(ordered.order().service()).startRollout(ordered, policy);
     }
 
     private void settleRollout(DispatchEvent.RolloutSettled settled) {
         pool(settled.order().service())
-                .rollout()
-                .filter(rollout -> rollout.order().equals(settled.order()))
+                .rolloutOf(settled.order())
                 .ifPresent(rollout -> rollout.settle(settled.outcome()));
     }
 
     /** Returns the most recent rollout of each pool, with its outcome so far. */
     public List<RolloutView> rollouts() {
-        return pools.values().stream()
-                .flatMap(pool -> pool.rollout().stream())
-                .map(
-                        rollout ->
-                                new RolloutView(
-                                        rollout.order(),
-                                        rollout.outcome(),
-                                        rollout.step(),
-                                        rollout::evidence))
-                .toList();
+        return pools.values().stream().flatMap(pool -> pool.rolloutView().stream()).toList();
     }
 
     /**
@@ -493,15 +476,7 @@
     public List<DispatchEvent> reports(HostId self, long now) {
         List<DispatchEvent> events = new ArrayList<>();
         events.add(crashReport(self, now));
-        for (PoolState pool : pools.values()) {
-            pool.rollout()
-                    .filter(rollout -> !rollout.isSettled())
-                    .map(
-                            rollout ->
-                                    new DispatchEvent.RolloutReported(
-                                            self, rollout.order(), rollout.tallies()))
-                    .ifPresent(events::add);
-        }
+        pools.values().forEach(pool -> pool.rolloutReport(self).ifPresent(events::add));
         return events;
     }
 
@@ -552,8 +527,7 @@
     private void applyReport(DispatchEvent.RolloutReported reported) {
         if (acceptsReports()) {
             pool(reported.order().service())
-                    .rollout()
-                    .filter(rollout -> rollout.order().equals(reported.order()))
+                    .rolloutOf(reported.order())
                     .ifPresent(rollout -> rollout.applyReport(reported.host(), reported.tallies()));
         }
     }
--- a/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
+++ b/src/test/java/org/orioleshed/dispatch/DispatchCodecProperties.java
@@ -93,6 +93,21 @@
                         run, new RunReport(RunReport.Outcome.FAILED, 0, 12, 345, limit)));
     }
 
+    @Property(tries = 100, seed = "10")
+    void statedRejectionsRoundTrip(
+            @ForAll("limits") StatedLimit limit, @ForAll("limits") StatedLimit brittle)
+            throws BadMessageException {
+        RunKey run = new RunKey(new HostId("h"), 7);
+        assertRoundTrip(new DispatchEvent.First(run, 20, limit, brittle));
+        RunReport.Outcome outcome = RunReport.Outcome.REJECTED;
+        assertRoundTrip(
+                new DispatchEvent.Ended(
+                        run, new RunReport(outcome, 0, 12, 345, 0, limit, brittle)));
+        if (brittle instanceof StatedLimit.Rate rate) {
+            assertRoundTrip(new DispatchEvent.ServerBrittle(new ServerId("i-1"), 5, rate));
+        }
+    }
+
     @Property(tries = 50, seed = "7")
     void reportedLimitsRoundTrip(
             @ForAll @LongRange long startMillis, @ForAll @DoubleRange(max = 1e9) double perSecond)
--- a/src/test/java/org/orioleshed/gateway/ServerLimitRetentionTest.java
+++ b/src/test/java/org/orioleshed/gateway/ServerLimitRetentionTest.java
@@ -99,6 +99,27 @@
                 isReported ? List.of(report) : List.of());
     }
 
+    @DataProvider
+    public static Object[][] brittleAges() {
+        return new Object[][] {{0L, true}, {29L, true}, {30L, false}};
+    }
+
+    /** A new primary must not send a burst to a server that stated to a host to be brittle. */
+    @Test(dataProvider = "brittleAges")
+    public void aBrittleServerIsReportedUntilAnAnswerEndsIt(long ageSeconds, boolean isReported) {
+        ServerNotices fresh = new ServerNotices();
+        ResponseHeaders none = new ResponseHeaders("", true, false, -1, false, 0, StatedLimit.NONE);
+        ResponseHeaders brittle =
+                new ResponseHeaders("", true, false, -1, false, 0, StatedLimit.NONE, 0, ONE);
+        var unused = fresh.record(server(1), brittle, 5 * NANOS_PER_SECOND);
+        DispatchEvent.ServerBrittle report =
+                new DispatchEvent.ServerBrittle(new ServerId("a"), 1, new StatedLimit.Rate(1));
+        long laterNanos = (5 + ageSeconds) * NANOS_PER_SECOND;
+        assertEquals(fresh.reports(laterNanos), isReported ? List.of(report) : List.of());
+        unused = fresh.record(server(1), none, laterNanos);
+        assertEquals(fresh.reports(laterNanos), List.of());
+    }
+
     @Test
     public void aRestartedServerHasNoLimit() {
         respond(ONE, 5);
--- a/src/test/java/org/orioleshed/platform/PlatformHeaderTranslatorTest.java
+++ b/src/test/java/org/orioleshed/platform/PlatformHeaderTranslatorTest.java
@@ -156,6 +156,14 @@
         assertEquals(translator.readResponse(503, headers).limit(), limit);
     }
 
+    /** Guards against an unreadable value that is taken for a statement, or for its end. */
+    @Test(dataProvider = "limits")
+    public void readsServerBrittleAndMarksMalformedOneUnknown(String stated, StatedLimit brittle) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("Server-Brittle", stated);
+        assertEquals(translator.readResponse(200, headers).brittle(), brittle);
+        assertEquals(translator.readResponse(200, headers).limit(), StatedLimit.NONE);
+    }
+
     @DataProvider
     Object[][] warmups() {
         return new Object[][] {
