Tests choose ports below the range of outgoing connections; a bound for each case of brittle pools

BrittlePoolTest's bound was a quarter for all cases; it is half again for all but the one that needs the quarter.

--- a/src/test/java/org/orioleshed/dispatch/BrittlePoolTest.java
+++ b/src/test/java/org/orioleshed/dispatch/BrittlePoolTest.java
@@ -148,12 +148,18 @@
 
     @DataProvider
     public static Object[][] queues() {
-        return new Object[][] {{6, 0.0}, {6, 0.5}, {5, 1.0}, {4, 3.0}, {3, 7.5}};
+        // At N = 1 each rejection stops its server for a second, so that a capacity below the slots
+        // is
+        // used only in part: 33% were measured.
+        return new Object[][] {
+            {6, 0.0, 0.5}, {6, 0.5, 0.5}, {5, 1.0, 0.25}, {4, 3.0, 0.5}, {3, 7.5, 0.5}
+        };
     }
 
     /** Guards against servers that crash one after the other in a burst, and against idle ones. */
     @Test(dataProvider = "queues")
-    public void aBurstOnShrunkenQueuesCrashesFewServers(int capacity, double rejections) {
+    public void aBurstOnShrunkenQueuesCrashesFewServers(
+            int capacity, double rejections, double leastUsed) {
         SchedulerFixture primary = pool(new SchedulerFixture(), rejections);
         demand(500, 5, List.of(primary));
         fakes.values().forEach(fake -> fake.capacity = capacity);
@@ -161,10 +167,10 @@
         demand(8_000, 8, List.of(primary));
         assertTrue(crashes() <= MAX_CRASHES, crashes() + " crashes");
         assertWithinSlots();
-        // Runs of 200 ms for 8 s. At N = 1 each rejection stops its server for a second, so that a
-        // capacity below the slots is used only in part: 33% were measured.
+        // Runs of 200 ms for 8 s.
         int possible = SERVERS * capacity * 40;
-        assertTrue(answered - before >= possible / 4, (answered - before) + " of " + possible);
+        assertTrue(
+                answered - before >= leastUsed * possible, (answered - before) + " of " + possible);
     }
 
     /** Guards against a new primary, or hosts without one, that fill servers which are in use. */
--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -117,7 +117,14 @@
                         RequestAcceptor.class,
                         (proxy, method, arguments) ->
                                 switch (method.getName()) {
-                                    case "startQueue" -> queue;
+                                    case "hold" ->
+                                            queue.hold(
+                                                    (CallerConnection) arguments[0],
+                                                    (CallerRequest) arguments[1]);
+                                    case "withdraw" -> {
+                                        queue.withdraw((StartQueue.PendingStart) arguments[0]);
+                                        yield null;
+                                    }
                                     case "buffers" -> buffers;
                                     case "limits" -> CallerLimits.DEFAULT;
                                     case "opened", "isLeaving" -> false;
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -201,10 +200,8 @@
         await(() -> logBytes.toString(StandardCharsets.UTF_8).contains("server=i-2"));
     }
 
-    private static InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        }
+    private static InetSocketAddress freeAddress() {
+        return FreePorts.choose(InetAddress.getLoopbackAddress());
     }
 
     /** Connects to the callers' listener. */
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -156,28 +155,13 @@
         return entries;
     }
 
-    private static InetSocketAddress free(InetAddress address) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, address)) {
-            return new InetSocketAddress(address, socket.getLocalPort());
-        }
+    private static InetSocketAddress free(InetAddress address) {
+        return FreePorts.choose(address);
     }
 
     /** Returns an address whose port and the two after it are free. */
     private static InetSocketAddress freeRange(String ip) throws IOException {
-        InetAddress address = InetAddress.getByName(ip);
-        InetSocketAddress first = free(address);
-        while (!isFree(address, first.getPort() + 1) || !isFree(address, first.getPort() + 2)) {
-            first = free(address);
-        }
-        return first;
-    }
-
-    private static boolean isFree(InetAddress address, int port) {
-        try (ServerSocket socket = new ServerSocket(port, 1, address)) {
-            return socket.isBound();
-        } catch (IOException | IllegalArgumentException e) {
-            return false;
-        }
+        return FreePorts.chooseRange(InetAddress.getByName(ip), 3);
     }
 
     /** Breaks or repairs the first host's paths to the first {@code count} servers. */
