--- a/src/main/java/org/orioleshed/gateway/Forwarding.java
+++ b/src/main/java/org/orioleshed/gateway/Forwarding.java
@@ -16,11 +16,13 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.DispatchCodec;
 import org.orioleshed.dispatch.DispatchMessage;
 import org.orioleshed.membership.Member;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
@@ -36,6 +38,9 @@
     /** The relay listener's port, relative to the peer port; metrics are between them. */
     static final int PORT_OFFSET = 2;
 
+    /** The reason of a relay that can't reach the pool itself. */
+    static final String POOL_UNREACHABLE = "pool_unreachable";
+
     /** A connection that is reset after it was established is reset within a round trip. */
     private static final long TRIAL_HOLD_MILLIS = 50;
 
@@ -216,9 +221,16 @@
         return enabled ? reachability.unreachable(service, System.nanoTime()) : Set.of();
     }
 
-    /** Returns a relay to which a request was not sent yet; empty if there is none. */
-    Optional<Member> chooseRelay(ServiceId service, Set<HostId> tried) {
-        return selector.choose(fleet.live(), service, tried, System.nanoTime());
+    /**
+     * Returns a relay to which a request was not sent yet; empty if there is none.
+     *
+     * @param mayReceiveBody whether the body may be sent to a host of a failure domain
+     */
+    Optional<Member> chooseRelay(
+            ServiceId service, Set<HostId> tried, Predicate<FailureDomain> mayReceiveBody) {
+        List<Member> allowed =
+                fleet.live().stream().filter(it -> mayReceiveBody.test(it.domain())).toList();
+        return selector.choose(allowed, service, tried, System.nanoTime());
     }
 
     void sent(Member relay) {
@@ -234,7 +246,7 @@
     RelayRefusal refusal(HttpHeaders headers) {
         return translator
                 .relayRefusal(headers)
-                .orElse(new RelayRefusal(RelayRefusal.Kind.BUSY, -1));
+                .orElse(new RelayRefusal(RelayRefusal.Kind.BUSY, false, -1));
     }
 
     /** Records that a relay did not run a request. */
@@ -267,13 +279,13 @@
     }
 
     /** Marks a response to a forwarding host as "not run". */
-    void markNotRun(HttpHeaders headers, String reason) {
-        translator.markNotRun(headers, kind(reason));
+    void markNotRun(HttpHeaders headers, String reason, boolean charged) {
+        translator.markNotRun(headers, kind(reason), charged);
     }
 
     private static RelayRefusal.Kind kind(String reason) {
         String code = reason.toLowerCase(Locale.ROOT);
-        if (code.startsWith("unreachable")) {
+        if (code.equals(POOL_UNREACHABLE)) {
             return RelayRefusal.Kind.UNREACHABLE;
         }
         return Set.of("quota", "overload", "no_server", "held", "time_over").contains(code)
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.net.InetSocketAddress;
@@ -85,7 +86,7 @@
     private volatile int quarantined;
     private volatile int evacuatedDomains;
     private volatile int pacedServers;
-    private volatile LimitCounts limitCounts = new LimitCounts(0, 0);
+    private volatile LimitCounts limitCounts = new LimitCounts(0, 0, 0);
     private final EventLoopClock loopClock = new EventLoopClock(NioIoHandler.newFactory());
     private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, loopClock);
     private final EventLoop loop = group.next();
@@ -154,6 +155,7 @@
         metrics.gauge("paced_servers", () -> () -> pacedServers);
         metrics.gauge("rate_limited_servers", () -> () -> limitCounts.limited());
         metrics.gauge("cold_servers", () -> () -> limitCounts.cold());
+        metrics.gauge("brittle_servers", () -> () -> limitCounts.brittle());
         this.peers =
                 new PeerNetwork(
                         self,
@@ -367,9 +369,18 @@
         }
     }
 
+    /** A failure of one exchange must not delay the deadlines of the others. */
+    private void tick(Exchange exchange, long nowNanos) {
+        try {
+            exchange.tick(nowNanos);
+        } catch (RuntimeException e) {
+            failed("exchange", e);
+        }
+    }
+
     private void tickNow() {
         long nowNanos = System.nanoTime();
-        List.copyOf(exchanges).forEach(exchange -> exchange.tick(nowNanos));
+        List.copyOf(exchanges).forEach(exchange -> tick(exchange, nowNanos));
         dispatcher.tick();
         quarantined = dispatcher.held().size();
         pacedServers = dispatcher.pacedServers();
@@ -379,6 +390,7 @@
             slowTickNanos = nowNanos;
             fleet.tick();
             forwarding.tick();
+            buffers.refresh();
             List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
             pools.values().forEach(pool -> pool.closeExpired(nowNanos));
         }
@@ -539,6 +551,9 @@
         return buffers;
     }
 
+    @Override
+    public void markRejected(HttpHeaders headers) {}
+
     @Override
     public Exchange exchange(CallerConnection connection, CallerRequest request) {
         acceptedRequests.inc();
