A host that reaches servers of its own failure domain has not lost the pool

In a partition between failure domains, a host reaches the servers of its own: a quarter of the pool where there are four, which counted as lost, so that all hosts of the domain handed requests to each other.

--- a/src/main/java/org/orioleshed/gateway/Forwarding.java
+++ b/src/main/java/org/orioleshed/gateway/Forwarding.java
@@ -56,7 +56,7 @@
     private final Bootstrap bootstrap;
     private final IntSupplier exchangesInFlight;
     private final Consumer<String> log;
-    private final ServerReachability reachability = new ServerReachability();
+    private final ServerReachability reachability;
     private final RelaySelector selector;
     private final RelayLimit limit = new RelayLimit();
     private final Counter forwarded;
@@ -86,6 +86,7 @@
             Consumer<String> log) {
         this.enabled = enabled;
         this.self = self;
+        this.reachability = new ServerReachability(self.domain());
         this.fleet = fleet;
         this.peers = peers;
         this.translator = translator;
--- a/src/main/java/org/orioleshed/gateway/ServerReachability.java
+++ b/src/main/java/org/orioleshed/gateway/ServerReachability.java
@@ -11,7 +11,9 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.orioleshed.catalog.PoolServer;
+import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
 
@@ -45,6 +47,9 @@
      */
     private static final int MAX_TRIALS = 8;
 
+    /** Of these at least so many go to servers of the host's own failure domain, if it has any. */
+    private static final int MAX_OWN_TRIALS = 2;
+
     /** A pool is lost at this fraction of reached servers, and returned above the other one. */
     private static final double LOST_FRACTION = 0.25;
 
@@ -60,6 +65,7 @@
             Comparator.comparingLong((Reach it) -> it.tried ? it.triedNanos : Long.MIN_VALUE)
                     .thenComparingInt(it -> it.order);
 
+    private final FailureDomain own;
     private final Map<ServiceId, PoolReach> pools = new HashMap<>();
     private final Map<ServerId, PoolReach> poolOfServer = new HashMap<>();
 
@@ -180,12 +186,31 @@
             return (int) servers.values().stream().filter(it -> it.isFresh(nowNanos)).count();
         }
 
+        /** Returns whether a server of a failure domain was reached lately. */
+        boolean reaches(FailureDomain domain, long nowNanos) {
+            return servers.values().stream()
+                    .anyMatch(
+                            it ->
+                                    it.isFresh(nowNanos)
+                                            && it.connected
+                                            && it.server.domain().equals(domain));
+        }
+
         int failed(long nowNanos) {
             return (int)
                     servers.values().stream().filter(it -> it.isFreshFailure(nowNanos)).count();
         }
     }
 
+    /**
+     * Creates the state of a host that has tried no server.
+     *
+     * @param own the failure domain of the host
+     */
+    ServerReachability(FailureDomain own) {
+        this.own = own;
+    }
+
     /** Takes an event and returns what is to be done. */
     List<Action> on(long nowNanos, Event event) {
         List<Action> actions = new ArrayList<>();
@@ -277,7 +302,7 @@
         }
     }
 
-    private static void decide(PoolReach pool, long nowNanos, List<Action> actions) {
+    private void decide(PoolReach pool, long nowNanos, List<Action> actions) {
         if (!pool.lost && !pool.suspected) {
             return;
         }
@@ -285,7 +310,11 @@
         int failed = pool.failed(nowNanos);
         int reached = tried - failed;
         boolean enough = tried >= Math.min(MAX_TRIALS, pool.servers.size());
-        if (!pool.lost && enough && failed > 0 && reached <= LOST_FRACTION * tried) {
+        boolean fewReached = failed > 0 && reached <= LOST_FRACTION * tried;
+        // A host that reaches the servers of its own domain is cut off with the whole domain: so
+        // are
+        // its relays, and placing there directly is best.
+        if (!pool.lost && enough && fewReached && !pool.reaches(own, nowNanos)) {
             pool.lost = true;
             actions.add(new Action.Lost(pool.service, reached, tried));
         } else if (pool.lost && enough && reached >= RETURNED_FRACTION * tried) {
@@ -306,13 +335,20 @@
     }
 
     /**
-     * Tries the servers whose last trial is longest ago, in an order that mixes failure domains.
+     * Tries the servers whose last trial is longest ago: some of this host's failure domain, and
+     * others in an order that mixes failure domains.
      */
-    private static void startTrials(PoolReach pool, long nowNanos, List<Action> actions) {
+    private void startTrials(PoolReach pool, long nowNanos, List<Action> actions) {
         long running = pool.servers.values().stream().filter(it -> it.trying).count();
-        pool.servers.values().stream()
-                .filter(it -> it.mayTry(TRIAL_INTERVAL_NANOS, nowNanos))
-                .sorted(TRIAL_ORDER)
+        List<Reach> due =
+                pool.servers.values().stream()
+                        .filter(it -> it.mayTry(TRIAL_INTERVAL_NANOS, nowNanos))
+                        .sorted(TRIAL_ORDER)
+                        .toList();
+        Stream<Reach> ownDomain =
+                due.stream().filter(it -> it.server.domain().equals(own)).limit(MAX_OWN_TRIALS);
+        Stream.concat(ownDomain, due.stream())
+                .distinct()
                 .limit(Math.max(0, MAX_TRIALS - running))
                 .forEach(it -> actions.add(it.startTrial(nowNanos)));
     }
--- a/src/test/java/org/orioleshed/gateway/ServerReachabilityTest.java
+++ b/src/test/java/org/orioleshed/gateway/ServerReachabilityTest.java
@@ -24,6 +24,7 @@
     private static final ServiceId POOL = new ServiceId("pool");
     private static final long NANOS_PER_MILLI = 1_000_000;
     private static final int STEP_MILLIS = 50;
+    private static final FailureDomain OWN = new FailureDomain("own");
 
     /** A connection attempt that hangs fails after this many steps. */
     private static final int HANG_STEPS = 6;
@@ -40,7 +41,11 @@
     private record Pending(ServerId server, long dueNanos) {}
 
     private void start(int count) {
-        reachability = new ServerReachability();
+        start(count, List.of(new FailureDomain("z")));
+    }
+
+    private void start(int count, List<FailureDomain> domains) {
+        reachability = new ServerReachability(OWN);
         servers = new ArrayList<>();
         trials = new ArrayList<>();
         decisions = new ArrayList<>();
@@ -52,7 +57,7 @@
                             new ServerId("s" + i),
                             POOL,
                             new InetSocketAddress("10.0.0.1", 1_000 + i),
-                            new FailureDomain("z"),
+                            domains.get(i % domains.size()),
                             new VersionId("v"),
                             6,
                             false,
@@ -142,6 +147,32 @@
         assertFalse(reachability.mustForward(POOL));
     }
 
+    @DataProvider
+    Object[][] serversPerDomain() {
+        return new Object[][] {{1}, {2}, {15}};
+    }
+
+    /** Guards against forwarding by all hosts of a failure domain that is cut off from others. */
+    @Test(dataProvider = "serversPerDomain")
+    public void aPartitionBetweenDomainsIsNoLoss(int perDomain) {
+        List<FailureDomain> domains = new ArrayList<>(List.of(OWN));
+        for (int i = 1; i < 6; i++) {
+            domains.add(new FailureDomain("d" + i));
+        }
+        start(6 * perDomain, domains);
+        for (PoolServer server : servers) {
+            if (!server.domain().equals(OWN)) {
+                broken.add(server.id());
+                send(new Event.ConnectFailed(server.id()));
+            }
+        }
+        run(5_000);
+        assertEquals(decisions, List.of());
+        servers.forEach(server -> broken.add(server.id()));
+        run(1_500);
+        assertTrue(reachability.mustForward(POOL));
+    }
+
     /** Guards against placements on servers that only this host can't reach. */
     @Test
     public void namesTheUnreachableHalf() {
