--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -55,6 +55,7 @@
     private final CallerConnection caller;
     private final CallerRequest request;
     private final CallHeaders callHeaders;
+    private final ExchangeLog log;
     private final Set<ServerId> excluded = new HashSet<>();
     private final EventFramer framer = new EventFramer();
     private State state = State.WAITING_FOR_CONFIG;
@@ -94,6 +95,7 @@
         this.caller = caller;
         this.request = request;
         this.callHeaders = context.translator().read(request.headers());
+        this.log = new ExchangeLog(context::log, request, callHeaders);
     }
 
     /** Returns the exchange for a request that arrived at the listener for forwarded requests. */
@@ -170,18 +172,7 @@
     }
 
     private void logUnfinished() {
-        context.log(
-                "event=unfinished request=%s run=%s state=%s server=%s events=%d output_tokens=%d"
-                                .formatted(
-                                        callHeaders.id(),
-                                        run,
-                                        state,
-                                        currentAttempt == null
-                                                ? "none"
-                                                : currentAttempt.server().id(),
-                                        framer.events(),
-                                        callHeaders.outputTokens())
-                        + " total_ms=%d".formatted(request.ageMillis(System.nanoTime())));
+        log.unfinished(run, state.name(), currentAttempt, framer.events());
     }
 
     /** Serves the request if it waited for the first configuration. */
@@ -235,19 +226,7 @@
         long nowNanos = System.nanoTime();
         long limitMillis = callerRemainingMillis(nowNanos);
         boolean accepted = context.shutdownPolicy().accepts(limitMillis, nowNanos);
-        context.log(
-                "event=%s request=%s number_on_connection=%d age_ms=%d"
-                                .formatted(
-                                        accepted
-                                                ? "taken_while_leaving"
-                                                : "not_taken_while_leaving",
-                                        callHeaders.id(),
-                                        request.number(),
-                                        request.ageMillis(nowNanos))
-                        + " host_ends_in_ms=%d limit_ms=%d"
-                                .formatted(
-                                        context.shutdownPolicy().leftMillis(nowNanos),
-                                        limitMillis));
+        log.whileLeaving(accepted, context.shutdownPolicy().leftMillis(nowNanos), limitMillis);
         return accepted;
     }
 
@@ -370,9 +349,7 @@
      * Nothing was sent, so this counts neither as a retry nor against the server.
      */
     private void placeElsewhere(PoolServer server) {
-        context.log(
-                "event=grant_unused request=%s run=%s server=%s domain=%s"
-                        .formatted(callHeaders.id(), run, server.id(), server.domain()));
+        log.grantUnused(run, server);
         context.dispatcher().ended(run, new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
         excluded.add(server.id());
         place();
@@ -423,17 +400,14 @@
                         framer,
                         this,
                         nowNanos);
-        context.log(
-                "event=placed request=%s run=%s config=%d route=%s rank=%d server=%s try=%d"
-                                .formatted(
-                                        callHeaders.id(),
-                                        run,
-                                        context.snapshot().configRevision(),
-                                        route.id(),
-                                        rank(),
-                                        server.id(),
-                                        retryRule.attempts())
-                        + " waited_ms=%d %s".formatted(request.ageMillis(nowNanos), why));
+        log.placed(
+                run,
+                context.snapshot().configRevision(),
+                route.id(),
+                rank(),
+                server.id(),
+                retryRule.attempts(),
+                why);
         if (relays.isRelay(server)) {
             relays.sent();
         }
@@ -533,27 +507,15 @@
         }
         context.forwarding().observe(new ServerReachability.Event.Responded(attempt.server().id()));
         if (responseHeaders.backoffMillis() > 0) {
-            context.log(
-                    "event=server_rests request=%s server=%s rest_ms=%d"
-                            .formatted(
-                                    callHeaders.id(),
-                                    attempt.server().id(),
-                                    responseHeaders.backoffMillis()));
+            log.serverRests(attempt.server().id(), responseHeaders.backoffMillis());
         }
         ServerNotices.Update update =
                 context.dispatcher().noticed(attempt.server(), responseHeaders);
         if (update.newlyLeaving()) {
-            context.log(
-                    "event=server_leaving request=%s server=%s"
-                            .formatted(callHeaders.id(), attempt.server().id()));
+            log.serverLeaving(attempt.server().id());
         }
         if (update.limitChanged()) {
-            context.log(
-                    "event=server_limit request=%s server=%s per_second=%s"
-                            .formatted(
-                                    callHeaders.id(),
-                                    attempt.server().id(),
-                                    responseHeaders.limit()));
+            log.serverLimit(attempt.server().id(), responseHeaders.limit());
         }
     }
 
@@ -654,24 +616,14 @@
         if (state == State.DONE) {
             return;
         }
-        context.log(
-                "event=failed_try request=%s run=%s server=%s proved=%s try=%d reason=\"%s\""
-                                .formatted(
-                                        callHeaders.id(),
-                                        run,
-                                        currentAttempt == null
-                                                ? "none"
-                                                : currentAttempt.server().id(),
-                                        proved,
-                                        retryRule.attempts(),
-                                        reason)
-                        + " %s events=%d streamed_ms=%d"
-                                .formatted(
-                                        content,
-                                        framer.events(),
-                                        currentAttempt == null
-                                                ? 0
-                                                : currentAttempt.streamedMillis()));
+        log.failedAttempt(
+                run,
+                currentAttempt,
+                proved,
+                retryRule.attempts(),
+                reason,
+                content,
+                framer.events());
         long nowNanos = System.nanoTime();
         if (mustLeaveToAnotherHost(nowNanos)) {
             failUnplaced(LEAVING, 0);
@@ -720,21 +672,13 @@
         relays.finished();
         long totalMillis = request.ageMillis(System.nanoTime());
         context.finished(this, status, totalMillis);
-        context.log(
-                "event=done request=%s route=%s workspace=%s status=%d outcome=\"%s\" total_ms=%d"
-                                .formatted(
-                                        callHeaders.id(),
-                                        route == null ? "none" : route.id(),
-                                        workspaceConfig
-                                                .map(it -> it.workspace().value())
-                                                .orElse("none"),
-                                        status,
-                                        outcome,
-                                        totalMillis)
-                        + " events=%d tries=%d"
-                                .formatted(
-                                        framer.events(),
-                                        retryRule == null ? 0 : retryRule.attempts()));
+        log.done(
+                route == null ? "none" : route.id().value(),
+                workspaceConfig.map(it -> it.workspace().value()).orElse("none"),
+                status,
+                outcome,
+                framer.events(),
+                retryRule == null ? 0 : retryRule.attempts());
     }
 
     /** Ends the request because its caller disconnected. */
