Cold and brittle servers share one class for the rank of a host

Both kept the known hosts and a cache of the ranks in them, and computed a rank in the same way over different lists of hosts. No change of behaviour.

--- a/src/main/java/org/orioleshed/dispatch/BrittleServers.java
+++ b/src/main/java/org/orioleshed/dispatch/BrittleServers.java
@@ -1,11 +1,9 @@
 package org.orioleshed.dispatch;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.orioleshed.catalog.PoolServer;
-import org.orioleshed.fleet.Rendezvous;
 import org.orioleshed.model.ServerId;
 
 /**
@@ -20,10 +18,9 @@
     private static final int UNLIMITED = Integer.MAX_VALUE;
 
     private final Map<ServerId, BrittleServer> servers = new LinkedHashMap<>();
-    private final Map<ServerId, Integer> ranks = new HashMap<>();
+    private final HostRanks ranks = new HostRanks(KnownHosts::live);
     private final Quotas.Role role;
     private final Consumer<String> log;
-    private KnownHosts hosts = KnownHosts.NONE;
 
     BrittleServers(Quotas.Role role, Consumer<String> log) {
         this.role = role;
@@ -32,10 +29,7 @@
 
     /** Sets the hosts among which fallbacks share the servers. */
     void setHosts(KnownHosts newHosts) {
-        if (!hosts.equals(newHosts)) {
-            hosts = newHosts;
-            ranks.clear();
-        }
+        ranks.setHosts(newHosts);
     }
 
     /** Returns the number of brittle servers. */
@@ -148,7 +142,7 @@
         }
         return switch (role) {
             case PRIMARY -> recorded.window();
-            case FALLBACK -> rank(server.id()) < server.slots() ? 1 : 0;
+            case FALLBACK -> ranks.of(server.id()) < server.slots() ? 1 : 0;
         };
     }
 
@@ -162,16 +156,4 @@
         return state.running() < window(state.server())
                 && recorded.admits(state.running(), unanswered, nowNanos);
     }
-
-    private int rank(ServerId server) {
-        return ranks.computeIfAbsent(server, this::rankOfSelf);
-    }
-
-    private int rankOfSelf(ServerId server) {
-        int rank =
-                hosts.self()
-                        .map(self -> Rendezvous.ranked(hosts.live(), server.value()).indexOf(self))
-                        .orElse(-1);
-        return rank < 0 ? Integer.MAX_VALUE : rank;
-    }
 }
--- a/src/main/java/org/orioleshed/dispatch/ColdServers.java
+++ b/src/main/java/org/orioleshed/dispatch/ColdServers.java
@@ -1,14 +1,10 @@
 package org.orioleshed.dispatch;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import org.orioleshed.catalog.Pool;
 import org.orioleshed.catalog.PoolServer;
-import org.orioleshed.fleet.Rendezvous;
-import org.orioleshed.model.HostId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
 
@@ -23,13 +19,12 @@
     private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final Map<ServerId, ColdServer> servers = new LinkedHashMap<>();
-    private final Map<ServerId, Integer> ranks = new HashMap<>();
+    private final HostRanks ranks = new HostRanks(KnownHosts::possible);
     private final ColdBound bound;
     private final Quotas.Role role;
     private final Consumer<String> log;
     private Map<ServiceId, Pool> pools = Map.of();
     private double share = 1;
-    private KnownHosts hosts = KnownHosts.NONE;
 
     ColdServers(ColdBound bound, Quotas.Role role, Consumer<String> log) {
         this.bound = bound;
@@ -44,10 +39,7 @@
     /** Sets the share of a primary, and the hosts among which fallbacks share. */
     void setShare(DispatchEvent.ShareChanged changed) {
         share = changed.quota();
-        if (!hosts.equals(changed.hosts())) {
-            hosts = changed.hosts();
-            ranks.clear();
-        }
+        ranks.setHosts(changed.hosts());
     }
 
     /** Takes what a server stated of its warm-up. */
@@ -143,23 +135,15 @@
      * that the part is given to as many hosts as it has whole requests, one per second to each.
      */
     private ColdServer.Allotment ofFallback(ServerId server, double whole) {
+        KnownHosts hosts = ranks.hosts();
         double known =
                 hosts.assumed() == 0 ? 0 : (double) hosts.possible().size() / hosts.assumed();
         int sharers = (int) (whole * Math.min(1, known));
-        return sharers > 0 && ranks.computeIfAbsent(server, this::rank) < sharers
+        return sharers > 0 && ranks.of(server) < sharers
                 ? new ColdServer.Allotment(1, 1)
                 : ColdServer.Allotment.NOTHING;
     }
 
-    private int rank(ServerId server) {
-        int rank = hosts.self().map((HostId self) -> ranked(server).indexOf(self)).orElse(-1);
-        return rank < 0 ? Integer.MAX_VALUE : rank;
-    }
-
-    private List<HostId> ranked(ServerId server) {
-        return Rendezvous.ranked(hosts.possible(), server.value());
-    }
-
     /** Logs the servers whose cold state is over, and removes what is no longer needed. */
     void tick(long nowNanos) {
         servers.forEach(
