--- a/src/main/java/org/orioleshed/gateway/Forwarding.java
+++ b/src/main/java/org/orioleshed/gateway/Forwarding.java
@@ -245,9 +245,7 @@
 
     /** Returns why a relay did not run a request. */
     RelayRefusal refusal(HttpHeaders headers) {
-        return translator
-                .relayRefusal(headers)
-                .orElse(new RelayRefusal(RelayRefusal.Kind.BUSY, false, -1));
+        return translator.relayRefusal(headers).orElse(RelayRefusal.UNSTATED);
     }
 
     /** Records that a relay did not run a request. */
--- a/src/main/java/org/orioleshed/gateway/RelayAttempts.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAttempts.java
@@ -137,7 +137,7 @@
         refusals++;
         RelayRefusal refusal =
                 outcome == RunReport.Outcome.UNREACHABLE
-                        ? new RelayRefusal(RelayRefusal.Kind.BUSY, false, -1)
+                        ? RelayRefusal.UNSTATED
                         : forwarding.refusal(attempt.headers());
         forwarding.refused(relay, attempt.server().service(), refusal);
         return refusal;
--- a/src/main/java/org/orioleshed/gateway/RelayRefusal.java
+++ b/src/main/java/org/orioleshed/gateway/RelayRefusal.java
@@ -8,6 +8,9 @@
  * @param retryAfterMillis when the caller should retry, in milliseconds; negative if not stated
  */
 public record RelayRefusal(Kind kind, boolean charged, long retryAfterMillis) {
+    /** The refusal of a relay that stated no reason. */
+    static final RelayRefusal UNSTATED = new RelayRefusal(Kind.BUSY, false, -1);
+
     /** The reason of a refusal. */
     public enum Kind {
         /** The relay could not serve the request now; another relay may. */
--- a/src/main/java/org/orioleshed/gateway/ServerReachability.java
+++ b/src/main/java/org/orioleshed/gateway/ServerReachability.java
@@ -311,9 +311,8 @@
         int reached = tried - failed;
         boolean enough = tried >= Math.min(MAX_TRIALS, pool.servers.size());
         boolean fewReached = failed > 0 && reached <= LOST_FRACTION * tried;
-        // A host that reaches the servers of its own domain is cut off with the whole domain: so
-        // are
-        // its relays, and placing there directly is best.
+        // A host that reaches the servers of its own domain is cut off with the whole domain,
+        // and so are its relays: placing there directly is best.
         if (!pool.lost && enough && fewReached && !pool.reaches(own, nowNanos)) {
             pool.lost = true;
             actions.add(new Action.Lost(pool.service, reached, tried));
--- a/src/test/java/org/orioleshed/dispatch/BrittlePoolTest.java
+++ b/src/test/java/org/orioleshed/dispatch/BrittlePoolTest.java
@@ -149,8 +149,7 @@
     @DataProvider
     public static Object[][] queues() {
         // At N = 1 each rejection stops its server for a second, so that a capacity below the slots
-        // is
-        // used only in part: 33% were measured.
+        // is used only in part: 33% were measured.
         return new Object[][] {
             {6, 0.0, 0.5}, {6, 0.5, 0.5}, {5, 1.0, 0.25}, {4, 3.0, 0.5}, {3, 7.5, 0.5}
         };
