--- a/review/standins/review/StoreStandIn.java
+++ b/review/standins/review/StoreStandIn.java
@@ -29,6 +29,7 @@
     private final ServerSocket server = new ServerSocket();
     private long revision = 1;
     private long nextLease = 1;
+    private int cuts;
 
     private record Item(byte[] value, long revision, long created, long lease) {}
 
@@ -74,6 +75,12 @@
         return revision;
     }
 
+    /** Cuts all waiting watches: their channels are closed without an answer. */
+    synchronized void cutWatches() {
+        cuts++;
+        notifyAll();
+    }
+
     private void accept() {
         while (true) {
             try {
@@ -179,10 +186,14 @@
     }
 
     private synchronized int watch(String prefix, long after, long waitMillis, ObjectNode body)
-            throws InterruptedException {
+            throws InterruptedException, IOException {
+        int cutsBefore = cuts;
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
         ArrayNode found = body.putArray("events");
         while (true) {
+            if (cuts != cutsBefore) {
+                throw new IOException("the watch is cut");
+            }
             for (Event event : events) {
                 if (event.revision > after && event.key.startsWith(prefix)) {
                     if (event.item == null) {
--- a/review/standins/review/Worker.java
+++ b/review/standins/review/Worker.java
@@ -8,7 +8,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /** A worker that registers in the store, and runs plain calls and streams. */
@@ -21,6 +23,7 @@
     private final long bornMillis = System.currentTimeMillis();
     private final ServerSocket server = new ServerSocket();
     private final AtomicInteger running = new AtomicInteger();
+    private final List<Double> runSeconds = new CopyOnWriteArrayList<>();
     private volatile long workMillis;
     private volatile int events;
     private volatile long eventMillis;
@@ -53,6 +56,15 @@
         return id;
     }
 
+    /** Returns the number of runs that began at a time or later. */
+    long runsFrom(double seconds) {
+        return runSeconds.stream().filter(it -> it >= seconds).count();
+    }
+
+    double lastRunSeconds() {
+        return runSeconds.isEmpty() ? 0 : runSeconds.getLast();
+    }
+
     /** Returns the worker's entry in the store. */
     String entry(String state) {
         return """
@@ -116,6 +128,7 @@
                                 call.line().split(" ")[1],
                                 call.header("x-tenant"),
                                 call.body().length));
+        runSeconds.add(Record.seconds());
         running.incrementAndGet();
         try {
             Thread.sleep(workMillis);
