--- a/review/standins/review/StoreStandIn.java
+++ b/review/standins/review/StoreStandIn.java
@@ -30,11 +30,21 @@
     private long revision = 1;
     private long nextLease = 1;
     private int cuts;
+    private int era = 1;
+    private boolean away;
+    private Copy copy;
 
     private record Item(byte[] value, long revision, long created, long lease) {}
 
     private record Event(String key, long revision, Item item) {}
 
+    /** A copy of the store's contents, from which it may come back. */
+    private record Copy(
+            TreeMap<String, Item> items,
+            List<Event> events,
+            Map<Long, Lease> leases,
+            long revision) {}
+
     private record Lease(long ttlMillis, long endNanos) {}
 
     StoreStandIn(String ip) throws IOException {
@@ -75,6 +85,40 @@
         return revision;
     }
 
+    /** Takes the copy from which {@link #restore} brings the store back. */
+    synchronized void takeCopy() {
+        copy =
+                new Copy(
+                        new TreeMap<>(items), new ArrayList<>(events), new HashMap<>(leases), revision);
+    }
+
+    /** The store is away: it answers 503, and waiting watches are cut. */
+    synchronized void goAway() {
+        away = true;
+        cutWatches();
+    }
+
+    /** The store comes back from its copy, in a new era. */
+    synchronized void restore() {
+        items.clear();
+        items.putAll(copy.items);
+        events.clear();
+        events.addAll(copy.events);
+        leases.clear();
+        leases.putAll(copy.leases);
+        revision = copy.revision;
+        era++;
+        away = false;
+    }
+
+    private synchronized int era() {
+        return era;
+    }
+
+    private synchronized boolean isAway() {
+        return away;
+    }
+
     /** Cuts all waiting watches: their channels are closed without an answer. */
     synchronized void cutWatches() {
         cuts++;
@@ -98,11 +142,15 @@
             BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
             for (Http.Message call = Http.read(in); call != null; call = Http.read(in)) {
                 ObjectNode body = MAPPER.createObjectNode();
-                int status = handle(call, body);
+                int status = isAway() ? 503 : handle(call, body);
                 Http.write(
                         socket.getOutputStream(),
                         "HTTP/1.1 " + status + " X",
-                        Map.of("Content-Type", "application/json"),
+                        Map.of(
+                                "Content-Type",
+                                "application/json",
+                                "Store-Era",
+                                String.valueOf(era())),
                         MAPPER.writeValueAsBytes(body));
             }
         } catch (IOException | InterruptedException e) {
@@ -187,6 +235,9 @@
 
     private synchronized int watch(String prefix, long after, long waitMillis, ObjectNode body)
             throws InterruptedException, IOException {
+        if (after > revision) {
+            return 410;
+        }
         int cutsBefore = cuts;
         long endNanos = System.nanoTime() + waitMillis * 1_000_000;
         ArrayNode found = body.putArray("events");
