Log how each answer ended, and how its caller was told

Change: the framing of a response is a type, BodyEnd; 'done' and 'failed_try' log it for the server's answer, with the bytes of an unfinished event, and 'done' for the caller's answer. No decision changes.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -25,13 +25,15 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+
+import org.orioleshed.catalog.CallerLimits;
+import org.orioleshed.model.Payload;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
-import org.orioleshed.catalog.CallerLimits;
-import org.orioleshed.model.Payload;
 
 /**
  * One caller's connection. Reads whole requests one at a time and writes the responses in order.
@@ -377,6 +379,21 @@
         acceptor.buffers().update(this);
     }
 
+    /**
+     * Returns how the caller is told the end of its response.
+     *
+     * @param stream whether the response is written in parts
+     */
+    BodyEnd bodyEnd(boolean stream) {
+        if (headOnly) {
+            return BodyEnd.NO_BODY;
+        }
+        if (!stream) {
+            return BodyEnd.LENGTH;
+        }
+        return chunkedResponse ? BodyEnd.LAST_CHUNK : BodyEnd.CONNECTION;
+    }
+
     /** Writes the head of a streamed response. */
     void beginStream(HttpResponseStatus status, HttpHeaders headers) {
         keepAlive = prepareHeaders(headers);
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -4,10 +4,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import java.util.HashSet;
-import java.util.Locale;
-import java.util.Optional;
-import java.util.Set;
+
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.PoolServer;
@@ -20,6 +17,11 @@
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
 
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
 /**
  * One caller's request, from its arrival to the end of its response. Tracks how far each attempt
  * got, and sends the request again only if it provably did not run or its route allows another run.
@@ -855,7 +857,9 @@
                 status,
                 outcome,
                 framer.events(),
-                retryRule == null ? 0 : retryRule.attempts());
+                retryRule == null ? 0 : retryRule.attempts(),
+                currentAttempt,
+                status == 0 ? BodyEnd.UNKNOWN : caller.bodyEnd(streaming));
     }
 
     private String workspaceName() {
--- a/src/main/java/org/orioleshed/gateway/ExchangeLog.java
+++ b/src/main/java/org/orioleshed/gateway/ExchangeLog.java
@@ -1,6 +1,5 @@
 package org.orioleshed.gateway;
 
-import java.util.function.Consumer;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.StatedLimit;
@@ -9,6 +8,8 @@
 import org.orioleshed.quarantine.RequestContent;
 import org.orioleshed.store.StoreRevision;
 
+import java.util.function.Consumer;
+
 /** The log lines of one exchange; each names the caller's id of the request. */
 final class ExchangeLog {
     private final Consumer<String> log;
@@ -132,11 +133,12 @@
                                         proved,
                                         attempts,
                                         reason)
-                        + " %s events=%d streamed_ms=%d"
+                        + " %s events=%d streamed_ms=%d %s"
                                 .formatted(
                                         content,
                                         events,
-                                        attempt == null ? 0 : attempt.streamedMillis()));
+                                        attempt == null ? 0 : attempt.streamedMillis(),
+                                        responseEnd(attempt)));
     }
 
     /** Logs that another server is looked for, since the current one sends nothing. */
@@ -164,9 +166,29 @@
                         .formatted(headers.id(), run, reason, events));
     }
 
-    /** Logs the end of a request. */
+    /** Describes how a server's response stated its end, and what it left unfinished. */
+    private static String responseEnd(ServerAttempt attempt) {
+        return attempt == null
+                ? "body_end=" + BodyEnd.UNKNOWN
+                : "body_end=%s pending_bytes=%d"
+                        .formatted(attempt.bodyEnd(), attempt.pendingBytes());
+    }
+
+    /**
+     * Logs the end of a request.
+     *
+     * @param attempt the last attempt at a server; null if there was none
+     * @param callerBodyEnd how the caller was told the end of its response
+     */
     void done(
-            String route, String workspace, int status, String outcome, int events, int attempts) {
+            String route,
+            String workspace,
+            int status,
+            String outcome,
+            int events,
+            int attempts,
+            ServerAttempt attempt,
+            BodyEnd callerBodyEnd) {
         log.accept(
                 "event=done request=%s route=%s workspace=%s status=%d outcome=\"%s\" total_ms=%d"
                                 .formatted(
@@ -176,6 +198,7 @@
                                         status,
                                         outcome,
                                         ageMillis())
-                        + " events=%d tries=%d".formatted(events, attempts));
+                        + " events=%d tries=%d %s caller_body_end=%s"
+                                .formatted(events, attempts, responseEnd(attempt), callerBodyEnd));
     }
 }
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -9,13 +9,15 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import java.io.ByteArrayOutputStream;
+
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
 import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.Payload;
 
+import java.io.ByteArrayOutputStream;
+
 /**
  * One attempt of a request at one server. Reads the server's response and reports the outcome to
  * its {@link Listener} once.
@@ -58,7 +60,7 @@
     private ResponseHeaders responseHeaders;
     private long bufferedBytes;
     private long skippedBytes;
-    private boolean endsWithConnection;
+    private BodyEnd bodyEnd = BodyEnd.UNKNOWN;
     private boolean finished;
 
     /** Receives the outcome of an attempt, on the data thread. */
@@ -141,6 +143,16 @@
         return head == null ? EmptyHttpHeaders.INSTANCE : head.headers();
     }
 
+    /** Returns how the response tells where its body ends. */
+    BodyEnd bodyEnd() {
+        return bodyEnd;
+    }
+
+    /** Returns the number of bytes of an event that is not complete. */
+    int pendingBytes() {
+        return framer.pendingBytes();
+    }
+
     boolean hasEvents() {
         return firstMillis > 0;
     }
@@ -224,9 +236,8 @@
     }
 
     @Override
-    public void head(
-            HttpResponse response, ResponseHeaders headers, boolean bodyEndsWithConnection) {
-        endsWithConnection = bodyEndsWithConnection;
+    public void head(HttpResponse response, ResponseHeaders headers, BodyEnd end) {
+        bodyEnd = end;
         head = response;
         responseHeaders = headers;
         boolean success = response.status().codeClass() == HttpStatusClass.SUCCESS;
@@ -358,7 +369,7 @@
      * send states a length of zero.
      */
     private boolean endedBeforeBody(boolean bodyBegan) {
-        return endsWithConnection && !bodyBegan;
+        return bodyEnd == BodyEnd.CONNECTION && !bodyBegan;
     }
 
     private void endStream() {
--- a/src/main/java/org/orioleshed/gateway/ServerCall.java
+++ b/src/main/java/org/orioleshed/gateway/ServerCall.java
@@ -22,10 +22,9 @@
     /**
      * Takes the head of the response.
      *
-     * @param endsWithConnection whether the body has neither a length nor chunks, so that only the
-     *     end of the connection ends it
+     * @param bodyEnd how the response tells where its body ends
      */
-    void head(HttpResponse response, ResponseHeaders responseHeaders, boolean endsWithConnection);
+    void head(HttpResponse response, ResponseHeaders responseHeaders, BodyEnd bodyEnd);
 
     /** Takes a part of the body; the buffer remains owned by the caller of this method. */
     void content(ByteBuf bytes);
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -194,19 +195,16 @@
         limit.headReceived();
         state = State.BODY;
         keepAliveMillis = responseHeaders.keepAliveMillis();
-        reusable &= HttpUtil.isKeepAlive(response) && written;
-        boolean framed =
-                HttpUtil.isContentLengthSet(response)
-                        || HttpUtil.isTransferEncodingChunked(response);
-        reusable &= framed;
-        scanner = scanner(response, framed);
-        call.head(response, responseHeaders, !framed && mayHaveBody(response));
+        BodyEnd bodyEnd = BodyEnd.of(response, headOnly);
+        reusable &= HttpUtil.isKeepAlive(response) && written && bodyEnd.isStated();
+        scanner = scanner(response, bodyEnd);
+        call.head(response, responseHeaders, bodyEnd);
     }
 
-    private static SecondHeadScanner scanner(HttpResponse response, boolean framed) {
+    private static SecondHeadScanner scanner(HttpResponse response, BodyEnd bodyEnd) {
         String type = response.headers().get(HttpHeaderNames.CONTENT_TYPE, "");
         boolean events = type.startsWith(HttpHeaderValues.TEXT_EVENT_STREAM.toString());
-        return events || !framed ? new SecondHeadScanner(events) : null;
+        return events || !bodyEnd.isStated() ? new SecondHeadScanner(events) : null;
     }
 
     /** Returns whether a head contains the beginning of another one, after it was cut off. */
@@ -217,12 +215,6 @@
                         .anyMatch(field -> SecondHeadScanner.hasStatusLine(field.getValue()));
     }
 
-    private boolean mayHaveBody(HttpResponse response) {
-        return !headOnly
-                && !response.status().equals(HttpResponseStatus.NO_CONTENT)
-                && !response.status().equals(HttpResponseStatus.NOT_MODIFIED);
-    }
-
     private void receiveContent(HttpContent content) {
         boolean isLast = content instanceof LastHttpContent;
         if (state == State.BODY && isMixed(content.content(), isLast)) {
