A comment no longer makes a stream that was cut off look complete

Cause: what counted as 'an event was passed on' was any empty line. So the end of the connection right after a comment passed for the end of the stream, and a comment alone sent the head to the caller, after which no other server could begin. Change: EventFramer tells events from comments, retry fields and empty lines. These don't count as events, and are held back until the first event, as the first run may still be cut off and begun anew; a run whose end is stated passes them on with its end. They remain a sign of life. Price: a caller no longer gets a server's comments before the first event.

--- a/src/main/java/org/orioleshed/gateway/EventFramer.java
+++ b/src/main/java/org/orioleshed/gateway/EventFramer.java
@@ -1,9 +1,11 @@
 package org.orioleshed.gateway;
 
 import io.netty.buffer.ByteBuf;
+
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Optional;
 import java.util.regex.Pattern;
 
@@ -13,6 +15,9 @@
  * <p>A stream may go on at another server. Of such a run, only events that follow those passed on
  * before are returned. Events without an id are held back until an event with an id shows where the
  * run goes on. The first event that doesn't belong to the stream ends the run.
+ *
+ * <p>Comments, {@code retry} fields and empty lines alone are no events. Before the first event,
+ * they are held back too, so that another server can still begin the stream.
  */
 final class EventFramer {
     /** An event field or a comment; other lines may precede an event only as a header field. */
@@ -22,6 +27,12 @@
     private static final Pattern HEADER_LINE = Pattern.compile("[a-z][a-z0-9-]*: *[0-9]+");
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
 
+    /** How lines begin that are no part of an event. */
+    private static final List<byte[]> IDLE_LINE_STARTS =
+            List.of(
+                    ":".getBytes(StandardCharsets.US_ASCII),
+                    "retry".getBytes(StandardCharsets.US_ASCII));
+
     /** The part of a line that is parsed; longer than any field name with a number. */
     private static final int MAX_PARSED_BYTES = 64;
 
@@ -31,11 +42,14 @@
     private boolean lineStarted;
     private int eventLines;
     private boolean hasOtherLines;
+    private boolean hasEventLines;
     private String pendingId;
     private StreamPosition position = StreamPosition.START;
     private int events;
     private int heldEvents;
     private int completeBytes;
+    private int wholeBytes;
+    private int blocks;
     private boolean resumes;
     private boolean resumed;
     private boolean foreign;
@@ -76,9 +90,10 @@
         if (lineStarted) {
             eventLines++;
             parseId();
+            hasEventLines |= !isIdleLine();
             hasOtherLines |= resumes && !isEventLine();
         } else {
-            endEvent();
+            endBlock();
         }
         lineLength = 0;
         lineStarted = false;
@@ -91,38 +106,52 @@
         }
     }
 
+    private boolean isIdleLine() {
+        return IDLE_LINE_STARTS.stream()
+                .anyMatch(
+                        start ->
+                                lineLength >= start.length
+                                        && Arrays.equals(
+                                                line, 0, start.length, start, 0, start.length));
+    }
+
     private boolean isEventLine() {
         String text = new String(line, 0, lineLength, StandardCharsets.UTF_8);
         return EVENT_LINE.matcher(text).matches()
                 || (eventLines == 1 && HEADER_LINE.matcher(text).matches());
     }
 
-    private void endEvent() {
+    private void endBlock() {
         if (resumes && !belongsToStream()) {
             foreign = true;
             return;
         }
-        heldEvents++;
+        blocks++;
+        wholeBytes = pending.size();
+        if (hasEventLines) {
+            heldEvents++;
+        }
         if (pendingId != null) {
             position = position.after(pendingId);
             resumed = resumes;
         }
-        if (!resumes || resumed) {
-            completeBytes = pending.size();
+        if (resumes ? resumed : events + heldEvents > 0) {
+            completeBytes = wholeBytes;
             events += heldEvents;
             heldEvents = 0;
         }
-        beginEvent();
+        beginBlock();
     }
 
     private boolean belongsToStream() {
         return !hasOtherLines && (pendingId == null || position.isFollowedBy(pendingId));
     }
 
-    private void beginEvent() {
+    private void beginBlock() {
         pendingId = null;
         eventLines = 0;
         hasOtherLines = false;
+        hasEventLines = false;
     }
 
     private byte[] takeComplete() {
@@ -133,10 +162,24 @@
         byte[] result = Arrays.copyOf(all, completeBytes);
         pending.reset();
         pending.write(all, completeBytes, all.length - completeBytes);
+        wholeBytes -= completeBytes;
         completeBytes = 0;
         return result;
     }
 
+    /** Returns what was held back of a run that has ended, unless it ended inside an event. */
+    byte[] takeRest() {
+        if (!isInsideEvent() && !awaitsResumption()) {
+            completeBytes = wholeBytes;
+        }
+        return takeComplete();
+    }
+
+    /** Returns whether an event has begun and not ended. */
+    boolean isInsideEvent() {
+        return pending.size() > wholeBytes;
+    }
+
     /** Returns a framer for another server that resumes the stream after the last whole event. */
     EventFramer resumed() {
         EventFramer result = new EventFramer();
@@ -152,7 +195,8 @@
         lineStarted = false;
         heldEvents = 0;
         completeBytes = 0;
-        beginEvent();
+        wholeBytes = 0;
+        beginBlock();
     }
 
     /** Returns whether events were passed on before the current run, which has to go on there. */
@@ -180,6 +224,11 @@
         return position.lastId();
     }
 
+    /** Returns the number of events, and of comments and the like between them, that ended. */
+    int blocks() {
+        return blocks;
+    }
+
     /** Returns the number of complete events. */
     int events() {
         return events;
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -179,7 +179,8 @@
     }
 
     /**
-     * Returns the time since the last complete event or part of a plain response, in milliseconds.
+     * Returns the time since the last complete event or comment of a stream, or part of a plain
+     * response, in milliseconds.
      */
     long silentMillis(long nowNanos) {
         return (nowNanos - lastProgressNanos) / NANOS_PER_MILLI;
@@ -322,7 +323,12 @@
     }
 
     private void feed(ByteBuf bytes) {
-        passOn(framer.feed(bytes));
+        int blocksBefore = framer.blocks();
+        byte[] events = framer.feed(bytes);
+        if (framer.blocks() > blocksBefore) {
+            lastProgressNanos = System.nanoTime();
+        }
+        passOn(events);
         if (!finished && framer.isForeign()) {
             abort("not_the_stream");
         }
@@ -349,6 +355,12 @@
         if (finished) {
             return;
         }
+        if (bodyMode == BodyMode.EVENTS && bodyEnd.isStated()) {
+            passOn(framer.takeRest());
+            if (finished) {
+                return;
+            }
+        }
         finish();
         switch (bodyMode) {
             case NOT_RUN -> {
@@ -381,7 +393,7 @@
             listener.broken(this, RunReport.Outcome.BROKEN, "ended_before_resumption");
             return;
         }
-        if (framer.pendingBytes() > 0) {
+        if (framer.isInsideEvent()) {
             listener.broken(this, RunReport.Outcome.BROKEN, "ended_inside_event");
             return;
         }
