A caller is told no more of an answer's end than its server stated

Cause: only the end of the connection ends such an answer, and it ends a whole one and one that was cut off alike. The host turned that into a length or a last chunk, so it promised what nobody had told it. The same happened once more at each host that a request was forwarded by. Change: how the server stated its end (BodyEnd) goes with the answer to the caller's connection, for streams, whole answers and failures that were kept. Where it stated none, the caller gets neither length nor chunks, 'Connection: close', and the end of the connection. What is known to be broken off (a reset, an end inside an event, no event, no byte) is still never passed on as an end. Price: the caller's connection ends with such an answer.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -361,10 +361,22 @@
         channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
     }
 
-    /** Writes a whole response. */
+    /** Writes a whole response of this host's own. */
     void respond(HttpResponseStatus status, HttpHeaders headers, byte[] bytes) {
+        respond(status, headers, bytes, BodyEnd.LENGTH);
+    }
+
+    /**
+     * Writes a response that was received whole, as far as its server stated its end. Where only
+     * the end of a connection ended it, the caller is told no more than that.
+     *
+     * @param serverEnd how the server's response told where its body ends
+     */
+    void respond(HttpResponseStatus status, HttpHeaders headers, byte[] bytes, BodyEnd serverEnd) {
+        keepAlive &= serverEnd.isStated();
         boolean keep = prepareHeaders(headers);
-        if (!headOnly || !headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        boolean statesLength = headOnly && headers.contains(HttpHeaderNames.CONTENT_LENGTH);
+        if (serverEnd.isStated() && !statesLength) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
         }
         ByteBuf content = headOnly ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(bytes);
@@ -380,29 +392,24 @@
     }
 
     /**
-     * Returns how the caller is told the end of its response.
+     * Writes the head of a streamed response.
      *
-     * @param stream whether the response is written in parts
+     * @param serverEnd how the server's response tells where its body ends
+     * @return how the caller is told the end of the stream
      */
-    BodyEnd bodyEnd(boolean stream) {
-        if (headOnly) {
-            return BodyEnd.NO_BODY;
-        }
-        if (!stream) {
-            return BodyEnd.LENGTH;
-        }
-        return chunkedResponse ? BodyEnd.LAST_CHUNK : BodyEnd.CONNECTION;
-    }
-
-    /** Writes the head of a streamed response. */
-    void beginStream(HttpResponseStatus status, HttpHeaders headers) {
+    BodyEnd beginStream(HttpResponseStatus status, HttpHeaders headers, BodyEnd serverEnd) {
+        boolean chunked = chunkedResponse && serverEnd.isStated();
+        keepAlive &= chunked;
         keepAlive = prepareHeaders(headers);
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
-        if (chunkedResponse) {
+        if (chunked) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        } else {
-            keepAlive = false;
         }
+        writeHead(status, headers);
+        return chunked ? BodyEnd.LAST_CHUNK : BodyEnd.CONNECTION;
+    }
+
+    private void writeHead(HttpResponseStatus status, HttpHeaders headers) {
         channel.write(new DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers));
     }
 
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -91,7 +91,10 @@
     private boolean firstEventReported;
     private boolean readingPaused;
 
-    private record FailedAnswer(HttpResponse head, Payload body) {}
+    /** How the caller is told the end of its stream. */
+    private BodyEnd callerBodyEnd = BodyEnd.UNKNOWN;
+
+    private record FailedAnswer(HttpResponse head, Payload body, BodyEnd bodyEnd) {}
 
     /** Creates the exchange for a request of this host's own caller. */
     Exchange(GatewayContext context, CallerConnection caller, CallerRequest request) {
@@ -580,7 +583,11 @@
         if (!streaming) {
             streaming = true;
             context.firstEvent(request.ageMillis(System.nanoTime()));
-            caller.beginStream(head.status(), context.translator().toCaller(head.headers()));
+            callerBodyEnd =
+                    caller.beginStream(
+                            head.status(),
+                            context.translator().toCaller(head.headers()),
+                            attempt.bodyEnd());
         }
     }
 
@@ -606,7 +613,7 @@
         context.poolActivity(routed.service()).record(System.nanoTime());
         boolean mayBePassedOn = responseHeaders.signed() || !impliesNotRun(status);
         if (fault && mayBePassedOn) {
-            failedAnswer = Optional.of(new FailedAnswer(head, body));
+            failedAnswer = Optional.of(new FailedAnswer(head, body, attempt.bodyEnd()));
         }
         if (streaming || fault || (!mayBePassedOn && attempt != currentAttempt)) {
             attemptFailed(attempt, false, "status=" + status);
@@ -617,14 +624,18 @@
             fail(HttpResponseStatus.BAD_GATEWAY, "unproved_" + status, -1);
             return;
         }
-        respond(head, body);
+        respond(head, body, attempt.bodyEnd());
     }
 
     /** Ends a request with the whole answer of a server. */
-    private void respond(HttpResponse head, Payload body) {
+    private void respond(HttpResponse head, Payload body, BodyEnd bodyEnd) {
+        callerBodyEnd = bodyEnd.isStated() ? BodyEnd.LENGTH : BodyEnd.CONNECTION;
         finish(head.status().code(), "answered");
         caller.respond(
-                head.status(), context.translator().toCaller(head.headers()), body.toBytes());
+                head.status(),
+                context.translator().toCaller(head.headers()),
+                body.toBytes(),
+                bodyEnd);
     }
 
     /** Returns whether a status implies to the caller that its request has not run. */
@@ -823,6 +834,7 @@
 
     /** Aborts a stream that has begun and can't be completed. */
     private void abort(String reason) {
+        callerBodyEnd = BodyEnd.UNKNOWN;
         finish(0, "broken_off:" + reason);
         caller.abort();
     }
@@ -834,9 +846,11 @@
             return;
         }
         if (failedAnswer.isPresent()) {
-            respond(failedAnswer.get().head(), failedAnswer.get().body());
+            FailedAnswer answer = failedAnswer.get();
+            respond(answer.head(), answer.body(), answer.bodyEnd());
             return;
         }
+        callerBodyEnd = BodyEnd.LENGTH;
         finish(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         if (retryRule == null || !retryRule.mayHaveRun()) {
@@ -859,7 +873,7 @@
                 framer.events(),
                 retryRule == null ? 0 : retryRule.attempts(),
                 currentAttempt,
-                status == 0 ? BodyEnd.UNKNOWN : caller.bodyEnd(streaming));
+                callerBodyEnd);
     }
 
     private String workspaceName() {
--- a/src/test/java/org/orioleshed/platform/RequestForwardingTest.java
+++ b/src/test/java/org/orioleshed/platform/RequestForwardingTest.java
@@ -8,6 +8,13 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import org.orioleshed.platform.ServerPath.Fault;
+import org.orioleshed.platform.WorkerFake.Script;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
@@ -16,12 +23,6 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
-import org.orioleshed.platform.ServerPath.Fault;
-import org.orioleshed.platform.WorkerFake.Script;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
 
 /** Tests over sockets of a host that can't reach servers and forwards requests to other hosts. */
 public class RequestForwardingTest {
@@ -253,4 +254,20 @@
         assertEquals(status(cutOff.send(request("/o/x", "r1", ""))), "200", cutOff.log());
         assertEquals(cutOff.counter("requests_forwarded"), before);
     }
+
+    @DataProvider
+    Object[][] unstatedEnds() {
+        return new Object[][] {{"/s/x", "id: 1\ndata: e1\n\n"}, {"/i/x", "whole"}};
+    }
+
+    /** Guards against an answer whose relay states an end that the server did not state. */
+    @Test(dataProvider = "unstatedEnds")
+    public void aRelayStatesNoEndThatItsServerDidNotState(String path, String body)
+            throws IOException {
+        lose(Fault.REFUSED);
+        fleet.script(UnframedAnswersTest.unframed(200, true, body, false));
+        String response = cutOff.send(request(path, "unstated", ""));
+        UnframedAnswersTest.checkUnstated(response, 200, body);
+        assertEquals(fleet.received("unstated"), 1);
+    }
 }
