A resumed stream ends as complete only if a server stated its end

Seen by callers: a stream that had begun with chunks got its last chunk when the server that resumed it cut it off between two events, in an answer without a length (ORDER). Cause: how the caller is told the end of a stream is decided with the first server's head; a later server that states no end then had one added for it. Change: where the caller waits for a stated end and the server that resumed the stream stated none, another server is asked to go on after the last event, within the route's attempts, the retry budget and the deadline as for any break. Its stated end counts, also without an event (only in this case); otherwise the stream is broken off and its caller resumes it.

--- a/src/main/java/org/orioleshed/gateway/EventFramer.java
+++ b/src/main/java/org/orioleshed/gateway/EventFramer.java
@@ -53,6 +53,7 @@
     private boolean resumes;
     private boolean resumed;
     private boolean foreign;
+    private boolean mayBeComplete;
 
     /** Begins the run of a server, which resumes the stream if events were passed on before. */
     void beginRun() {
@@ -134,6 +135,7 @@
         if (pendingId != null) {
             position = position.after(pendingId);
             resumed = resumes;
+            mayBeComplete = false;
         }
         if (resumes ? resumed : events + heldEvents > 0) {
             completeBytes = wholeBytes;
@@ -185,6 +187,7 @@
         EventFramer result = new EventFramer();
         result.position = position;
         result.events = events;
+        result.mayBeComplete = mayBeComplete;
         return result;
     }
 
@@ -199,6 +202,19 @@
         beginBlock();
     }
 
+    /** Records that the run ended after an event without a statement that this was the last one. */
+    void endedWithoutStatement() {
+        mayBeComplete = true;
+    }
+
+    /**
+     * Returns whether the current run, which ends without an event, confirms the end of the stream:
+     * the run before it may have been complete. It must state its own end.
+     */
+    boolean confirmsEnd() {
+        return mayBeComplete && pending.size() == 0;
+    }
+
     /** Returns whether events were passed on before the current run, which has to go on there. */
     boolean resumes() {
         return resumes;
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -595,11 +595,25 @@
     public void streamEnded(ServerAttempt attempt, HttpResponse head) {
         goOnAt(attempt);
         beginStream(attempt, head);
+        if (callerBodyEnd == BodyEnd.LAST_CHUNK && !attempt.bodyEnd().isStated()) {
+            confirmEnd(attempt);
+            return;
+        }
         context.dispatcher().ended(attempt.run(), attempt.end(RunReport.Outcome.ANSWERED));
         finish(head.status().code(), "answered");
         caller.endStream();
     }
 
+    /**
+     * Lets another server confirm the end of a stream. The caller was told by the first server's
+     * response that the end will be stated, and the server that resumed the stream stated none.
+     */
+    private void confirmEnd(ServerAttempt attempt) {
+        recordRun(attempt, RunReport.Outcome.ANSWERED);
+        framer.endedWithoutStatement();
+        attemptFailed(attempt, false, "end_not_stated");
+    }
+
     @Override
     public void answered(
             ServerAttempt attempt,
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -389,7 +389,8 @@
             listener.broken(this, RunReport.Outcome.BROKEN, "ended_before_first_event");
             return;
         }
-        if (framer.awaitsResumption()) {
+        boolean confirmsEnd = bodyEnd.isStated() && framer.confirmsEnd();
+        if (framer.awaitsResumption() && !confirmsEnd) {
             listener.broken(this, RunReport.Outcome.BROKEN, "ended_before_resumption");
             return;
         }
