A service's answer that was cut off no longer counts as whole in the product's own interface

Seen by callers: a call's 200 with the beginning of the service's answer, recorded as its result. Cause: the same as in the gateway: an answer with neither a length nor chunks ends with its connection, and its end was taken for completeness. Change: CallResponse asks for a stated end, or for a body that states its own (a JSON object or array). Otherwise the call's answer was lost: a call that may not be repeated is in doubt, one that may is repeated.

--- a/src/main/java/org/orioleshed/backend/Backends.java
+++ b/src/main/java/org/orioleshed/backend/Backends.java
@@ -1,5 +1,11 @@
 package org.orioleshed.backend;
 
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RunId;
+import org.orioleshed.routing.RunEnd;
+
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.http.HttpClient;
@@ -13,11 +19,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.orioleshed.fleet.BackendServer;
-import org.orioleshed.host.HostEvent;
-import org.orioleshed.model.Payload;
-import org.orioleshed.model.RunId;
-import org.orioleshed.routing.RunEnd;
 
 /**
  * Starts and cancels runs on backend servers, calls plain services, and reports the resulting
@@ -151,6 +152,9 @@
         try {
             HttpResponse<byte[]> response =
                     client.send(request, HttpResponse.BodyHandlers.ofByteArray());
+            if (!CallResponse.isWhole(response)) {
+                return new HostEvent.CallEnd.Broken("the end of the answer is not stated");
+            }
             return new HostEvent.CallEnd.Answered(
                     response.statusCode(), Payload.of(response.body()));
         } catch (ConnectException | HttpConnectTimeoutException e) {
--- a/src/test/java/org/orioleshed/backend/BackendsTest.java
+++ b/src/test/java/org/orioleshed/backend/BackendsTest.java
@@ -5,20 +5,7 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
-import java.io.IOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.Target;
 import org.orioleshed.host.HostEvent;
@@ -36,6 +23,22 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
 /**
  * Tests of {@link Backends} against a fake server: broken streams, cancellation and resent calls.
  */
@@ -144,6 +147,55 @@
         }
     }
 
+    @DataProvider
+    Object[][] callResponses() {
+        String body = "{\"hold\": [1, 2]}";
+        String length = "Content-Length: " + body.length() + "\r\n";
+        String chunked = "Transfer-Encoding: chunked\r\n";
+        return new Object[][] {
+            {length, body, false},
+            {chunked, Integer.toHexString(body.length()) + "\r\n" + body + "\r\n0\r\n\r\n", false},
+            {"", body, false},
+            {"", "text", true},
+            {"", "12", true},
+            {"", "", true},
+        };
+    }
+
+    /** Guards against the beginning of a service's answer that is taken for the whole. */
+    @Test(dataProvider = "callResponses")
+    public void aCallWhoseAnswerIsCutOffAnywhereIsBroken(
+            String fields, String body, boolean wholeIsBroken) throws Exception {
+        for (int bytes = 0; bytes <= body.length(); bytes++) {
+            String response = "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + body.substring(0, bytes);
+            boolean broken = bytes < body.length() || wholeIsBroken;
+            HostEvent.CallEnd end = callAnsweredWith(response);
+            assertEquals(end instanceof HostEvent.CallEnd.Broken, broken, response + end);
+        }
+    }
+
+    private HostEvent.CallEnd callAnsweredWith(String response) throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+            Thread.ofVirtual().start(() -> answerAndClose(socket, response));
+            URI address = URI.create("http://127.0.0.1:" + socket.getLocalPort());
+            backends.call(RUN, backendServer(address), "hold", "k", Payload.of("{}"), 5_000);
+            return callEnd();
+        }
+    }
+
+    /** Reads a call to the end of its body and sends raw bytes as the response. */
+    private static void answerAndClose(ServerSocket socket, String response) {
+        try (Socket connection = socket.accept()) {
+            StringBuilder request = new StringBuilder();
+            while (!request.toString().endsWith("\r\n\r\n{}")) {
+                request.append((char) connection.getInputStream().read());
+            }
+            connection.getOutputStream().write(response.getBytes(StandardCharsets.US_ASCII));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void dropConnections(ServerSocket socket) {
         while (true) {
             try (Socket connection = socket.accept()) {
