A stream of the product's own interface that breaks off has no last chunk

Seen by callers: a stream whose handler failed, or was interrupted as the host stopped, ended with its last chunk, without [DONE]. Cause: the guard of the handlers closed the exchange whatever had happened, and closing writes the last chunk. It also closed the exchange before the 500 of a handler that failed before its response, so that this was never sent. Change: GuardedHandler closes the exchange only of a handler that returned. A response that has begun is left to the JDK's server, which closes the connection of a handler that throws.

--- a/src/main/java/org/orioleshed/entry/CallerServer.java
+++ b/src/main/java/org/orioleshed/entry/CallerServer.java
@@ -1,11 +1,17 @@
 package org.orioleshed.entry;
 
 import com.codahale.metrics.MetricRegistry;
-import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
+
+import org.orioleshed.gateway.MetricsText;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.Request;
+
 import java.io.IOException;
+import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -14,14 +20,9 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
-import org.orioleshed.gateway.MetricsText;
-import org.orioleshed.host.HostEvent;
-import org.orioleshed.model.Outcome;
-import org.orioleshed.model.Request;
 
 /** The HTTP server for callers. Each open request has its own virtual thread. */
 final class CallerServer implements AutoCloseable {
-    private static final FluentLogger logger = FluentLogger.forEnclosingClass();
     private static final int OK = 200;
     private static final int NOT_FOUND = 404;
     private static final int METHOD_NOT_ALLOWED = 405;
@@ -101,17 +102,7 @@
     }
 
     private HttpHandler guarded(HttpHandler handler) {
-        return http -> {
-            try (http) {
-                handler.handle(http);
-            } catch (IOException e) {
-                metrics.counter("callers.gone").inc();
-            } catch (RuntimeException e) {
-                logger.atSevere().withCause(e).log(
-                        "event=caller-error path=%s", http.getRequestURI());
-                CallerReply.sendError(http, internalError());
-            }
-        };
+        return new GuardedHandler(handler, metrics.counter("callers.gone"));
     }
 
     private void chat(HttpExchange http) throws IOException {
@@ -202,6 +193,7 @@
             new CallerSession(http, exchange, admitted.streaming(), limits, eventLoop::put).serve();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+            throw new InterruptedIOException("the host is stopping");
         } finally {
             actions.unregister(request.id());
             openRequests.decrementAndGet();
@@ -227,8 +219,4 @@
     private static CallerError notFound() {
         return CallerError.of(new BadRequest(NOT_FOUND, "not_found", "no such path"));
     }
-
-    private static CallerError internalError() {
-        return new CallerError(500, "internal", "failed", "internal error", -1);
-    }
 }
