The kill of a host does not end an answer as complete

Cause: the same class, one hop on: the end of a connection is taken for completeness, and a process that dies ends its connections too. Change: from the head of such an answer on, the connection is set to be reset when it ends (SO_LINGER of 0), whoever ends it; only once the last byte is written it is set to close orderly.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.TooLongFrameException;
@@ -48,6 +49,8 @@
     /** When a large request that did not fit into memory is to be sent again, in seconds. */
     private static final int RETRY_AFTER_SECONDS = 1;
 
+    private static final int NO_LINGER = -1;
+
     private final RequestAcceptor acceptor;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
     private ByteArrayOutputStream body = new ByteArrayOutputStream();
@@ -70,6 +73,7 @@
     private boolean acceptedLate;
     private boolean chunkedResponse;
     private boolean headOnly;
+    private boolean resets;
 
     CallerConnection(RequestAcceptor acceptor) {
         this.acceptor = acceptor;
@@ -375,6 +379,9 @@
     void respond(HttpResponseStatus status, HttpHeaders headers, byte[] bytes, BodyEnd serverEnd) {
         keepAlive &= serverEnd.isStated();
         boolean keep = prepareHeaders(headers);
+        if (!serverEnd.isStated()) {
+            resetUnlessClosed(true);
+        }
         boolean statesLength = headOnly && headers.contains(HttpHeaderNames.CONTENT_LENGTH);
         if (serverEnd.isStated() && !statesLength) {
             headers.set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
@@ -404,6 +411,8 @@
         headers.remove(HttpHeaderNames.CONTENT_LENGTH);
         if (chunked) {
             headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        } else {
+            resetUnlessClosed(true);
         }
         writeHead(status, headers);
         return chunked ? BodyEnd.LAST_CHUNK : BodyEnd.CONNECTION;
@@ -430,7 +439,26 @@
     void abort() {
         exchange = null;
         requestBytes = 0;
-        channel.config().setOption(io.netty.channel.ChannelOption.SO_LINGER, 0);
+        resetUnlessClosed(true);
+        channel.close();
+    }
+
+    /**
+     * Sets whether the connection is reset where it ends without an orderly close, also with this
+     * process. Such an end would pass for that of a response which states no other.
+     */
+    private void resetUnlessClosed(boolean reset) {
+        if (channel.isOpen()) {
+            resets = reset;
+            channel.config().setOption(ChannelOption.SO_LINGER, reset ? 0 : NO_LINGER);
+        }
+    }
+
+    /** Closes the connection after its last response, which was written or not. */
+    private void end(boolean written) {
+        if (written && resets) {
+            resetUnlessClosed(false);
+        }
         channel.close();
     }
 
@@ -446,7 +474,7 @@
         exchange = null;
         requestBytes = 0;
         if (!keep) {
-            channel.writeAndFlush(last).addListener(ChannelFutureListener.CLOSE);
+            channel.writeAndFlush(last).addListener(done -> end(done.isSuccess()));
             return;
         }
         channel.writeAndFlush(last);
