--- a/src/main/java/org/orioleshed/backend/Backends.java
+++ b/src/main/java/org/orioleshed/backend/Backends.java
@@ -1,11 +1,5 @@
 package org.orioleshed.backend;
 
-import org.orioleshed.fleet.BackendServer;
-import org.orioleshed.host.HostEvent;
-import org.orioleshed.model.Payload;
-import org.orioleshed.model.RunId;
-import org.orioleshed.routing.RunEnd;
-
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.http.HttpClient;
@@ -19,6 +13,11 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.fleet.BackendServer;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.Payload;
+import org.orioleshed.model.RunId;
+import org.orioleshed.routing.RunEnd;
 
 /**
  * Starts and cancels runs on backend servers, calls plain services, and reports the resulting
--- a/src/main/java/org/orioleshed/backend/CallResponse.java
+++ b/src/main/java/org/orioleshed/backend/CallResponse.java
@@ -4,7 +4,6 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-
 import java.io.IOException;
 import java.net.http.HttpResponse;
 
--- a/src/main/java/org/orioleshed/entry/CallerServer.java
+++ b/src/main/java/org/orioleshed/entry/CallerServer.java
@@ -4,12 +4,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
-
-import org.orioleshed.gateway.MetricsText;
-import org.orioleshed.host.HostEvent;
-import org.orioleshed.model.Outcome;
-import org.orioleshed.model.Request;
-
 import java.io.IOException;
 import java.io.InterruptedIOException;
 import java.net.InetSocketAddress;
@@ -20,6 +14,10 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import org.orioleshed.gateway.MetricsText;
+import org.orioleshed.host.HostEvent;
+import org.orioleshed.model.Outcome;
+import org.orioleshed.model.Request;
 
 /** The HTTP server for callers. Each open request has its own virtual thread. */
 final class CallerServer implements AutoCloseable {
--- a/src/main/java/org/orioleshed/entry/GuardedHandler.java
+++ b/src/main/java/org/orioleshed/entry/GuardedHandler.java
@@ -4,7 +4,6 @@
 import com.google.common.flogger.FluentLogger;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpHandler;
-
 import java.io.IOException;
 
 /**
--- a/src/main/java/org/orioleshed/gateway/BodyEnd.java
+++ b/src/main/java/org/orioleshed/gateway/BodyEnd.java
@@ -3,7 +3,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
-
 import java.util.Locale;
 
 /** How a response tells where its body ends. */
--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -26,15 +26,13 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-
-import org.orioleshed.catalog.CallerLimits;
-import org.orioleshed.model.Payload;
-
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import org.orioleshed.catalog.CallerLimits;
+import org.orioleshed.model.Payload;
 
 /**
  * One caller's connection. Reads whole requests one at a time and writes the responses in order.
--- a/src/main/java/org/orioleshed/gateway/CallerResponse.java
+++ b/src/main/java/org/orioleshed/gateway/CallerResponse.java
@@ -1,7 +1,6 @@
 package org.orioleshed.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
-
 import java.util.Optional;
 
 /** The response to a caller: what was sent of it, and what is kept for it. */
--- a/src/main/java/org/orioleshed/gateway/EventFramer.java
+++ b/src/main/java/org/orioleshed/gateway/EventFramer.java
@@ -1,7 +1,6 @@
 package org.orioleshed.gateway;
 
 import io.netty.buffer.ByteBuf;
-
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -4,7 +4,10 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
-
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.PoolServer;
@@ -17,11 +20,6 @@
 import org.orioleshed.model.ServiceId;
 import org.orioleshed.model.WorkspaceId;
 
-import java.util.HashSet;
-import java.util.Locale;
-import java.util.Optional;
-import java.util.Set;
-
 /**
  * One caller's request, from its arrival to the end of its response. Tracks how far each attempt
  * got, and sends the request again only if it provably did not run or its route allows another run.
--- a/src/main/java/org/orioleshed/gateway/ExchangeLog.java
+++ b/src/main/java/org/orioleshed/gateway/ExchangeLog.java
@@ -1,5 +1,6 @@
 package org.orioleshed.gateway;
 
+import java.util.function.Consumer;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.StatedLimit;
@@ -8,8 +9,6 @@
 import org.orioleshed.quarantine.RequestContent;
 import org.orioleshed.store.StoreRevision;
 
-import java.util.function.Consumer;
-
 /** The log lines of one exchange; each names the caller's id of the request. */
 final class ExchangeLog {
     private final Consumer<String> log;
--- a/src/main/java/org/orioleshed/gateway/ServerAnswer.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAnswer.java
@@ -1,7 +1,6 @@
 package org.orioleshed.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
-
 import org.orioleshed.model.Payload;
 
 /**
--- a/src/main/java/org/orioleshed/gateway/ServerAttempt.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAttempt.java
@@ -9,15 +9,13 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-
+import java.io.ByteArrayOutputStream;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
 import org.orioleshed.dispatch.StatedLimit;
 import org.orioleshed.model.Payload;
 
-import java.io.ByteArrayOutputStream;
-
 /**
  * One attempt of a request at one server. Reads the server's response and reports the outcome to
  * its {@link Listener} once.
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -16,7 +16,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-
 import java.util.LinkedHashMap;
 import java.util.Map;
 
--- a/src/test/java/org/orioleshed/backend/BackendsTest.java
+++ b/src/test/java/org/orioleshed/backend/BackendsTest.java
@@ -5,7 +5,21 @@
 
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
-
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.Target;
 import org.orioleshed.host.HostEvent;
@@ -23,22 +37,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.net.URI;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.Executors;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-
 /**
  * Tests of {@link Backends} against a fake server: broken streams, cancellation and resent calls.
  */
--- a/src/test/java/org/orioleshed/entry/GuardedHandlerTest.java
+++ b/src/test/java/org/orioleshed/entry/GuardedHandlerTest.java
@@ -6,12 +6,6 @@
 import com.codahale.metrics.Counter;
 import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
-
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
-
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -20,6 +14,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /** Tests of {@link GuardedHandler}: a stream that breaks off must not look complete. */
 public class GuardedHandlerTest {
--- a/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
+++ b/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
@@ -12,7 +12,12 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
-
+import java.io.IOException;
+import java.lang.reflect.Proxy;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
@@ -26,13 +31,6 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.io.IOException;
-import java.lang.reflect.Proxy;
-import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.List;
-
 /**
  * Generated tests of a server's response that is cut off after any byte of its body, in any
  * framing. One that was broken off must not end as a complete one.
--- a/src/test/java/org/orioleshed/platform/GatewayPathTest.java
+++ b/src/test/java/org/orioleshed/platform/GatewayPathTest.java
@@ -9,17 +9,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.orioleshed.platform.WorkerFake.Script;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.io.IOException;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.concurrent.atomic.AtomicInteger;
-
 /** Tests over sockets of the path of a request: caller, gateway, store and servers. */
 public class GatewayPathTest {
     private static final long TIMEOUT_MILLIS = 4_000;
--- a/src/test/java/org/orioleshed/platform/RequestForwardingTest.java
+++ b/src/test/java/org/orioleshed/platform/RequestForwardingTest.java
@@ -8,13 +8,6 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import org.orioleshed.platform.ServerPath.Fault;
-import org.orioleshed.platform.WorkerFake.Script;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
-
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.Socket;
@@ -23,6 +16,12 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.orioleshed.platform.ServerPath.Fault;
+import org.orioleshed.platform.WorkerFake.Script;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /** Tests over sockets of a host that can't reach servers and forwards requests to other hosts. */
 public class RequestForwardingTest {
--- a/src/test/java/org/orioleshed/platform/ResumedStreamsTest.java
+++ b/src/test/java/org/orioleshed/platform/ResumedStreamsTest.java
@@ -9,17 +9,16 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
-import org.orioleshed.platform.WorkerFake.Script;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
-
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Map;
 import java.util.regex.Pattern;
 import java.util.stream.IntStream;
+import org.orioleshed.platform.WorkerFake.Script;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /**
  * Tests of streams that break off at one server and go on at another. Whatever the other server
--- a/src/test/java/org/orioleshed/platform/UnframedAnswersTest.java
+++ b/src/test/java/org/orioleshed/platform/UnframedAnswersTest.java
@@ -7,15 +7,14 @@
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
+import java.util.Locale;
 import org.orioleshed.platform.WorkerFake.Script;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
-import java.io.IOException;
-import java.util.Locale;
-
 /**
  * Tests of answers with neither a length nor chunks, which end with their connection. One that was
  * broken off must not reach its caller as if it were complete.
--- a/src/test/java/org/orioleshed/soak/KilledHostTest.java
+++ b/src/test/java/org/orioleshed/soak/KilledHostTest.java
@@ -4,13 +4,6 @@
 import static org.testng.Assert.assertThrows;
 import static org.testng.Assert.assertTrue;
 
-import org.orioleshed.platform.StoreFake;
-import org.orioleshed.platform.WorkerFake;
-import org.testng.annotations.AfterMethod;
-import org.testng.annotations.BeforeMethod;
-import org.testng.annotations.DataProvider;
-import org.testng.annotations.Test;
-
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
@@ -20,6 +13,12 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.platform.StoreFake;
+import org.orioleshed.platform.WorkerFake;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
 
 /** Tests of a host process that is killed in the middle of an answer. */
 public class KilledHostTest {
