--- a/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
+++ b/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
@@ -258,7 +258,7 @@
                             (proxy, method, arguments) ->
                                     method.getName().equals("readResponse")
                                             ? signed
-                                            : Boolean.FALSE);
+                                            : (Object) false);
         }
 
         void receive(String response, Cut cut) {
--- a/src/test/java/org/orioleshed/soak/KilledHostTest.java
+++ b/src/test/java/org/orioleshed/soak/KilledHostTest.java
@@ -40,6 +40,15 @@
             {"service":"pool","address":"127.0.0.1:%d","zone":"z0","version":"v1","batch-slots":8,
              "state":"ready","seq":1}\
             """;
+    private static final String REQUEST =
+            String.join(
+                    "\r\n",
+                    "POST /s/x HTTP/1.1",
+                    "Host: h",
+                    "X-Request-Id: r",
+                    "X-Deadline-Ms: 50000",
+                    "Content-Length: 0",
+                    "\r\n");
     private static final String EVENT = "id: 1\ndata: e1\n\n";
     private static final int READ_TIMEOUT_MILLIS = 30_000;
     private static final long START_SECONDS = 60;
@@ -94,11 +103,7 @@
                 });
         awaitReady();
         try (Socket caller = connect(HostAddresses.CALLERS_PORT)) {
-            caller.getOutputStream()
-                    .write(
-                            WorkerFake.bytes(
-                                    "POST /s/x HTTP/1.1\r\nHost: h\r\nX-Request-Id: r\r\n"
-                                            + "X-Deadline-Ms: 50000\r\nContent-Length: 0\r\n\r\n"));
+            caller.getOutputStream().write(WorkerFake.bytes(REQUEST));
             InputStream in = caller.getInputStream();
             String begin = readUntil(in, EVENT);
             assertTrue(begin.startsWith("HTTP/1.1 200"), begin);
