Log each close of a caller's connection on which no response is due

Now caller_closed has the reason, idle time, limit and unread_ms, config_in_force the idle timeout, counters callers_closed.REASON.

--- a/src/main/java/org/orioleshed/catalog/CatalogState.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogState.java
@@ -206,8 +206,12 @@
             configRevision = entry.revision();
             catalog = Optional.of(decoded);
             log.accept(
-                    "event=config_in_force revision=%s version=%d source=%s"
-                            .formatted(entry.revision(), decoded.version(), source));
+                    "event=config_in_force revision=%s version=%d source=%s idle_timeout_ms=%d"
+                            .formatted(
+                                    entry.revision(),
+                                    decoded.version(),
+                                    source,
+                                    decoded.limits().idleTimeoutMillis()));
         } catch (BadCatalogException | RuntimeException e) {
             log.accept(
                     "event=config_unreadable revision=%s source=%s reason=\"%s\""
--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -48,6 +48,7 @@
     private static final int RETRY_AFTER_SECONDS = 1;
 
     private static final int NO_LINGER = -1;
+    private static final long NANOS_PER_MILLI = 1_000_000;
 
     private final RequestAcceptor acceptor;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
@@ -343,7 +344,11 @@
                 head != null
                         ? limits.headerTimeoutMillis() + limits.idleTimeoutMillis()
                         : limits.idleTimeoutMillis();
-        if (nowNanos - since > timeoutMillis * 1_000_000) {
+        if (nowNanos - since > timeoutMillis * NANOS_PER_MILLI) {
+            logClose(
+                    head != null ? CloseReason.SLOW_REQUEST : CloseReason.IDLE,
+                    nowNanos - since,
+                    timeoutMillis);
             channel.close();
         }
     }
@@ -352,10 +357,28 @@
     void closeWhenIdle() {
         closing = true;
         if (!isBusy() && head == null && pipelined.isEmpty()) {
+            long idleNanos = System.nanoTime() - idleSinceNanos;
+            logClose(CloseReason.STOPPING, idleNanos, acceptor.limits().idleTimeoutMillis());
             closeAfterFlush();
         }
     }
 
+    /**
+     * Logs that this host closes the connection.
+     *
+     * @param idleNanos the time since its last request or response, in nanoseconds
+     */
+    private void logClose(CloseReason reason, long idleNanos, long limitMillis) {
+        acceptor.closing(
+                reason,
+                "caller=%s requests=%d idle_ms=%d limit_ms=%d"
+                        .formatted(
+                                channel.remoteAddress(),
+                                requestCount,
+                                idleNanos / NANOS_PER_MILLI,
+                                limitMillis));
+    }
+
     /** Stops reading, and closes once all responses are written. */
     private void closeAfterFlush() {
         inputClosed = true;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -484,6 +484,18 @@
                                 frames.length == 0 ? "unknown" : frames[0].toString()));
     }
 
+    @Override
+    public void closing(CloseReason reason, String details) {
+        metrics.recordClose(reason);
+        log.add(
+                "event=caller_closed reason=%s %s unread_ms=%d"
+                        .formatted(
+                                reason,
+                                details,
+                                TimeUnit.NANOSECONDS.toMillis(
+                                        loopClock.lag().unreadNanos(System.nanoTime()))));
+    }
+
     @Override
     public void rejected(int status, String reason) {
         metrics.recordResponse(status);
--- a/src/main/java/org/orioleshed/gateway/GatewayMetrics.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayMetrics.java
@@ -81,6 +81,11 @@
         firstEventMillis.update(millis);
     }
 
+    /** Records a connection that this host closed while no response was due on it. */
+    void recordClose(CloseReason reason) {
+        registry.counter("callers_closed." + reason).inc();
+    }
+
     /** Records an internal fault. */
     void recordFault() {
         registry.counter("faults").inc();
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -67,6 +67,11 @@
         gateway.failed(connection, cause);
     }
 
+    @Override
+    public void closing(CloseReason reason, String details) {
+        gateway.closing(reason, details + " listener=relay");
+    }
+
     @Override
     public void rejected(int status, String reason) {
         gateway.rejected(status, reason);
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -37,6 +37,9 @@
     /** Records an internal fault; {@code context} names the work in which it occurred. */
     void failed(String context, Throwable cause);
 
+    /** Records that this host closes a connection on which no response is due. */
+    void closing(CloseReason reason, String details);
+
     /** Records a request that was rejected before it was read whole. */
     void rejected(int status, String reason);
 }
