A request that lies unread in the socket is served, not closed away

Callers saw: a whole request on a kept connection ended with its connection, neither answered nor refused. Cause: checkIdle and closeWhenIdle called a connection idle by what had been read of it. A tick that comes late runs before the sockets are read again, so the request that ends the idle time lay unread. Change: before such a connection is closed, what it received is read; it is closed only if it is idle then.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -182,12 +182,17 @@
      * end of the connection may wait unread.
      */
     boolean isStillOpen() {
+        receive();
+        return channel.isOpen();
+    }
+
+    /** Reads what the connection received and the event loop has not read yet. */
+    void receive() {
         if (!reading
                 && channel.config().isAutoRead()
                 && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
             unsafe.read();
         }
-        return channel.isOpen();
     }
 
     private void read(HttpObject part) {
@@ -331,32 +336,48 @@
      * while its caller reads the end of a response.
      */
     void checkIdle(long nowNanos, CallerLimits limits) {
-        if (isBusy() || inputClosed) {
+        if (!isOverdue(nowNanos, limits)) {
             return;
         }
+        // The request that was awaited may lie in the socket.
+        receive();
+        if (channel.isOpen() && isOverdue(nowNanos, limits)) {
+            logClose(
+                    head != null ? CloseReason.SLOW_REQUEST : CloseReason.IDLE,
+                    nowNanos - awaitedSinceNanos(),
+                    awaitMillis(limits));
+            channel.close();
+        }
+    }
+
+    /** Returns whether a request, or the rest of one, was awaited for too long. */
+    private boolean isOverdue(long nowNanos, CallerLimits limits) {
+        if (isBusy() || inputClosed) {
+            return false;
+        }
         long unwrittenBytes = bufferedBytes();
         if (unwrittenBytes < lastUnwrittenBytes) {
             idleSinceNanos = nowNanos;
         }
         lastUnwrittenBytes = unwrittenBytes;
-        long since = head != null ? headNanos : idleSinceNanos;
-        long timeoutMillis =
-                head != null
-                        ? limits.headerTimeoutMillis() + limits.idleTimeoutMillis()
-                        : limits.idleTimeoutMillis();
-        if (nowNanos - since > timeoutMillis * NANOS_PER_MILLI) {
-            logClose(
-                    head != null ? CloseReason.SLOW_REQUEST : CloseReason.IDLE,
-                    nowNanos - since,
-                    timeoutMillis);
-            channel.close();
-        }
+        return nowNanos - awaitedSinceNanos() > awaitMillis(limits) * NANOS_PER_MILLI;
+    }
+
+    private long awaitedSinceNanos() {
+        return head != null ? headNanos : idleSinceNanos;
+    }
+
+    private long awaitMillis(CallerLimits limits) {
+        return head != null
+                ? limits.headerTimeoutMillis() + limits.idleTimeoutMillis()
+                : limits.idleTimeoutMillis();
     }
 
     /** Closes after the current response, or at once if the connection is idle. */
     void closeWhenIdle() {
         closing = true;
-        if (!isBusy() && head == null && pipelined.isEmpty()) {
+        receive();
+        if (channel.isOpen() && !isBusy() && head == null && pipelined.isEmpty()) {
             long idleNanos = System.nanoTime() - idleSinceNanos;
             logClose(CloseReason.STOPPING, idleNanos, acceptor.limits().idleTimeoutMillis());
             closeAfterFlush();
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
@@ -0,0 +1,168 @@
+package org.orioleshed.platform;
+
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Generated tests of requests that arrive while a host is about to close their connection, for each
+ * reason to close it and each lateness of the host. Each whole request is answered or refused.
+ */
+public class ClosedConnectionsTest {
+    private static final long LONG_IDLE_MILLIS = 15_000;
+    private static final long IDLE_MILLIS = 1_500;
+    private static final long SHORT_IDLE_MILLIS = 1_000;
+    private static final long GRACE_MILLIS = 2_000;
+    private static final long DEADLINE_MILLIS = 900;
+
+    /** The data thread is blocked for these times, while the request arrives. */
+    private static final long[] STALLS_MILLIS = {0, 300, 600, 1_000};
+
+    /** The stall begins this long before the host would close the connection. */
+    private static final long LEAD_MILLIS = 200;
+
+    /** When the request is sent, after the stall began. */
+    private static final long SEND_DELAY_MILLIS = 30;
+
+    /** When the rest of a request is sent, after the stall ended. */
+    private static final long REST_DELAY_MILLIS = 50;
+
+    /** Why the host is about to close connections. */
+    private enum Reason {
+        /** The connection has been idle for nearly as long as callers may leave it. */
+        IDLE(IDLE_MILLIS, IDLE_MILLIS),
+
+        /** A new configuration has made the idle timeout shorter. */
+        SHORTER_TIMEOUT(LONG_IDLE_MILLIS, SHORT_IDLE_MILLIS),
+
+        /** The host stops, and the balancer soon sends nothing more. */
+        STOPPING(LONG_IDLE_MILLIS, GRACE_MILLIS / 2);
+
+        private final long idleTimeoutMillis;
+        private final long closeMillis;
+
+        Reason(long idleTimeoutMillis, long closeMillis) {
+            this.idleTimeoutMillis = idleTimeoutMillis;
+            this.closeMillis = closeMillis;
+        }
+    }
+
+    /** How the request arrives. */
+    private enum Arrival {
+        WHOLE,
+        IN_TWO_PARTS,
+        /** Two requests at once; only the first one needs an answer, if it ends the connection. */
+        PIPELINED
+    }
+
+    @DataProvider
+    Object[][] cases() {
+        List<Object[]> rows = new ArrayList<>();
+        for (Reason reason : Reason.values()) {
+            for (long stallMillis : STALLS_MILLIS) {
+                rows.add(new Object[] {reason, stallMillis});
+            }
+        }
+        return rows.toArray(Object[][]::new);
+    }
+
+    /** Guards against requests that end with their connection, neither answered nor refused. */
+    @Test(dataProvider = "cases")
+    public void requestUnreadWhenItsConnectionIsClosedIsAnswered(Reason reason, long stallMillis)
+            throws Exception {
+        try (Fleet fleet = Fleet.withIdleTimeout(reason.idleTimeoutMillis, GRACE_MILLIS)) {
+            Map<Arrival, KeptConnection> connections = new EnumMap<>(Arrival.class);
+            connect(fleet, connections);
+            useOnce(connections);
+            // The first connection has been idle for longest.
+            long idleNanos = System.nanoTime();
+            prepare(fleet, reason);
+            sleepUntil(idleNanos, reason.closeMillis - LEAD_MILLIS);
+            if (stallMillis > 0) {
+                fleet.blockDataThread(stallMillis);
+            }
+            long stallNanos = System.nanoTime();
+            Thread.sleep(SEND_DELAY_MILLIS);
+            for (Arrival arrival : Arrival.values()) {
+                connections.get(arrival).send(firstPart(arrival));
+            }
+            sleepUntil(stallNanos, stallMillis + REST_DELAY_MILLIS);
+            sendRest(connections.get(Arrival.IN_TWO_PARTS));
+            for (Arrival arrival : Arrival.values()) {
+                checkAnswer(connections.get(arrival), arrival, fleet);
+                connections.get(arrival).close();
+            }
+        }
+    }
+
+    private static void connect(Fleet fleet, Map<Arrival, KeptConnection> connections)
+            throws IOException {
+        for (Arrival arrival : Arrival.values()) {
+            connections.put(arrival, new KeptConnection(fleet.connect()));
+        }
+    }
+
+    private static void useOnce(Map<Arrival, KeptConnection> connections) throws IOException {
+        for (KeptConnection connection : connections.values()) {
+            String response = connection.exchange(KeptConnection.request("first", 5_000, "ab"));
+            assertTrue(response.startsWith("HTTP/1.1 200"), response);
+        }
+    }
+
+    private static void prepare(Fleet fleet, Reason reason) {
+        switch (reason) {
+            case IDLE -> {}
+            case SHORTER_TIMEOUT -> fleet.changeIdleTimeout(2, SHORT_IDLE_MILLIS);
+            case STOPPING -> stop(fleet);
+        }
+    }
+
+    private static void stop(Fleet fleet) {
+        Thread.ofVirtual().start(fleet::stop);
+        Fleet.await(() -> fleet.log().contains("event=leaving"));
+    }
+
+    private static void sleepUntil(long fromNanos, long millis) throws InterruptedException {
+        long passedMillis = (System.nanoTime() - fromNanos) / 1_000_000;
+        Thread.sleep(Math.max(0, millis - passedMillis));
+    }
+
+    private static String firstPart(Arrival arrival) {
+        String request = KeptConnection.request("r-" + arrival, DEADLINE_MILLIS, "abcd");
+        return switch (arrival) {
+            case WHOLE -> request;
+            case IN_TWO_PARTS -> request.substring(0, request.length() - 2);
+            case PIPELINED -> request + KeptConnection.request("second", DEADLINE_MILLIS, "ab");
+        };
+    }
+
+    /** A host that refuses what it received of a request may have closed the connection. */
+    private static void sendRest(KeptConnection connection) {
+        try {
+            connection.send("cd");
+        } catch (IOException e) {
+            assertTrue(e.getMessage() != null);
+        }
+    }
+
+    private static void checkAnswer(KeptConnection connection, Arrival arrival, Fleet fleet)
+            throws IOException {
+        String response = connection.response();
+        assertTrue(isAnswer(response), arrival + ": '" + response + "'\n" + fleet.log());
+        if (arrival == Arrival.PIPELINED && !response.contains("onnection: close")) {
+            String second = connection.response();
+            assertTrue(isAnswer(second), "second: '" + second + "'\n" + fleet.log());
+        }
+    }
+
+    /** Returns whether a response is a server's answer, or a refusal that proves "not run". */
+    private static boolean isAnswer(String response) {
+        return response.startsWith("HTTP/1.1 200") || response.startsWith("HTTP/1.1 503");
+    }
+}
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -48,6 +48,7 @@
             """;
     private static final int SLOTS = 8;
     private static final long GRACE_MILLIS = 2_000;
+    private static final long IDLE_CONFIG_TIMEOUT_MILLIS = 5_000;
     private static final long WAIT_NANOS = 20_000_000_000L;
 
     final StoreFake store = new StoreFake();
@@ -86,6 +87,30 @@
         return new Fleet(timeoutMillis, 100_000, SLOTS, GRACE_MILLIS, true);
     }
 
+    /**
+     * Returns a fleet whose gateway is ready.
+     *
+     * @param idleMillis the time for which callers may leave connections idle, in milliseconds
+     * @param graceMillis as in {@link #with}
+     */
+    static Fleet withIdleTimeout(long idleMillis, long graceMillis) throws IOException {
+        Fleet fleet = new Fleet(idleConfig(1, idleMillis), SLOTS, graceMillis, false, Map.of());
+        fleet.awaitReady();
+        return fleet;
+    }
+
+    private static String idleConfig(int version, long idleMillis) {
+        return CONFIG.formatted(IDLE_CONFIG_TIMEOUT_MILLIS, 100_000)
+                .replace("\"version\":1", "\"version\":" + version)
+                .replace("\"idle-timeout-ms\":15000", "\"idle-timeout-ms\":" + idleMillis);
+    }
+
+    /** Changes the time for which callers may leave connections idle; returns once in force. */
+    void changeIdleTimeout(int version, long idleMillis) {
+        store.put("op/config", idleConfig(version, idleMillis));
+        await(() -> log().contains("version=%d source=".formatted(version)));
+    }
+
     /** Returns a fleet whose gateway is ready, with a configuration and a map of regions. */
     static Fleet withRegions(String config, Map<FailureDomain, Region> regions) throws IOException {
         Fleet fleet = new Fleet(config, SLOTS, GRACE_MILLIS, false, regions);
