--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -2,7 +2,6 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -234,7 +233,7 @@
     }
 
     private static InetSocketAddress freeAddress() {
-        return FreePorts.choose(InetAddress.getLoopbackAddress());
+        return FreePorts.choose();
     }
 
     /** Connects to the callers' listener. */
--- a/src/test/java/org/orioleshed/platform/FreePorts.java
+++ b/src/test/java/org/orioleshed/platform/FreePorts.java
@@ -4,12 +4,15 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.UnknownHostException;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Chooses ports that tests bind later. Ports of the range from which the system takes those of
- * outgoing connections were taken between the choice and the use, and listeners failed to bind.
+ * Chooses ports that tests bind later, on a loopback address of this process's own. Ports of the
+ * range from which the system takes those of outgoing connections were taken between the choice and
+ * the use, as were those of an address that concurrent test runs share, and listeners failed to
+ * bind.
  */
 final class FreePorts {
     private static final int FIRST = 15_000;
@@ -20,8 +23,27 @@
     private static final AtomicInteger next =
             new AtomicInteger(ThreadLocalRandom.current().nextInt(COUNT));
 
+    private static final long PART_VALUES = 256;
+
     private FreePorts() {}
 
+    /** Returns the loopback address of this process. */
+    static InetAddress address() {
+        long pid = ProcessHandle.current().pid();
+        long second = 1 + pid / PART_VALUES % (PART_VALUES - 2);
+        byte[] parts = {127, (byte) second, (byte) (pid % PART_VALUES), 1};
+        try {
+            return InetAddress.getByAddress(parts);
+        } catch (UnknownHostException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Returns a free port of this process's address that it did not get before. */
+    static InetSocketAddress choose() {
+        return choose(address());
+    }
+
     /** Returns a free port of an address that this process did not get before. */
     static InetSocketAddress choose(InetAddress address) {
         return chooseRange(address, 1);
