A connection that was said to stay open is not closed behind a stream

Callers saw: a request sent behind a stream ended unanswered when the host began to stop during the stream, though the stream's head had not said that the connection closes. Cause: closeWhenIdle set a flag that ended the connection with the stream. Change: the flag is gone; a connection closes with a response only if its head says so, which every response of a stopping host does.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -66,7 +66,6 @@
     private Exchange exchange;
     private StartQueue.PendingStart pendingStart;
     private boolean keepAlive = true;
-    private boolean closing;
     private boolean inputClosed;
     private boolean reading;
     private boolean acceptedLate;
@@ -373,9 +372,8 @@
                 : limits.idleTimeoutMillis();
     }
 
-    /** Closes after the current response, or at once if the connection is idle. */
+    /** Closes the connection if it is idle; otherwise the next response says that it closes. */
     void closeWhenIdle() {
-        closing = true;
         receive();
         if (channel.isOpen() && !isBusy() && head == null && pipelined.isEmpty()) {
             long idleNanos = System.nanoTime() - idleSinceNanos;
@@ -474,7 +472,7 @@
     }
 
     void endStream() {
-        finish(LastHttpContent.EMPTY_LAST_CONTENT, keepAlive && !closing);
+        finish(LastHttpContent.EMPTY_LAST_CONTENT, keepAlive);
     }
 
     /** Resets the connection, so that the truncated response does not look complete. */
@@ -505,7 +503,7 @@
     }
 
     private boolean prepareHeaders(HttpHeaders headers) {
-        boolean keep = keepAlive && !closing && !acceptor.isLeaving();
+        boolean keep = keepAlive && !acceptor.isLeaving();
         if (!keep) {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
--- a/src/test/java/org/orioleshed/platform/KeptConnection.java
+++ b/src/test/java/org/orioleshed/platform/KeptConnection.java
@@ -63,6 +63,18 @@
         return head + new String(body, StandardCharsets.ISO_8859_1);
     }
 
+    /** Reads until a text was received; the text must come before the connection ends. */
+    void skipPast(String text) throws IOException {
+        StringBuilder received = new StringBuilder();
+        while (received.indexOf(text) < 0) {
+            int next = read();
+            if (next < 0) {
+                throw new IOException("ended before the text: " + received);
+            }
+            received.append((char) next);
+        }
+    }
+
     private int read() throws IOException {
         InputStream in = socket.getInputStream();
         try {
