A request that arrives too slowly is refused, not closed away

Callers saw: a connection closed in the middle of their request, with nothing that says whether it ran. Cause: checkIdle closed whatever was overdue; a head that had arrived in part counted as an idle connection. Change: the decoder knows of a request received in part; when its time is over (a head: header-timeout), it is answered 408, which proves that it has not run, with Connection: close. Its first bytes, not its whole head, start the time. Evidence: requestReceivedInPartIsRefusedWhenItsTimeIsOver, four places of the cut, failed before and passes.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -58,6 +58,7 @@
     private long requestBytes;
 
     private Channel channel;
+    private StrictRequestDecoder decoder;
     private HttpRequest head;
     private long headNanos;
     private long idleSinceNanos;
@@ -80,6 +81,7 @@
     @Override
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
+        decoder = context.pipeline().get(StrictRequestDecoder.class);
         idleSinceNanos = System.nanoTime();
         acceptedLate = acceptor.opened(this);
     }
@@ -331,8 +333,8 @@
     }
 
     /**
-     * Closes the connection if it was idle, or took too long to send a request. It is not idle
-     * while its caller reads the end of a response.
+     * Closes the connection if it was idle, and refuses a request that took too long to arrive. The
+     * connection is not idle while its caller reads the end of a response.
      */
     void checkIdle(long nowNanos, CallerLimits limits) {
         if (!isOverdue(nowNanos, limits)) {
@@ -340,11 +342,13 @@
         }
         // The request that was awaited may lie in the socket.
         receive();
-        if (channel.isOpen() && isOverdue(nowNanos, limits)) {
-            logClose(
-                    head != null ? CloseReason.SLOW_REQUEST : CloseReason.IDLE,
-                    nowNanos - awaitedSinceNanos(),
-                    awaitMillis(limits));
+        if (!channel.isOpen() || !isOverdue(nowNanos, limits)) {
+            return;
+        }
+        if (decoder.isReceiving()) {
+            reject(HttpResponseStatus.REQUEST_TIMEOUT, "slow");
+        } else {
+            logClose(CloseReason.IDLE, nowNanos, limits.idleTimeoutMillis());
             channel.close();
         }
     }
@@ -359,25 +363,25 @@
             idleSinceNanos = nowNanos;
         }
         lastUnwrittenBytes = unwrittenBytes;
-        return nowNanos - awaitedSinceNanos() > awaitMillis(limits) * NANOS_PER_MILLI;
-    }
-
-    private long awaitedSinceNanos() {
-        return head != null ? headNanos : idleSinceNanos;
-    }
-
-    private long awaitMillis(CallerLimits limits) {
-        return head != null
-                ? limits.headerTimeoutMillis() + limits.idleTimeoutMillis()
-                : limits.idleTimeoutMillis();
+        long sinceNanos = idleSinceNanos;
+        long timeoutMillis = limits.idleTimeoutMillis();
+        if (decoder.isReceiving()) {
+            sinceNanos = Math.max(idleSinceNanos, decoder.receivingSinceNanos());
+            timeoutMillis = limits.headerTimeoutMillis();
+        }
+        if (head != null) {
+            sinceNanos = headNanos;
+            timeoutMillis = limits.headerTimeoutMillis() + limits.idleTimeoutMillis();
+        }
+        return nowNanos - sinceNanos > timeoutMillis * NANOS_PER_MILLI;
     }
 
     /** Closes the connection if it is idle; otherwise the next response says that it closes. */
     void closeWhenIdle() {
         receive();
         if (channel.isOpen() && !isBusy() && head == null && pipelined.isEmpty()) {
-            long idleNanos = System.nanoTime() - idleSinceNanos;
-            logClose(CloseReason.STOPPING, idleNanos, acceptor.limits().idleTimeoutMillis());
+            long nowNanos = System.nanoTime();
+            logClose(CloseReason.STOPPING, nowNanos, acceptor.limits().idleTimeoutMillis());
             closeAfterFlush();
         }
     }
@@ -385,16 +389,16 @@
     /**
      * Logs that this host closes the connection.
      *
-     * @param idleNanos the time since its last request or response, in nanoseconds
+     * @param limitMillis the time for which callers may leave it idle, in milliseconds
      */
-    private void logClose(CloseReason reason, long idleNanos, long limitMillis) {
+    private void logClose(CloseReason reason, long nowNanos, long limitMillis) {
         acceptor.closing(
                 reason,
                 "caller=%s requests=%d idle_ms=%d limit_ms=%d"
                         .formatted(
                                 channel.remoteAddress(),
                                 requestCount,
-                                idleNanos / NANOS_PER_MILLI,
+                                (nowNanos - idleSinceNanos) / NANOS_PER_MILLI,
                                 limitMillis));
     }
 
--- a/src/main/java/org/orioleshed/gateway/CloseReason.java
+++ b/src/main/java/org/orioleshed/gateway/CloseReason.java
@@ -7,9 +7,6 @@
     /** No request was received for longer than a caller may leave a connection idle. */
     IDLE,
 
-    /** A request was not received whole within its time. */
-    SLOW_REQUEST,
-
     /** The host is stopping. */
     STOPPING;
 
--- a/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
+++ b/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
@@ -169,6 +169,28 @@
                 || response.startsWith("HTTP/1.1 503");
     }
 
+    @DataProvider
+    Object[][] partsOfRequests() {
+        String request = KeptConnection.request("part", DEADLINE_MILLIS, "abcd");
+        return new Object[][] {
+            {request.substring(0, 10)},
+            {request.substring(0, request.indexOf("Api-Key"))},
+            {request.substring(0, request.length() - 4)},
+            {request.substring(0, request.length() - 1)}
+        };
+    }
+
+    /** Guards against a bare close for a request that arrives too slowly. */
+    @Test(dataProvider = "partsOfRequests")
+    public void requestReceivedInPartIsRefusedWhenItsTimeIsOver(String part) throws Exception {
+        try (Fleet fleet = Fleet.withIdleTimeout(SHORT_IDLE_MILLIS, GRACE_MILLIS);
+                KeptConnection connection = new KeptConnection(fleet.connect())) {
+            String response = connection.exchange(part);
+            assertTrue(response.startsWith("HTTP/1.1 408"), response + fleet.log());
+            assertTrue(response.contains("onnection: close"), response);
+        }
+    }
+
     /**
      * Guards against a connection that was said to stay open, and is closed after a stream that
      * ends while the host stops, before the next request on it.
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -101,6 +101,7 @@
     private static String idleConfig(int version, long idleMillis) {
         return CONFIG.formatted(IDLE_CONFIG_TIMEOUT_MILLIS, 100_000)
                 .replace("\"version\":1", "\"version\":" + version)
+                .replace("\"header-timeout-ms\":3000", "\"header-timeout-ms\":400")
                 .replace("\"idle-timeout-ms\":15000", "\"idle-timeout-ms\":" + idleMillis);
     }
 
