What arrived and is not read yet when the service ends is refused

Callers saw: requests ended with the process of a stopping host, neither answered nor refused: those in the listener's backlog, unread in the socket, received in part, or held back because the host was late. Cause: the end of the service ended exchanges only, that is, requests that had been read, placed and begun. Change: at the end, the backlog is accepted and all connections are read first; then exchanges, held requests and requests received in part are refused (503, come back at once). A host that is done early looks at its backlog before it ends, and a connection that was opened a moment ago is not closed before its first request. That held requests are refused is shown by StartQueueTest on the new code only (the old had no such step).

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -47,6 +47,9 @@
     /** When a large request that did not fit into memory is to be sent again, in seconds. */
     private static final int RETRY_AFTER_SECONDS = 1;
 
+    /** A caller sends its first request within this time after it connected. */
+    private static final long FIRST_REQUEST_MILLIS = 500;
+
     private static final int NO_LINGER = -1;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -376,11 +379,40 @@
         return nowNanos - sinceNanos > timeoutMillis * NANOS_PER_MILLI;
     }
 
-    /** Closes the connection if it is idle; otherwise the next response says that it closes. */
-    void closeWhenIdle() {
+    /** Closes the connection if it is idle, as the host is stopping. */
+    void closeIfIdle(long nowNanos) {
+        boolean awaitsFirst =
+                requestCount == 0
+                        && nowNanos - idleSinceNanos < FIRST_REQUEST_MILLIS * NANOS_PER_MILLI;
+        if (awaitsFirst || !isIdle()) {
+            return;
+        }
         receive();
-        if (channel.isOpen() && !isBusy() && head == null && pipelined.isEmpty()) {
-            long nowNanos = System.nanoTime();
+        if (channel.isOpen() && isIdle()) {
+            logClose(CloseReason.STOPPING, nowNanos, acceptor.limits().idleTimeoutMillis());
+            closeAfterFlush();
+        }
+    }
+
+    /** Returns whether no request was received, also not in part, and all responses are written. */
+    private boolean isIdle() {
+        return !isBusy()
+                && !inputClosed
+                && pipelined.isEmpty()
+                && !decoder.isReceiving()
+                && bufferedBytes() == 0;
+    }
+
+    /**
+     * Ends the connection, as the host stops serving; a request that has no response yet is
+     * refused. The exchange of a request that was received whole has ended before.
+     */
+    void endOfService(long nowNanos) {
+        if (pendingStart != null) {
+            acceptor.refuse(pendingStart);
+        } else if (!isBusy() && !inputClosed && decoder.isReceiving()) {
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "leaving");
+        } else if (!isBusy() && !inputClosed) {
             logClose(CloseReason.STOPPING, nowNanos, acceptor.limits().idleTimeoutMillis());
             closeAfterFlush();
         }
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -135,6 +135,7 @@
                         exchanges,
                         callers,
                         this::failed,
+                        () -> Listeners.acceptWaiting(callerChannel),
                         () -> callerChannel.close(),
                         log::add);
         this.metrics = new GatewayMetrics(log);
@@ -442,6 +443,11 @@
         startQueue.withdraw(pending);
     }
 
+    @Override
+    public void refuse(StartQueue.PendingStart pending) {
+        startQueue.refuse(pending);
+    }
+
     /**
      * Sets the budget for what this host buffers for callers that read or write slowly; call before
      * {@link #start}.
--- a/src/main/java/org/orioleshed/gateway/GracefulStop.java
+++ b/src/main/java/org/orioleshed/gateway/GracefulStop.java
@@ -10,19 +10,19 @@
 import java.util.function.Consumer;
 
 /**
- * The stop sequence of a host: kept-alive connections are closed once the balancer routes nothing
- * more here, running requests are finished, and those that remain at the end of the service get a
- * final response. Used on the data thread, but for {@link #await}.
+ * The stop sequence of a host: idle connections are closed once the balancer routes nothing more
+ * here, running requests are finished, and those that remain at the end of the service get a final
+ * response. Used on the data thread, but for {@link #await}.
  */
 final class GracefulStop {
     private final ShutdownPolicy policy;
     private final Collection<Exchange> exchanges;
     private final Collection<CallerConnection> callers;
     private final BiConsumer<String, Throwable> faults;
+    private final Runnable acceptWaiting;
     private final Runnable closeListener;
     private final Consumer<String> log;
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private boolean keptAliveClosed;
 
     /**
      * Creates the sequence of a host that is not stopping.
@@ -30,6 +30,7 @@
      * @param exchanges the requests being served, as they change
      * @param callers the open connections of callers, as they change
      * @param faults receives the work that failed, and why
+     * @param acceptWaiting accepts the connections that wait in the backlog of the listener
      * @param closeListener closes the listener for callers, at the end
      */
     GracefulStop(
@@ -37,12 +38,14 @@
             Collection<Exchange> exchanges,
             Collection<CallerConnection> callers,
             BiConsumer<String, Throwable> faults,
+            Runnable acceptWaiting,
             Runnable closeListener,
             Consumer<String> log) {
         this.policy = policy;
         this.exchanges = exchanges;
         this.callers = callers;
         this.faults = faults;
+        this.acceptWaiting = acceptWaiting;
         this.closeListener = closeListener;
         this.log = log;
     }
@@ -69,31 +72,36 @@
         if (!policy.begun() || (policy.balancerMayRoute(nowNanos) && !over)) {
             return;
         }
-        closeKeptAlive();
         if (over) {
-            endAll();
+            endAll(nowNanos);
+        } else {
+            List.copyOf(callers).forEach(caller -> caller.closeIfIdle(nowNanos));
         }
-        boolean allClosed = exchanges.isEmpty() && callers.isEmpty();
-        if (allClosed || policy.isFinalDeadline(nowNanos)) {
+        if (policy.isFinalDeadline(nowNanos) || isQuiet()) {
             end(nowNanos);
         }
     }
 
-    /** Closes kept-alive connections; later ones are closed by their response. */
-    private void closeKeptAlive() {
-        if (!keptAliveClosed) {
-            keptAliveClosed = true;
-            closeCallers();
+    /** Returns whether no work is left, also none that waits in the listener's backlog. */
+    private boolean isQuiet() {
+        if (exchanges.isEmpty() && callers.isEmpty()) {
+            acceptWaiting.run();
         }
+        return exchanges.isEmpty() && callers.isEmpty();
     }
 
-    /** Ends all remaining requests with a final response, and closes their connections. */
-    private void endAll() {
+    /**
+     * Ends all remaining requests with a final response, also those that were received and not read
+     * yet, and closes all connections.
+     */
+    private void endAll(long nowNanos) {
+        acceptWaiting.run();
+        List.copyOf(callers).forEach(CallerConnection::receive);
         // Waiting requests end first, so that the slot of one that ends is not granted to them.
         List<Exchange> remaining = new ArrayList<>(exchanges);
         remaining.sort(Comparator.comparing(Exchange::isSent));
         remaining.forEach(this::end);
-        closeCallers();
+        List.copyOf(callers).forEach(caller -> caller.endOfService(nowNanos));
     }
 
     private void end(Exchange exchange) {
@@ -104,10 +112,6 @@
         }
     }
 
-    private void closeCallers() {
-        List.copyOf(callers).forEach(CallerConnection::closeWhenIdle);
-    }
-
     private void end(long nowNanos) {
         if (stopped.getCount() == 0) {
             return;
--- a/src/main/java/org/orioleshed/gateway/Listeners.java
+++ b/src/main/java/org/orioleshed/gateway/Listeners.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -53,6 +54,16 @@
         return listen(address, requestHandler(acceptor, extraHeaderBytes));
     }
 
+    /**
+     * Accepts connections that wait in a listener's backlog, as many as one poll would; call on the
+     * listener's event loop.
+     */
+    static void acceptWaiting(Channel listener) {
+        if (listener.isOpen() && listener.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+    }
+
     private static ChannelHandler requestHandler(RequestAcceptor acceptor, int extraHeaderBytes) {
         return new ChannelInitializer<SocketChannel>() {
             @Override
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -37,6 +37,11 @@
         gateway.withdraw(pending);
     }
 
+    @Override
+    public void refuse(StartQueue.PendingStart pending) {
+        gateway.refuse(pending);
+    }
+
     @Override
     public void markRejected(HttpHeaders headers) {
         context.forwarding().markNotRun(headers, "rejected", false);
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -25,6 +25,9 @@
     /** Removes a waiting request, whose caller disconnected. */
     void withdraw(StartQueue.PendingStart pending);
 
+    /** Refuses a waiting request, as this host stops serving. */
+    void refuse(StartQueue.PendingStart pending);
+
     /** Returns what this host buffers for callers. */
     CallerBuffers buffers();
 
--- a/src/main/java/org/orioleshed/gateway/StartQueue.java
+++ b/src/main/java/org/orioleshed/gateway/StartQueue.java
@@ -117,6 +117,12 @@
         shedder.withdraw(pending);
     }
 
+    /** Refuses a request, as this host stops serving; its caller may come back at once. */
+    void refuse(PendingStart pending) {
+        shedder.withdraw(pending);
+        refuse(pending, 0);
+    }
+
     private void round() {
         roundScheduled = false;
         shedder.beginRound(System.nanoTime(), lag.lagNanos(), begun.getAsInt());
@@ -152,17 +158,17 @@
         switch (action) {
             case LoadShedder.Serve<PendingStart> serve ->
                     serve.request().connection.serve(serve.request().request);
-            case LoadShedder.Refuse<PendingStart> refuse -> refuse(refuse);
+            case LoadShedder.Refuse<PendingStart> refuse ->
+                    refuse(refuse.request(), refuse.retryAfterMillis());
         }
     }
 
-    private void refuse(LoadShedder.Refuse<PendingStart> refusal) {
+    private void refuse(PendingStart pending, long retryAfterMillis) {
         shed.inc();
         answers.inc();
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
-        context.translator()
-                .markLocalResponse(headers, refusal.request().id, refusal.retryAfterMillis());
-        refusal.request().connection.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers);
+        context.translator().markLocalResponse(headers, pending.id, retryAfterMillis);
+        pending.connection.refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, headers);
     }
 
     /** Logs the begin and the end of a period in which requests are refused. */
--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -127,6 +127,10 @@
                                         queue.withdraw((StartQueue.PendingStart) arguments[0]);
                                         yield null;
                                     }
+                                    case "refuse" -> {
+                                        queue.refuse((StartQueue.PendingStart) arguments[0]);
+                                        yield null;
+                                    }
                                     case "buffers" -> buffers;
                                     case "limits" -> CallerLimits.DEFAULT;
                                     case "opened", "isLeaving" -> false;
@@ -167,6 +171,21 @@
         assertEquals(metrics.counter("requests_shed").getCount(), 1);
     }
 
+    /** Guards against a request that waits, and ends with its host's process unanswered. */
+    @Test
+    public void waitingRequestIsRefusedWhenTheServiceEnds() {
+        deadlineMillis = 4_000;
+        send();
+        channel.pipeline().get(CallerConnection.class).endOfService(System.nanoTime());
+        ByteBuf response = channel.readOutbound();
+        String text = response.toString(StandardCharsets.US_ASCII);
+        response.release();
+        assertTrue(text.startsWith("HTTP/1.1 503 "), text);
+        assertTrue(text.contains("Retry-After: 0"), text);
+        channel.runPendingTasks();
+        assertFalse(exchangeCreated);
+    }
+
     /** Guards against requests that wait forever behind one whose start fails. */
     @Test
     public void aFaultEndsOnlyTheConnectionOfItsRequest() {
--- a/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
+++ b/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
@@ -1,8 +1,11 @@
 package org.orioleshed.platform;
 
+import static org.orioleshed.platform.WorkerFake.bytes;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -20,6 +23,10 @@
     private static final long IDLE_MILLIS = 1_500;
     private static final long SHORT_IDLE_MILLIS = 1_000;
     private static final long GRACE_MILLIS = 2_000;
+
+    /** The part of the grace period in which a host serves; see {@code ShutdownPolicy}. */
+    private static final long SERVICE_MILLIS = 1_800;
+
     private static final long DEADLINE_MILLIS = 900;
 
     /** The data thread is blocked for these times, while the request arrives. */
@@ -37,23 +44,41 @@
     /** Why the host is about to close connections. */
     private enum Reason {
         /** The connection has been idle for nearly as long as callers may leave it. */
-        IDLE(IDLE_MILLIS, IDLE_MILLIS),
+        IDLE(IDLE_MILLIS, IDLE_MILLIS, Use.KEPT),
 
         /** A new configuration has made the idle timeout shorter. */
-        SHORTER_TIMEOUT(LONG_IDLE_MILLIS, SHORT_IDLE_MILLIS),
+        SHORTER_TIMEOUT(LONG_IDLE_MILLIS, SHORT_IDLE_MILLIS, Use.KEPT),
 
         /** The host stops, and the balancer soon sends nothing more. */
-        STOPPING(LONG_IDLE_MILLIS, GRACE_MILLIS / 2);
+        STOPPING(LONG_IDLE_MILLIS, GRACE_MILLIS / 2, Use.KEPT),
+
+        /** The host stops, and its service ends soon; the connection is new. */
+        END_OF_SERVICE(LONG_IDLE_MILLIS, SERVICE_MILLIS, Use.OPENED),
+
+        /** The same with a connection that waits in the listener's backlog. */
+        END_OF_LISTENER(LONG_IDLE_MILLIS, SERVICE_MILLIS, Use.IN_BACKLOG);
 
         private final long idleTimeoutMillis;
         private final long closeMillis;
+        private final Use use;
 
-        Reason(long idleTimeoutMillis, long closeMillis) {
+        Reason(long idleTimeoutMillis, long closeMillis, Use use) {
             this.idleTimeoutMillis = idleTimeoutMillis;
             this.closeMillis = closeMillis;
+            this.use = use;
         }
     }
 
+    /** What the connection was used for before the request. */
+    private enum Use {
+        /** It carried a request. */
+        KEPT,
+        /** It was opened just before the host is late. */
+        OPENED,
+        /** It is opened while the host is late. */
+        IN_BACKLOG
+    }
+
     /** How the request arrives. */
     private enum Arrival {
         WHOLE,
@@ -62,6 +87,9 @@
         PIPELINED
     }
 
+    /** The caller of a long stream; kept, as an unreachable socket is closed. */
+    private Socket longCaller;
+
     @DataProvider
     Object[][] cases() {
         List<Object[]> rows = new ArrayList<>();
@@ -79,16 +107,24 @@
             throws Exception {
         try (Fleet fleet = Fleet.withIdleTimeout(reason.idleTimeoutMillis, GRACE_MILLIS)) {
             Map<Arrival, KeptConnection> connections = new EnumMap<>(Arrival.class);
-            connect(fleet, connections);
-            useOnce(connections);
+            if (reason.use == Use.KEPT) {
+                connect(fleet, connections);
+                useOnce(connections);
+            }
             // The first connection has been idle for longest.
             long idleNanos = System.nanoTime();
             prepare(fleet, reason);
             sleepUntil(idleNanos, reason.closeMillis - LEAD_MILLIS);
+            if (reason.use == Use.OPENED) {
+                connect(fleet, connections);
+            }
             if (stallMillis > 0) {
                 fleet.blockDataThread(stallMillis);
             }
             long stallNanos = System.nanoTime();
+            if (reason.use == Use.IN_BACKLOG) {
+                connect(fleet, connections);
+            }
             Thread.sleep(SEND_DELAY_MILLIS);
             for (Arrival arrival : Arrival.values()) {
                 connections.get(arrival).send(firstPart(arrival));
@@ -99,6 +135,7 @@
                 checkAnswer(connections.get(arrival), arrival, fleet);
                 connections.get(arrival).close();
             }
+            assertFalse(fleet.log().matches("(?s).*event=stopped.*event=done.*"), fleet.log());
         }
     }
 
@@ -116,11 +153,15 @@
         }
     }
 
-    private static void prepare(Fleet fleet, Reason reason) {
+    private void prepare(Fleet fleet, Reason reason) throws IOException {
         switch (reason) {
             case IDLE -> {}
             case SHORTER_TIMEOUT -> fleet.changeIdleTimeout(2, SHORT_IDLE_MILLIS);
             case STOPPING -> stop(fleet);
+            case END_OF_SERVICE, END_OF_LISTENER -> {
+                keepBusy(fleet);
+                stop(fleet);
+            }
         }
     }
 
@@ -129,6 +170,16 @@
         Fleet.await(() -> fleet.log().contains("event=leaving"));
     }
 
+    /** Sends a stream that outlasts the host, which otherwise stops as soon as it can. */
+    private void keepBusy(Fleet fleet) throws IOException {
+        int before = fleet.first.requests.size();
+        fleet.first.script(Script.streaming(1, 400, 10));
+        longCaller = fleet.connect();
+        longCaller.getOutputStream().write(bytes(Fleet.request("/s/x", "long", "")));
+        Fleet.await(() -> fleet.first.requests.size() > before);
+        fleet.first.script(Script.answering(200, "ok"));
+    }
+
     private static void sleepUntil(long fromNanos, long millis) throws InterruptedException {
         long passedMillis = (System.nanoTime() - fromNanos) / 1_000_000;
         Thread.sleep(Math.max(0, millis - passedMillis));
@@ -191,6 +242,23 @@
         }
     }
 
+    /**
+     * Guards against a bare close for a request of which the end of the host left a part unread.
+     */
+    @Test(dataProvider = "partsOfRequests")
+    public void requestReceivedInPartIsRefusedWhenTheServiceEnds(String part) throws Exception {
+        try (Fleet fleet = Fleet.withIdleTimeout(LONG_IDLE_MILLIS, GRACE_MILLIS)) {
+            long beginNanos = System.nanoTime();
+            prepare(fleet, Reason.END_OF_SERVICE);
+            sleepUntil(beginNanos, SERVICE_MILLIS - LEAD_MILLIS);
+            try (KeptConnection connection = new KeptConnection(fleet.connect())) {
+                String response = connection.exchange(part);
+                assertTrue(response.startsWith("HTTP/1.1 503"), response + fleet.log());
+                assertTrue(response.contains("onnection: close"), response);
+            }
+        }
+    }
+
     /**
      * Guards against a connection that was said to stay open, and is closed after a stream that
      * ends while the host stops, before the next request on it.
