An idle connection is kept for as long as its caller may use it

Callers saw: a connection closed while their request was on its way, beside a change of the idle timeout: the new, shorter limit ended every connection that had idled under the longer one, all in one tick, though a caller can't know of the new one yet. In the other direction a caller that knows the longer limit met the old, shorter one. Change: the longest limit in force since the connection went idle counts (IdleTimeout), and the connection is kept beyond it by the time in which a change must be in force everywhere. Responses state the limit (Keep-Alive: timeout), which holds whatever changes later. Evidence: connectionStaysOpenForAsLongAsItsCallerWasTold failed before (closed, not answered) and passes; IdleTimeoutTest; ClosedConnectionsTest 30 of 30.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -31,6 +31,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.orioleshed.catalog.CallerLimits;
 import org.orioleshed.model.Payload;
 
@@ -50,6 +51,7 @@
     /** A caller sends its first request within this time after it connected. */
     private static final long FIRST_REQUEST_MILLIS = 500;
 
+    private static final String KEEP_ALIVE = "Keep-Alive";
     private static final int NO_LINGER = -1;
     private static final long NANOS_PER_MILLI = 1_000_000;
 
@@ -64,7 +66,11 @@
     private StrictRequestDecoder decoder;
     private HttpRequest head;
     private long headNanos;
-    private long idleSinceNanos;
+    private IdleTimeout idleTimeout;
+
+    /** For how long the last response said that the connection may be idle, in milliseconds. */
+    private long statedIdleMillis;
+
     private long lastUnwrittenBytes;
     private int requestCount;
     private Exchange exchange;
@@ -85,7 +91,8 @@
     public void channelActive(ChannelHandlerContext context) {
         channel = context.channel();
         decoder = context.pipeline().get(StrictRequestDecoder.class);
-        idleSinceNanos = System.nanoTime();
+        idleTimeout = new IdleTimeout(acceptor.limitChangeMillis());
+        idleTimeout.begin(System.nanoTime(), acceptor.limits().idleTimeoutMillis());
         acceptedLate = acceptor.opened(this);
     }
 
@@ -351,7 +358,7 @@
         if (decoder.isReceiving()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "slow");
         } else {
-            logClose(CloseReason.IDLE, nowNanos, limits.idleTimeoutMillis());
+            logClose(CloseReason.IDLE, nowNanos);
             channel.close();
         }
     }
@@ -361,35 +368,37 @@
         if (isBusy() || inputClosed) {
             return false;
         }
+        idleTimeout.recordLimit(limits.idleTimeoutMillis());
         long unwrittenBytes = bufferedBytes();
         if (unwrittenBytes < lastUnwrittenBytes) {
-            idleSinceNanos = nowNanos;
+            idleTimeout.restart(nowNanos);
         }
         lastUnwrittenBytes = unwrittenBytes;
-        long sinceNanos = idleSinceNanos;
-        long timeoutMillis = limits.idleTimeoutMillis();
-        if (decoder.isReceiving()) {
-            sinceNanos = Math.max(idleSinceNanos, decoder.receivingSinceNanos());
-            timeoutMillis = limits.headerTimeoutMillis();
-        }
-        if (head != null) {
-            sinceNanos = headNanos;
-            timeoutMillis = limits.headerTimeoutMillis() + limits.idleTimeoutMillis();
+        return decoder.isReceiving()
+                ? isSlow(nowNanos, limits.headerTimeoutMillis())
+                : idleTimeout.isOver(nowNanos);
+    }
+
+    /** Returns whether the request that was received in part takes too long. */
+    private boolean isSlow(long nowNanos, long headerTimeoutMillis) {
+        if (head == null) {
+            long sinceNanos = Math.max(idleTimeout.sinceNanos(), decoder.receivingSinceNanos());
+            return nowNanos - sinceNanos > headerTimeoutMillis * NANOS_PER_MILLI;
         }
-        return nowNanos - sinceNanos > timeoutMillis * NANOS_PER_MILLI;
+        long timeoutMillis = headerTimeoutMillis + idleTimeout.longestMillis();
+        return nowNanos - headNanos > timeoutMillis * NANOS_PER_MILLI;
     }
 
     /** Closes the connection if it is idle, as the host is stopping. */
     void closeIfIdle(long nowNanos) {
         boolean awaitsFirst =
-                requestCount == 0
-                        && nowNanos - idleSinceNanos < FIRST_REQUEST_MILLIS * NANOS_PER_MILLI;
+                requestCount == 0 && idleTimeout.idleMillis(nowNanos) < FIRST_REQUEST_MILLIS;
         if (awaitsFirst || !isIdle()) {
             return;
         }
         receive();
         if (channel.isOpen() && isIdle()) {
-            logClose(CloseReason.STOPPING, nowNanos, acceptor.limits().idleTimeoutMillis());
+            logClose(CloseReason.STOPPING, nowNanos);
             closeAfterFlush();
         }
     }
@@ -413,25 +422,20 @@
         } else if (!isBusy() && !inputClosed && decoder.isReceiving()) {
             reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "leaving");
         } else if (!isBusy() && !inputClosed) {
-            logClose(CloseReason.STOPPING, nowNanos, acceptor.limits().idleTimeoutMillis());
+            logClose(CloseReason.STOPPING, nowNanos);
             closeAfterFlush();
         }
     }
 
-    /**
-     * Logs that this host closes the connection.
-     *
-     * @param limitMillis the time for which callers may leave it idle, in milliseconds
-     */
-    private void logClose(CloseReason reason, long nowNanos, long limitMillis) {
+    private void logClose(CloseReason reason, long nowNanos) {
         acceptor.closing(
                 reason,
                 "caller=%s requests=%d idle_ms=%d limit_ms=%d"
                         .formatted(
                                 channel.remoteAddress(),
                                 requestCount,
-                                (nowNanos - idleSinceNanos) / NANOS_PER_MILLI,
-                                limitMillis));
+                                idleTimeout.idleMillis(nowNanos),
+                                idleTimeout.longestMillis()));
     }
 
     /** Stops reading, and closes once all responses are written. */
@@ -540,12 +544,27 @@
 
     private boolean prepareHeaders(HttpHeaders headers) {
         boolean keep = keepAlive && !acceptor.isLeaving();
-        if (!keep) {
+        if (keep) {
+            stateIdleTimeout(headers);
+        } else {
             headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
         }
         return keep;
     }
 
+    /**
+     * Tells the caller for how long it may leave the connection idle. A limit may change while it
+     * does, and reach the caller and this host at different times.
+     */
+    private void stateIdleTimeout(HttpHeaders headers) {
+        statedIdleMillis = acceptor.limits().idleTimeoutMillis();
+        long seconds = TimeUnit.MILLISECONDS.toSeconds(statedIdleMillis);
+        if (seconds > 0) {
+            headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
+            headers.set(KEEP_ALIVE, "timeout=" + seconds);
+        }
+    }
+
     private void finish(HttpObject last, boolean keep) {
         exchange = null;
         requestBytes = 0;
@@ -554,7 +573,9 @@
             return;
         }
         channel.writeAndFlush(last);
-        idleSinceNanos = System.nanoTime();
+        idleTimeout.begin(
+                System.nanoTime(),
+                Math.max(statedIdleMillis, acceptor.limits().idleTimeoutMillis()));
         channel.eventLoop().execute(this::next);
     }
 
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -422,6 +422,11 @@
         return snapshot.catalog().map(catalog -> catalog.limits()).orElse(CallerLimits.DEFAULT);
     }
 
+    @Override
+    public long limitChangeMillis() {
+        return options.watchTiming().boundMillis();
+    }
+
     @Override
     public ShutdownPolicy shutdownPolicy() {
         return shutdownPolicy;
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -62,6 +62,11 @@
         return gateway.limits();
     }
 
+    @Override
+    public long limitChangeMillis() {
+        return gateway.limitChangeMillis();
+    }
+
     @Override
     public boolean isLeaving() {
         return gateway.isLeaving();
--- a/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RequestAcceptor.java
@@ -14,6 +14,9 @@
     /** Returns the current limits on callers' requests and connections. */
     CallerLimits limits();
 
+    /** Returns the time within which changed limits are in force everywhere, in milliseconds. */
+    long limitChangeMillis();
+
     /** Returns whether this host is stopping. */
     boolean isLeaving();
 
--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -133,6 +133,7 @@
                                     }
                                     case "buffers" -> buffers;
                                     case "limits" -> CallerLimits.DEFAULT;
+                                    case "limitChangeMillis" -> 2_000L;
                                     case "opened", "isLeaving" -> false;
                                     case "exchange" -> {
                                         exchangeCreated = true;
