A limit on requests' heads holds on kept connections, too, once it is in force

Callers saw: beside a change of the configuration, a proper request on a kept connection was answered 431, since the decoder had its limit from when the connection was opened. Change: the decoder is replaced between two requests when the limit has changed; the relay listener's larger limit is the acceptor's own. Evidence: limitOnHeadsThatIsInForceAppliesToKeptConnections failed before and passes. refusalOfARequestThatIsNotReadReachesItsCaller (413 while the body is on its way) passed before, too; it stays as a guard.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -347,6 +347,7 @@
      * connection is not idle while its caller reads the end of a response.
      */
     void checkIdle(long nowNanos, CallerLimits limits) {
+        applyHeaderLimit(limits.maxHeaderBytes());
         if (!isOverdue(nowNanos, limits)) {
             return;
         }
@@ -363,6 +364,16 @@
         }
     }
 
+    /** Makes a changed limit hold from the next request on. */
+    private void applyHeaderLimit(int maxHeaderBytes) {
+        if (maxHeaderBytes == decoder.maxHeaderBytes() || decoder.isReceiving()) {
+            return;
+        }
+        StrictRequestDecoder newDecoder = new StrictRequestDecoder(maxHeaderBytes);
+        channel.pipeline().replace(decoder, null, newDecoder);
+        decoder = newDecoder;
+    }
+
     /** Returns whether a request, or the rest of one, was awaited for too long. */
     private boolean isOverdue(long nowNanos, CallerLimits limits) {
         if (isBusy() || inputClosed) {
@@ -583,6 +594,7 @@
         while (!isBusy() && !inputClosed && !pipelined.isEmpty()) {
             read(pipelined.poll());
         }
+        applyHeaderLimit(acceptor.limits().maxHeaderBytes());
         if (!inputClosed && pipelined.size() <= MAX_PIPELINED_PARTS / 2 && channel.isOpen()) {
             channel.config().setAutoRead(true);
         }
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -56,9 +56,6 @@
     /** The number of connections that Netty accepts before it handles other channels. */
     private static final int ACCEPTED_PER_POLL = 16;
 
-    /** A relay accepts this much more than callers may send, for the fields that hosts add. */
-    private static final int RELAY_HEADER_BYTES = 512;
-
     /** Responses may take this part of the budget for callers: they are copied once they end. */
     private static final int RESPONSE_PART = 2;
 
@@ -232,10 +229,8 @@
         listeners.listen(options.ready(), new StatusServer(request -> ready()));
         listeners.listen(options.metrics(), new StatusServer(this::operatorsPage));
         RelayAcceptor relay = new RelayAcceptor(this, this);
-        options.relay()
-                .ifPresent(
-                        address -> listeners.listenForRequests(address, relay, RELAY_HEADER_BYTES));
-        callerChannel = listeners.listenForRequests(options.callers(), this, 0);
+        options.relay().ifPresent(address -> listeners.listenForRequests(address, relay));
+        callerChannel = listeners.listenForRequests(options.callers(), this);
     }
 
     /** Sets the recorder of rollout outcomes; call before {@link #start}. */
--- a/src/main/java/org/orioleshed/gateway/Listeners.java
+++ b/src/main/java/org/orioleshed/gateway/Listeners.java
@@ -45,13 +45,11 @@
      * Opens a listener for requests.
      *
      * @param acceptor takes the requests
-     * @param extraHeaderBytes how much longer than the acceptor's limit a request's head may be
      * @return the channel that accepts connections
      * @throws RuntimeException as {@link #listen}
      */
-    Channel listenForRequests(
-            InetSocketAddress address, RequestAcceptor acceptor, int extraHeaderBytes) {
-        return listen(address, requestHandler(acceptor, extraHeaderBytes));
+    Channel listenForRequests(InetSocketAddress address, RequestAcceptor acceptor) {
+        return listen(address, requestHandler(acceptor));
     }
 
     /**
@@ -64,13 +62,12 @@
         }
     }
 
-    private static ChannelHandler requestHandler(RequestAcceptor acceptor, int extraHeaderBytes) {
+    private static ChannelHandler requestHandler(RequestAcceptor acceptor) {
         return new ChannelInitializer<SocketChannel>() {
             @Override
             protected void initChannel(SocketChannel channel) {
-                int maxHeaderBytes = acceptor.limits().maxHeaderBytes() + extraHeaderBytes;
                 channel.pipeline()
-                        .addLast(new StrictRequestDecoder(maxHeaderBytes))
+                        .addLast(new StrictRequestDecoder(acceptor.limits().maxHeaderBytes()))
                         .addLast(new HttpResponseEncoder())
                         .addLast(new CallerConnection(acceptor));
             }
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -6,6 +6,9 @@
 
 /** Accepts the requests that other hosts forward; everything else is the gateway's. */
 final class RelayAcceptor implements RequestAcceptor {
+    /** A relay accepts this much more than callers may send, for the fields that hosts add. */
+    private static final int EXTRA_HEADER_BYTES = 512;
+
     private final RequestAcceptor gateway;
     private final GatewayContext context;
 
@@ -59,7 +62,12 @@
 
     @Override
     public CallerLimits limits() {
-        return gateway.limits();
+        CallerLimits limits = gateway.limits();
+        return new CallerLimits(
+                limits.maxHeaderBytes() + EXTRA_HEADER_BYTES,
+                limits.maxBodyBytes(),
+                limits.headerTimeoutMillis(),
+                limits.idleTimeoutMillis());
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/StrictRequestDecoder.java
+++ b/src/main/java/org/orioleshed/gateway/StrictRequestDecoder.java
@@ -16,6 +16,7 @@
 final class StrictRequestDecoder extends HttpRequestDecoder {
     private static final int MAX_PART_BYTES = 16_384;
 
+    private final int maxHeaderBytes;
     private boolean receiving;
     private long receivingSinceNanos;
 
@@ -25,6 +26,12 @@
                         .setMaxInitialLineLength(maxHeaderBytes)
                         .setMaxHeaderSize(maxHeaderBytes)
                         .setMaxChunkSize(MAX_PART_BYTES));
+        this.maxHeaderBytes = maxHeaderBytes;
+    }
+
+    /** Returns the maximum size of a request's head, in bytes. */
+    int maxHeaderBytes() {
+        return maxHeaderBytes;
     }
 
     /** Returns whether a request was received in part. */
--- a/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
+++ b/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
@@ -47,6 +47,9 @@
     /** When the rest of a request is sent, after the stall ended. */
     private static final long REST_DELAY_MILLIS = 50;
 
+    /** A configuration that is in force applies to all connections within this time. */
+    private static final long SETTLE_MILLIS = 250;
+
     /** Why the host is about to close connections. */
     private enum Reason {
         /** The connection has been idle for nearly as long as the host keeps it. */
@@ -136,7 +139,7 @@
                 connections.get(arrival).send(firstPart(arrival));
             }
             sleepUntil(stallNanos, stallMillis + REST_DELAY_MILLIS);
-            sendRest(connections.get(Arrival.IN_TWO_PARTS));
+            connections.get(Arrival.IN_TWO_PARTS).sendWhileOpen("cd");
             for (Arrival arrival : Arrival.values()) {
                 checkAnswer(connections.get(arrival), arrival, fleet);
                 connections.get(arrival).close();
@@ -200,15 +203,6 @@
         };
     }
 
-    /** A host that refuses what it received of a request may have closed the connection. */
-    private static void sendRest(KeptConnection connection) {
-        try {
-            connection.send("cd");
-        } catch (IOException e) {
-            assertTrue(e.getMessage() != null);
-        }
-    }
-
     private static void checkAnswer(KeptConnection connection, Arrival arrival, Fleet fleet)
             throws IOException {
         String response = connection.response();
@@ -286,6 +280,49 @@
         }
     }
 
+    @DataProvider
+    Object[][] bodyLengths() {
+        return new Object[][] {{100_000}, {1_000_000}, {4_000_000}};
+    }
+
+    /**
+     * Guards against a refusal that its caller can't read, since the connection is reset by the
+     * part of the request that the host did not read.
+     */
+    @Test(dataProvider = "bodyLengths")
+    public void refusalOfARequestThatIsNotReadReachesItsCaller(int bodyBytes) throws Exception {
+        try (Fleet fleet = Fleet.withIdleTimeout(LONG_IDLE_MILLIS, GRACE_MILLIS);
+                KeptConnection connection = new KeptConnection(fleet.connect())) {
+            String request = KeptConnection.request("large", 5_000, "x".repeat(bodyBytes));
+            connection.send(request.substring(0, request.length() - bodyBytes));
+            Thread.sleep(REST_DELAY_MILLIS);
+            connection.sendWhileOpen(request.substring(request.length() - bodyBytes));
+            String response = connection.response();
+            assertTrue(response.startsWith("HTTP/1.1 413"), response + fleet.log());
+        }
+    }
+
+    /** Guards against a kept connection that holds a request to an earlier limit on its head. */
+    @Test
+    public void limitOnHeadsThatIsInForceAppliesToKeptConnections() throws Exception {
+        try (Fleet fleet = Fleet.withIdleTimeout(LONG_IDLE_MILLIS, GRACE_MILLIS);
+                KeptConnection connection = new KeptConnection(fleet.connect())) {
+            String request = KeptConnection.request("r1", 5_000, "ab");
+            assertTrue(connection.exchange(request).startsWith("HTTP/1.1 200"));
+            fleet.changeHeaderLimit(2, 8_192);
+            Thread.sleep(SETTLE_MILLIS);
+            String longHead =
+                    request.replace(
+                            "Host: h\r\n", "Host: h\r\nX-Long: " + "x".repeat(6_000) + "\r\n");
+            String response = connection.exchange(longHead);
+            assertTrue(response.startsWith("HTTP/1.1 200"), response + fleet.log());
+            fleet.changeHeaderLimit(3, 4_096);
+            Thread.sleep(SETTLE_MILLIS);
+            response = connection.exchange(longHead);
+            assertTrue(response.startsWith("HTTP/1.1 431"), response + fleet.log());
+        }
+    }
+
     /**
      * Guards against a connection that was said to stay open, and is closed after a stream that
      * ends while the host stops, before the next request on it.
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -107,7 +107,20 @@
 
     /** Changes the time for which callers may leave connections idle; returns once in force. */
     void changeIdleTimeout(int version, long idleMillis) {
-        store.put("op/config", idleConfig(version, idleMillis));
+        change(version, idleConfig(version, idleMillis));
+    }
+
+    /** Changes the maximum size of a request's head; returns once in force. */
+    void changeHeaderLimit(int version, int bytes) {
+        change(
+                version,
+                CONFIG.formatted(IDLE_CONFIG_TIMEOUT_MILLIS, 100_000)
+                        .replace("\"version\":1", "\"version\":" + version)
+                        .replace("\"max-header-bytes\":4096", "\"max-header-bytes\":" + bytes));
+    }
+
+    private void change(int version, String config) {
+        store.put("op/config", config);
         await(() -> log().contains("version=%d source=".formatted(version)));
     }
 
--- a/src/test/java/org/orioleshed/platform/KeptConnection.java
+++ b/src/test/java/org/orioleshed/platform/KeptConnection.java
@@ -35,6 +35,16 @@
         socket.getOutputStream().write(bytes(text));
     }
 
+    /** Sends a part of a request; the host may have refused it, and closed the connection. */
+    void sendWhileOpen(String text) throws IOException {
+        try {
+            send(text);
+        } catch (SocketException e) {
+            // The response tells.
+            return;
+        }
+    }
+
     /** Sends a request and returns its response. */
     String exchange(String request) throws IOException {
         send(request);
