--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -9,12 +9,10 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.nio.AbstractNioChannel;
-import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
 import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
@@ -26,14 +24,11 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.catalog.CallerLimits;
-import org.orioleshed.model.Payload;
 
 /**
  * One caller's connection. Reads whole requests one at a time and writes the responses in order.
@@ -57,22 +52,19 @@
 
     private final RequestAcceptor acceptor;
     private final Deque<HttpObject> pipelined = new ArrayDeque<>();
-    private ByteArrayOutputStream body = new ByteArrayOutputStream();
+    private final RequestAssembler requests;
 
     /** The body of the request in progress and its copy for the server, in bytes. */
     private long requestBytes;
 
     private Channel channel;
     private StrictRequestDecoder decoder;
-    private HttpRequest head;
-    private long headNanos;
     private IdleTimeout idleTimeout;
 
     /** For how long the last response said that the connection may be idle, in milliseconds. */
     private long statedIdleMillis;
 
     private long lastUnwrittenBytes;
-    private int requestCount;
     private Exchange exchange;
     private StartQueue.PendingStart pendingStart;
     private boolean keepAlive = true;
@@ -85,6 +77,7 @@
 
     CallerConnection(RequestAcceptor acceptor) {
         this.acceptor = acceptor;
+        this.requests = new RequestAssembler(acceptor);
     }
 
     @Override
@@ -124,7 +117,7 @@
     /** Returns what is kept of a request and not written of responses, in bytes. */
     long bufferedBytes() {
         ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
-        return body.size()
+        return requests.bodyBytes()
                 + requestBytes
                 + (unwritten == null ? 0 : unwritten.totalPendingWriteBytes());
     }
@@ -139,8 +132,7 @@
     }
 
     private void cutOff() {
-        head = null;
-        body.reset();
+        requests.drop();
         if (exchange != null) {
             exchange.callerDisconnected();
         }
@@ -208,49 +200,23 @@
 
     private void read(HttpObject part) {
         try {
-            if (part.decoderResult().isFailure()) {
-                rejectUndecodable(part.decoderResult().cause());
-                return;
-            }
-            if (part instanceof HttpRequest request) {
-                begin(request);
-            }
-            if (part instanceof HttpContent content && head != null) {
-                add(content.content(), part instanceof LastHttpContent);
+            switch (requests.add(part)) {
+                case RequestAssembler.Begun begun -> begin(begun.head());
+                case RequestAssembler.Incomplete incomplete -> acceptor.buffers().update(this);
+                case RequestAssembler.Whole whole -> accept(whole.request());
+                case RequestAssembler.Rejected rejected ->
+                        reject(rejected.status(), rejected.reason());
             }
         } finally {
             ReferenceCountUtil.release(part);
         }
     }
 
-    private void rejectUndecodable(Throwable cause) {
-        HttpResponseStatus status =
-                cause instanceof TooLongFrameException
-                        ? HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
-                        : HttpResponseStatus.BAD_REQUEST;
-        reject(status, "unreadable");
-    }
-
-    private void begin(HttpRequest request) {
-        headNanos = System.nanoTime();
-        body.reset();
-        if (!hasUnambiguousFraming(request)) {
-            reject(HttpResponseStatus.BAD_REQUEST, "framing");
-            return;
-        }
-        if (HttpUtil.getContentLength(request, 0L) > acceptor.limits().maxBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_length");
-            return;
-        }
-        if (!acceptor.buffers().mayRead(HttpUtil.getContentLength(request, 0L))) {
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "memory");
-            return;
-        }
-        head = request;
-        keepAlive = HttpUtil.isKeepAlive(request);
-        chunkedResponse = request.protocolVersion().equals(HttpVersion.HTTP_1_1);
-        headOnly = request.method().name().equals("HEAD");
-        if (HttpUtil.is100ContinueExpected(request)) {
+    private void begin(HttpRequest head) {
+        keepAlive = HttpUtil.isKeepAlive(head);
+        chunkedResponse = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+        headOnly = head.method().name().equals("HEAD");
+        if (HttpUtil.is100ContinueExpected(head)) {
             channel.writeAndFlush(
                     new DefaultFullHttpResponse(
                             HttpVersion.HTTP_1_1,
@@ -259,49 +225,12 @@
         }
     }
 
-    /** Returns whether the request's framing is unambiguous. */
-    private static boolean hasUnambiguousFraming(HttpRequest request) {
-        List<String> codings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
-        boolean validCoding =
-                codings.isEmpty()
-                        || (codings.size() == 1
-                                && codings.getFirst().equalsIgnoreCase("chunked")
-                                && request.protocolVersion().equals(HttpVersion.HTTP_1_1));
-        return validCoding
-                && request.uri().startsWith("/")
-                && request.headers().getAll(HttpHeaderNames.HOST).size() == 1
-                && request.headers().getAll(HttpHeaderNames.CONTENT_LENGTH).size() <= 1;
-    }
-
-    private void add(ByteBuf bytes, boolean last) {
-        if (body.size() + bytes.readableBytes() > acceptor.limits().maxBodyBytes()) {
-            reject(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_bytes");
-            return;
-        }
-        byte[] copy = new byte[bytes.readableBytes()];
-        bytes.readBytes(copy);
-        body.writeBytes(copy);
-        if (!last) {
-            acceptor.buffers().update(this);
-        } else {
-            HttpRequest complete = head;
-            head = null;
-            CallerRequest request =
-                    new CallerRequest(
-                            complete.method(),
-                            complete.uri(),
-                            complete.headers(),
-                            Payload.of(body.toByteArray()),
-                            headNanos,
-                            ++requestCount);
-            // A reset would keep the buffer for as long as the connection.
-            body = new ByteArrayOutputStream();
-            requestBytes = COPIES_OF_BODY * (long) request.body().size();
-            acceptor.buffers().update(this);
-            pendingStart = acceptor.hold(this, request).orElse(null);
-            if (pendingStart == null) {
-                serve(request);
-            }
+    private void accept(CallerRequest request) {
+        requestBytes = COPIES_OF_BODY * (long) request.body().size();
+        acceptor.buffers().update(this);
+        pendingStart = acceptor.hold(this, request).orElse(null);
+        if (pendingStart == null) {
+            serve(request);
         }
     }
 
@@ -330,7 +259,7 @@
     /** Responds to a request that was not read to its end, and closes the connection. */
     private void reject(HttpResponseStatus status, String reason) {
         inputClosed = true;
-        head = null;
+        requests.drop();
         keepAlive = false;
         chunkedResponse = true;
         acceptor.rejected(status.code(), reason);
@@ -392,18 +321,19 @@
 
     /** Returns whether the request that was received in part takes too long. */
     private boolean isSlow(long nowNanos, long headerTimeoutMillis) {
-        if (head == null) {
+        if (!requests.hasHead()) {
             long sinceNanos = Math.max(idleTimeout.sinceNanos(), decoder.receivingSinceNanos());
             return nowNanos - sinceNanos > headerTimeoutMillis * NANOS_PER_MILLI;
         }
         long timeoutMillis = headerTimeoutMillis + idleTimeout.longestMillis();
-        return nowNanos - headNanos > timeoutMillis * NANOS_PER_MILLI;
+        return nowNanos - requests.headNanos() > timeoutMillis * NANOS_PER_MILLI;
     }
 
     /** Closes the connection if it is idle, as the host is stopping. */
     void closeIfIdle(long nowNanos) {
         boolean awaitsFirst =
-                requestCount == 0 && idleTimeout.idleMillis(nowNanos) < FIRST_REQUEST_MILLIS;
+                requests.requestCount() == 0
+                        && idleTimeout.idleMillis(nowNanos) < FIRST_REQUEST_MILLIS;
         if (awaitsFirst || !isIdle()) {
             return;
         }
@@ -444,7 +374,7 @@
                 "caller=%s requests=%d idle_ms=%d limit_ms=%d"
                         .formatted(
                                 channel.remoteAddress(),
-                                requestCount,
+                                requests.requestCount(),
                                 idleTimeout.idleMillis(nowNanos),
                                 idleTimeout.longestMillis()));
     }
