A late host looks for the end of a connection before it sends a request on it

Callers saw "502" for a request that may run once, and that no server had received. Cause: the pool took an idle connection by what had been read of it. Where the host had no processor time after it read the request, the server's end of the connection lay unread, and the request was written to a dead connection.

Evidence: ServerConnectionsTest.requestIsNotSentOnAConnectionThatTheServerEndedDuringAStall blocks the data thread between the reading of a request and its sending, and ends the connection in that time.

The fix: while the host is late, the pool reads what an idle connection received before it takes it, and goes on to the next one if it has ended. A host that is not late makes no further system call. What remains is an end that arrives between that read and the write.

--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -556,7 +556,10 @@
     @Override
     public ServerConnectionPool pool(InetSocketAddress address) {
         return pools.computeIfAbsent(
-                address, key -> new ServerConnectionPool(serverBootstrap, translator, address));
+                address,
+                key ->
+                        new ServerConnectionPool(
+                                serverBootstrap, translator, address, this::isLate));
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -50,6 +51,7 @@
     private String requestId;
     private State state = State.IDLE;
     private boolean written;
+    private boolean reading;
     private boolean headOnly;
     private boolean failed;
     private boolean reusable;
@@ -138,12 +140,24 @@
         return channel.isActive() && !failed;
     }
 
+    /**
+     * Returns whether the server has not ended the connection. Reads what the connection received,
+     * as its end may wait unread; call only while the connection is idle.
+     */
+    boolean isStillOpen() {
+        if (!reading && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+            unsafe.read();
+        }
+        return isOpen();
+    }
+
     void close() {
         channel.close();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
+        reading = true;
         HttpObject part = (HttpObject) message;
         try {
             receive(part);
@@ -256,6 +270,7 @@
         if (state == State.COMPLETE && call != null) {
             end();
         }
+        reading = false;
         context.fireChannelReadComplete();
     }
 
--- a/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
@@ -11,6 +11,8 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** The pool of idle connections to one server's address. */
 final class ServerConnectionPool {
@@ -25,15 +27,25 @@
     private final Bootstrap bootstrap;
     private final HeaderTranslator translator;
     private final InetSocketAddress address;
+    private final BooleanSupplier late;
     private final Deque<Idle> idle = new ArrayDeque<>();
 
     private record Idle(ServerConnection connection, long sinceNanos, long expiryNanos) {}
 
+    /**
+     * Creates a pool without connections.
+     *
+     * @param late returns whether the end of a connection may have waited unread for long
+     */
     ServerConnectionPool(
-            Bootstrap bootstrap, HeaderTranslator translator, InetSocketAddress address) {
+            Bootstrap bootstrap,
+            HeaderTranslator translator,
+            InetSocketAddress address,
+            BooleanSupplier late) {
         this.bootstrap = bootstrap;
         this.translator = translator;
         this.address = address;
+        this.late = late;
     }
 
     InetSocketAddress address() {
@@ -61,22 +73,33 @@
         connect(request, id, call, pendingSend);
     }
 
-    /** Takes the connection that was used last, of those that have not carried an id yet. */
+    /**
+     * Takes the connection that was used last, of those that have not carried an id yet and that
+     * the server has not ended.
+     */
     private ServerConnection takeIdle(String id, long maxIdleMillis) {
         long nowNanos = System.nanoTime();
         closeExpired(nowNanos);
+        Optional<ServerConnection> taken = takeNewest(id, maxIdleMillis, nowNanos);
+        while (taken.isPresent() && late.getAsBoolean() && !taken.get().isStillOpen()) {
+            taken = takeNewest(id, maxIdleMillis, nowNanos);
+        }
+        return taken.orElse(null);
+    }
+
+    private Optional<ServerConnection> takeNewest(String id, long maxIdleMillis, long nowNanos) {
         Iterator<Idle> newestFirst = idle.descendingIterator();
         while (newestFirst.hasNext()) {
             Idle next = newestFirst.next();
             if (nowNanos - next.sinceNanos > maxIdleMillis * NANOS_PER_MILLI) {
-                return null;
+                return Optional.empty();
             }
             if (!next.connection.hasCarried(id)) {
                 newestFirst.remove();
-                return next.connection;
+                return Optional.of(next.connection);
             }
         }
-        return null;
+        return Optional.empty();
     }
 
     private void connect(
--- a/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
+++ b/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
@@ -223,7 +223,8 @@
             HeaderTranslator translator = translator();
             ServerConnection connection =
                     new ServerConnection(
-                            new ServerConnectionPool(new Bootstrap(), translator, ADDRESS),
+                            new ServerConnectionPool(
+                                    new Bootstrap(), translator, ADDRESS, () -> false),
                             translator,
                             limit);
             channel =
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -180,6 +180,23 @@
 
     /** Blocks the data thread for a time; returns once it is blocked. */
     void blockDataThread(long millis) throws InterruptedException {
+        CountDownLatch blocked = addPause(millis);
+        Thread.ofVirtual().start(() -> get(options.metrics(), "/metrics"));
+        blocked.await();
+    }
+
+    /**
+     * Blocks the data thread for a time as soon as it reads an open connection of {@link
+     * #connectToMetrics}, among others that are ready at that moment; returns once it is blocked.
+     */
+    void blockDataThread(long millis, Socket metrics) throws IOException, InterruptedException {
+        CountDownLatch blocked = addPause(millis);
+        metrics.getOutputStream()
+                .write(WorkerFake.bytes("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"));
+        blocked.await();
+    }
+
+    private CountDownLatch addPause(long millis) {
         CountDownLatch blocked = new CountDownLatch(1);
         pauses.add(
                 () -> {
@@ -187,8 +204,18 @@
                     LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(millis));
                 });
         node.gateway().metrics().gauge("pause", () -> this::pause);
-        Thread.ofVirtual().start(() -> get(options.metrics(), "/metrics"));
-        blocked.await();
+        return blocked;
+    }
+
+    /** Connects to the listener for metrics; the connection has been accepted. */
+    Socket connectToMetrics() throws IOException {
+        Socket socket = new Socket(options.metrics().getAddress(), options.metrics().getPort());
+        socket.getOutputStream()
+                .write(WorkerFake.bytes("GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"));
+        if (socket.getInputStream().read() < 0) {
+            throw new IOException("closed by the listener for metrics");
+        }
+        return socket;
     }
 
     /** Runs the next pause on the thread that reads the metrics. */
