An expired connection to a server is not used again

A connection whose keep-alive time was over could carry a request, which is lost if the server closes the connection at that moment; a request that may run once then ends as "502". Cause: closeExpired stopped at the first entry that had not expired, and takeIdle did not look at the expiry, so an expired connection stayed behind one with a longer time.

The fix: takeIdle uses only entries whose time is not over and whose connection is open, and the regular check removes every expired entry.

--- a/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
@@ -11,6 +11,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 
@@ -30,7 +31,11 @@
     private final BooleanSupplier late;
     private final Deque<Idle> idle = new ArrayDeque<>();
 
-    private record Idle(ServerConnection connection, long sinceNanos, long expiryNanos) {}
+    private record Idle(ServerConnection connection, long sinceNanos, long expiryNanos) {
+        boolean isUsable(long nowNanos) {
+            return nowNanos - expiryNanos < 0 && connection.isOpen();
+        }
+    }
 
     /**
      * Creates a pool without connections.
@@ -79,7 +84,6 @@
      */
     private ServerConnection takeIdle(String id, long maxIdleMillis) {
         long nowNanos = System.nanoTime();
-        closeExpired(nowNanos);
         Optional<ServerConnection> taken = takeNewest(id, maxIdleMillis, nowNanos);
         while (taken.isPresent() && late.getAsBoolean() && !taken.get().isStillOpen()) {
             taken = takeNewest(id, maxIdleMillis, nowNanos);
@@ -94,7 +98,7 @@
             if (nowNanos - next.sinceNanos > maxIdleMillis * NANOS_PER_MILLI) {
                 return Optional.empty();
             }
-            if (!next.connection.hasCarried(id)) {
+            if (next.isUsable(nowNanos) && !next.connection.hasCarried(id)) {
                 newestFirst.remove();
                 return Optional.of(next.connection);
             }
@@ -167,14 +171,10 @@
 
     /** Closes connections that the server may soon close itself. */
     void closeExpired(long nowNanos) {
-        while (!idle.isEmpty()) {
-            Idle first = idle.peekFirst();
-            if (first.expiryNanos > nowNanos && first.connection.isOpen()) {
-                return;
-            }
-            idle.pollFirst();
-            first.connection.close();
-        }
+        List<Idle> expired =
+                idle.stream().filter(connection -> !connection.isUsable(nowNanos)).toList();
+        idle.removeAll(expired);
+        expired.forEach(entry -> entry.connection.close());
     }
 
     void close() {
