Connections between hosts have an idle timeout of their own

A forwarded request could be sent on a connection that the receiving host was closing, and is lost if it may run once. Cause: the listener for forwarded requests closed idle connections by the callers' idle timeout, which a configuration may cut to 500 ms, while the sending host uses idle connections for up to 4 s, as no keep-alive time was stated.

Evidence: RelayIdleTimeoutTest.shortIdleTimeoutOfCallersDoesNotCloseConnectionsOfHosts sends two requests on one connection to that listener, 4 s apart, with a callers' limit of 500 ms. Before: "expected [HTTP/1.1 503 Service Unavailable] but found []", and in the log "caller_closed reason=idle ... idle_ms=529 limit_ms=500 listener=relay"; after: both are answered. (The 503 is the refusal of a request that no host has forwarded; the connection stays open after it.)

The fix: the listener's limit is 15 s, whatever the callers' limit is, and so longer than any host uses such a connection.

--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -85,6 +85,7 @@
     private final Forwarding forwarding;
     private final CatalogPropagation propagation;
     private final Bootstrap serverBootstrap;
+    private final RelayAcceptor relay = new RelayAcceptor(this, this);
     private final Map<InetSocketAddress, ServerConnectionPool> pools = new HashMap<>();
     private final Map<ServiceId, RetryBudget> retryBudgets = new HashMap<>();
     private final Map<ServiceId, PoolActivity> poolActivities = new HashMap<>();
@@ -231,7 +232,6 @@
     private void openListeners() {
         listeners.listen(options.ready(), new StatusServer(request -> ready()));
         listeners.listen(options.metrics(), new StatusServer(this::operatorsPage));
-        RelayAcceptor relay = new RelayAcceptor(this, this);
         options.relay()
                 .ifPresent(
                         address -> listeners.listenForRequests(address, relay, RELAY_HEADER_BYTES));
@@ -349,10 +349,14 @@
         forwarding.tick();
         buffers.refresh();
         metrics.responseBytes(responses.totalBytes());
-        List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
+        List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limitsOf(caller)));
         pools.values().forEach(pool -> pool.closeExpired(nowNanos));
     }
 
+    private CallerLimits limitsOf(CallerConnection connection) {
+        return relay.hasAccepted(connection) ? relay.limits() : limits();
+    }
+
     private long pauseMillis() {
         if (dispatcher.isPlacing() || shutdownPolicy.begun()) {
             return PLACING_TICK_MILLIS;
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -1,13 +1,22 @@
 package org.orioleshed.gateway;
 
 import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
 import java.util.Optional;
+import java.util.Set;
 import org.orioleshed.catalog.CallerLimits;
 
 /** Accepts the requests that other hosts forward; everything else is the gateway's. */
 final class RelayAcceptor implements RequestAcceptor {
+    /**
+     * For how long other hosts may leave a connection idle. Longer than they use one, and the same
+     * on all hosts, whatever the callers' limit is.
+     */
+    private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
     private final RequestAcceptor gateway;
     private final GatewayContext context;
+    private final Set<CallerConnection> connections = new HashSet<>();
 
     RelayAcceptor(RequestAcceptor gateway, GatewayContext context) {
         this.gateway = gateway;
@@ -22,6 +31,7 @@
 
     @Override
     public boolean opened(CallerConnection connection) {
+        connections.add(connection);
         return gateway.opened(connection);
     }
 
@@ -54,12 +64,24 @@
 
     @Override
     public void closed(CallerConnection connection) {
+        connections.remove(connection);
         gateway.closed(connection);
     }
 
+    /** Returns the callers' limits, with the idle timeout of connections between hosts. */
     @Override
     public CallerLimits limits() {
-        return gateway.limits();
+        CallerLimits callers = gateway.limits();
+        return new CallerLimits(
+                callers.maxHeaderBytes(),
+                callers.maxBodyBytes(),
+                callers.headerTimeoutMillis(),
+                IDLE_TIMEOUT_MILLIS);
+    }
+
+    /** Returns whether a connection was opened by another host. */
+    boolean hasAccepted(CallerConnection connection) {
+        return connections.contains(connection);
     }
 
     @Override
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -87,6 +87,11 @@
      * @param unitsPerSecond the quota of the only workspace
      */
     RelayFleet(int count, long timeoutMillis, long unitsPerSecond) throws IOException {
+        this(count, Fleet.CONFIG.formatted(timeoutMillis, unitsPerSecond));
+    }
+
+    /** Starts the hosts with a configuration; the last one is the primary. */
+    RelayFleet(int count, String config) throws IOException {
         for (int i = 0; i < SERVERS; i++) {
             servers.add(new WorkerFake());
             paths.add(new ServerPath(servers.get(i).address()));
@@ -94,7 +99,6 @@
         for (int i = 1; i <= count; i++) {
             peers.add(freeRange("127.0.0." + i));
         }
-        String config = Fleet.CONFIG.formatted(timeoutMillis, unitsPerSecond);
         for (int i = 0; i < count; i++) {
             hosts.add(new Host(options(i), config, entries(i == 0), count - i));
         }
@@ -177,6 +181,12 @@
         servers.forEach(server -> server.script(script));
     }
 
+    /** Connects to a host's listener for forwarded requests. */
+    Socket connectToRelay(int host) throws IOException {
+        InetSocketAddress relay = hosts.get(host).options.relay().orElseThrow();
+        return new Socket(relay.getAddress(), relay.getPort());
+    }
+
     /** Returns how many requests with an id reached servers. */
     long received(String id) {
         return servers.stream()
