--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -275,7 +275,8 @@
      * Closes the connection if it was idle, and refuses a request that took too long to arrive. The
      * connection is not idle while its caller reads the end of a response.
      */
-    void checkIdle(long nowNanos, CallerLimits limits) {
+    void checkIdle(long nowNanos) {
+        CallerLimits limits = acceptor.limits();
         applyHeaderLimit(limits.maxHeaderBytes());
         if (!isOverdue(nowNanos, limits)) {
             return;
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -344,7 +344,7 @@
         forwarding.tick();
         buffers.refresh();
         metrics.responseBytes(responses.totalBytes());
-        List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos, limits()));
+        List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos));
         pools.values().forEach(pool -> pool.closeExpired(nowNanos));
     }
 
@@ -556,7 +556,10 @@
     @Override
     public ServerConnectionPool pool(InetSocketAddress address) {
         return pools.computeIfAbsent(
-                address, key -> new ServerConnectionPool(serverBootstrap, translator, address));
+                address,
+                key ->
+                        new ServerConnectionPool(
+                                serverBootstrap, translator, address, this::isLate));
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -9,6 +9,12 @@
     /** A relay accepts this much more than callers may send, for the fields that hosts add. */
     private static final int EXTRA_HEADER_BYTES = 512;
 
+    /**
+     * For how long other hosts may leave a connection idle. Longer than they use one, and the same
+     * on all hosts, whatever the callers' limit is.
+     */
+    private static final long IDLE_TIMEOUT_MILLIS = 15_000;
+
     private final RequestAcceptor gateway;
     private final GatewayContext context;
 
@@ -60,14 +66,15 @@
         gateway.closed(connection);
     }
 
+    /** Returns the callers' limits, with the idle timeout of connections between hosts. */
     @Override
     public CallerLimits limits() {
-        CallerLimits limits = gateway.limits();
+        CallerLimits callers = gateway.limits();
         return new CallerLimits(
-                limits.maxHeaderBytes() + EXTRA_HEADER_BYTES,
-                limits.maxBodyBytes(),
-                limits.headerTimeoutMillis(),
-                limits.idleTimeoutMillis());
+                callers.maxHeaderBytes() + EXTRA_HEADER_BYTES,
+                callers.maxBodyBytes(),
+                callers.headerTimeoutMillis(),
+                IDLE_TIMEOUT_MILLIS);
     }
 
     @Override
--- a/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
@@ -11,6 +11,9 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BooleanSupplier;
 
 /** The pool of idle connections to one server's address. */
 final class ServerConnectionPool {
@@ -25,15 +28,29 @@
     private final Bootstrap bootstrap;
     private final HeaderTranslator translator;
     private final InetSocketAddress address;
+    private final BooleanSupplier late;
     private final Deque<Idle> idle = new ArrayDeque<>();
 
-    private record Idle(ServerConnection connection, long sinceNanos, long expiryNanos) {}
+    private record Idle(ServerConnection connection, long sinceNanos, long expiryNanos) {
+        boolean isUsable(long nowNanos) {
+            return nowNanos - expiryNanos < 0 && connection.isOpen();
+        }
+    }
 
+    /**
+     * Creates a pool without connections.
+     *
+     * @param late returns whether the end of a connection may have waited unread for long
+     */
     ServerConnectionPool(
-            Bootstrap bootstrap, HeaderTranslator translator, InetSocketAddress address) {
+            Bootstrap bootstrap,
+            HeaderTranslator translator,
+            InetSocketAddress address,
+            BooleanSupplier late) {
         this.bootstrap = bootstrap;
         this.translator = translator;
         this.address = address;
+        this.late = late;
     }
 
     InetSocketAddress address() {
@@ -61,22 +78,32 @@
         connect(request, id, call, pendingSend);
     }
 
-    /** Takes the connection that was used last, of those that have not carried an id yet. */
+    /**
+     * Takes the connection that was used last, of those that have not carried an id yet and that
+     * the server has not ended.
+     */
     private ServerConnection takeIdle(String id, long maxIdleMillis) {
         long nowNanos = System.nanoTime();
-        closeExpired(nowNanos);
+        Optional<ServerConnection> taken = takeNewest(id, maxIdleMillis, nowNanos);
+        while (taken.isPresent() && late.getAsBoolean() && !taken.get().isStillOpen()) {
+            taken = takeNewest(id, maxIdleMillis, nowNanos);
+        }
+        return taken.orElse(null);
+    }
+
+    private Optional<ServerConnection> takeNewest(String id, long maxIdleMillis, long nowNanos) {
         Iterator<Idle> newestFirst = idle.descendingIterator();
         while (newestFirst.hasNext()) {
             Idle next = newestFirst.next();
             if (nowNanos - next.sinceNanos > maxIdleMillis * NANOS_PER_MILLI) {
-                return null;
+                return Optional.empty();
             }
-            if (!next.connection.hasCarried(id)) {
+            if (next.isUsable(nowNanos) && !next.connection.hasCarried(id)) {
                 newestFirst.remove();
-                return next.connection;
+                return Optional.of(next.connection);
             }
         }
-        return null;
+        return Optional.empty();
     }
 
     private void connect(
@@ -144,14 +171,10 @@
 
     /** Closes connections that the server may soon close itself. */
     void closeExpired(long nowNanos) {
-        while (!idle.isEmpty()) {
-            Idle first = idle.peekFirst();
-            if (first.expiryNanos > nowNanos && first.connection.isOpen()) {
-                return;
-            }
-            idle.pollFirst();
-            first.connection.close();
-        }
+        List<Idle> expired =
+                idle.stream().filter(connection -> !connection.isUsable(nowNanos)).toList();
+        idle.removeAll(expired);
+        expired.forEach(entry -> entry.connection.close());
     }
 
     void close() {
