A place that a primary had queued is not charged again by the next

Callers got 429 (quota) for requests that the primary of their pool had queued, when that primary paused for 500 ms or died and another host became the primary.

Trace (SteppedHosts, red test aPlaceInTheQueueOfAPausedPrimaryIsKept, pause from 9,000 ms): 9,080 home_silent; 9,500 home_moved home=10.0.0.2 live=7 waiting=1; 9,500 request 2 is refused with QUOTA by the new scheduler of 10.0.0.2, whose bucket begins with 5%.

Cause: a scheduler charges a request before it queues it. The host then requested it of the next primary with its whole quota, so that it was charged twice, the second time to a bucket that begins nearly empty just because the earlier primary may have granted the rest. A hand-over of quotas charged twice in the same way.

Now a placement remembers that a primary has queued it, and is requested of the next primary, or of the fallback, without a quota. So that it isn't free: a scheduler that learns that another one placed what it has queued keeps the charge (it refunded it, and charged the reported run, which bears no quota if the next primary granted it). A grant by the primary withdraws the request from the fallback first, which still refunds.

Failed before: DispatcherTest.aRequestThatADeadPrimaryHadQueuedIsNotChargedAgain (found "2 QUOTA"), SchedulerTest.aQueuedRequestThatAnotherSchedulerPlacesStaysCharged (with the rest of this change, but the old Scheduler).

--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -271,14 +271,15 @@
 
     private void recordPlaced(DispatchEvent.Placed placed) {
         PoolState pool = pools.get(placed.request().service());
-        pool.queue().remove(placed.run()).ifPresent(queued -> quotas.refund(queued.request()));
+        // What is queued was charged already, and another scheduler did not charge it again.
+        boolean charged = pool.queue().remove(placed.run()).isPresent();
         ServerState granted = runs.server(placed.run());
         if (granted != null && granted.server().id().equals(placed.server())) {
             return;
         }
-        if (granted == null) {
+        if (granted == null && !charged) {
             quotas.charge(placed.request());
-        } else {
+        } else if (granted != null) {
             // Another scheduler's grant was used; this one's was charged already.
             end(placed.run(), new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
         }
--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -154,17 +154,18 @@
         long nowNanos = clock.getAsLong();
         PendingPlacement placement = new PendingPlacement(request, listener, nowNanos);
         pending.put(run, placement);
-        place(run, placement, request, nowNanos);
+        place(run, placement, nowNanos);
     }
 
-    private void place(
-            RunKey run, PendingPlacement placement, PlacementRequest request, long nowNanos) {
+    private void place(RunKey run, PendingPlacement placement, long nowNanos) {
         placement.restart(nowNanos);
         if (primary.isSelf()) {
             placement.atPrimary = true;
             applyPrimary(
                     primaryScheduler.on(
-                            nowNanos, new DispatchEvent.PlacementRequested(run, request)));
+                            nowNanos,
+                            new DispatchEvent.PlacementRequested(
+                                    run, placement.requestToPrimary(nowNanos))));
             return;
         }
         placement.atPrimary = false;
@@ -176,7 +177,8 @@
     private boolean requestAtPrimary(RunKey run, PendingPlacement placement, long nowNanos) {
         placement.atPrimary =
                 sendToPrimary(
-                        new DispatchEvent.PlacementRequested(run, placement.agedRequest(nowNanos)));
+                        new DispatchEvent.PlacementRequested(
+                                run, placement.requestToPrimary(nowNanos)));
         if (placement.atPrimary) {
             placement.requestedNanos = nowNanos;
             primary.messageSent(nowNanos);
@@ -192,7 +194,7 @@
                 fallback.on(
                         nowNanos,
                         new DispatchEvent.PlacementRequested(
-                                run, placement.agedRequest(nowNanos))));
+                                run, placement.requestToFallback(nowNanos))));
     }
 
     /** Withdraws a placement request. */
@@ -493,6 +495,9 @@
         active.put(
                 grant.run(), new Active(request.withoutQuota(), grant.server(), nowNanos, watched));
         if (byPrimary) {
+            if (placement.atFallback) {
+                applyFallback(fallback.on(nowNanos, new DispatchEvent.Withdrawn(grant.run())));
+            }
             PlacementRequest unchargedRequest = request.withoutQuota();
             applyFallback(
                     fallback.on(
@@ -544,7 +549,7 @@
                         var unused =
                                 sendToPrimary(
                                         new DispatchEvent.PlacementRequested(
-                                                run, placement.agedRequest(nowNanos)));
+                                                run, placement.requestToPrimary(nowNanos)));
                     }
                 });
     }
@@ -696,7 +701,7 @@
         for (Map.Entry<RunKey, PendingPlacement> entry : List.copyOf(pending.entrySet())) {
             PendingPlacement placement = entry.getValue();
             if (placement.atPrimary && pending.containsKey(entry.getKey())) {
-                place(entry.getKey(), placement, placement.agedRequest(nowNanos), nowNanos);
+                place(entry.getKey(), placement, nowNanos);
             }
         }
     }
--- a/src/main/java/org/orioleshed/gateway/PendingPlacement.java
+++ b/src/main/java/org/orioleshed/gateway/PendingPlacement.java
@@ -26,6 +26,9 @@
     /** Whether it was requested at the fallback scheduler, which has not refused it. */
     boolean atFallback;
 
+    /** Whether an earlier primary had queued it, and so charged its workspace's quota. */
+    private boolean chargedBefore;
+
     private Optional<DispatchAction.Refuse> refusal = Optional.empty();
     private long refusedNanos;
 
@@ -40,9 +43,24 @@
         return request.aged(TimeUnit.NANOSECONDS.toMillis(nowNanos - sinceNanos));
     }
 
+    /**
+     * Returns the request to the current primary, without a quota if an earlier primary has charged
+     * it.
+     */
+    PlacementRequest requestToPrimary(long nowNanos) {
+        PlacementRequest aged = agedRequest(nowNanos);
+        return chargedBefore ? aged.withoutQuota() : aged;
+    }
+
+    /** Returns the request to the fallback, without a quota if a primary has charged it. */
+    PlacementRequest requestToFallback(long nowNanos) {
+        return queued ? agedRequest(nowNanos).withoutQuota() : requestToPrimary(nowNanos);
+    }
+
     /** Records that it is requested again, at a primary that knows nothing of it. */
     void restart(long nowNanos) {
         requestedNanos = nowNanos;
+        chargedBefore |= queued;
         queued = false;
         refusal = Optional.empty();
     }
--- a/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
+++ b/src/test/java/org/orioleshed/dispatch/SchedulerTest.java
@@ -352,6 +352,24 @@
         assertEquals(fixture.refusalOf(2).reason(), Reason.QUOTA);
     }
 
+    /** The quota was refunded, though the other scheduler had not charged the request. */
+    @Test
+    public void aQueuedRequestThatAnotherSchedulerPlacesStaysCharged() {
+        SchedulerFixture fixture =
+                new SchedulerFixture()
+                        .quota(1_000, 2_200)
+                        .server("a", 1)
+                        .request(1, 0)
+                        .request(2, 0);
+        fixture.send(
+                new DispatchEvent.Placed(
+                        SchedulerFixture.key(2),
+                        SchedulerFixture.request(0, 600, 5_000, 1_000, 100).withoutQuota(),
+                        new ServerId("a")));
+        fixture.request(3, 0);
+        assertEquals(fixture.refusalOf(3).reason(), Reason.QUOTA);
+    }
+
     @Test
     public void quarantinesContentThatCrashesThreeServersButNotConcurrentContent() {
         SchedulerFixture fixture = new SchedulerFixture();
--- a/src/test/java/org/orioleshed/gateway/DispatcherTest.java
+++ b/src/test/java/org/orioleshed/gateway/DispatcherTest.java
@@ -349,6 +349,25 @@
         assertEquals(eight.sent().size(), 3);
     }
 
+    /** The next primary refused for its quota what the dead one had charged and queued. */
+    @Test
+    public void aRequestThatADeadPrimaryHadQueuedIsNotChargedAgain() {
+        SteppedHosts eight = eightWithQuota(1);
+        eight.get(0).request(1);
+        eight.deliver();
+        eight.get(1).request(2, Optional.of(PlainDecoder.WORKSPACE), 200);
+        eight.deliver();
+        eight.kill(0);
+        eight.get(1).request(3, Optional.of(PlainDecoder.WORKSPACE), 200);
+        eight.run(1_000);
+        assertEquals(eight.get(1).dispatcher.primaryName(), "10.0.0.2");
+        assertEquals(eight.get(1).outcomes, List.of("3 x by=own"));
+        eight.get(1).dispatcher.ended(eight.get(1).key(3), DONE);
+        eight.run(100);
+        assertEquals(numbersGranted(eight.get(1)), List.of("2", "3"));
+        assertEquals(eight.get(1).outcomes.size(), 2);
+    }
+
     /** A refusal by the fallback stands once the primary has been silent for long enough. */
     @Test
     public void aRefusalStandsIfThePrimaryStaysSilent() {
