A primary that is back decides alone what it has queued

A host's fallback granted a request that also waited at its primary, after the primary had gone on and had queued it: the run took a slot that another host's run held (two runs on a server with one slot).

Cause: a request that was placed at the fallback while its primary was silent stayed there until one of both decided. The end of a run of this host then freed a slot in the fallback's count, which has this host's runs alone.

Now the primary's word that it has queued a request, which it sends again at each resend, withdraws the request from the fallback. If the primary falls silent again, the request goes to the fallback as before.

--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -414,7 +414,7 @@
         switch (decision) {
             case DispatchAction.Queued queued -> {
                 if (byPrimary && placement != null && placement.atPrimary) {
-                    placement.queuedByPrimary();
+                    queuedByPrimary(queued.run(), placement);
                 }
             }
             case DispatchAction.Refuse refuse -> {
@@ -426,6 +426,15 @@
         }
     }
 
+    /** Leaves a placement to the primary, which responds again and counts all hosts' runs. */
+    private void queuedByPrimary(RunKey run, PendingPlacement placement) {
+        placement.queuedByPrimary();
+        if (placement.atFallback) {
+            placement.atFallback = false;
+            applyFallback(fallback.on(clock.getAsLong(), new DispatchEvent.Withdrawn(run)));
+        }
+    }
+
     private void refuse(
             DispatchAction.Refuse refuse, PendingPlacement placement, boolean byPrimary) {
         if (byPrimary) {
