A refusal that waits for a silent primary comes while its caller waits

A request that the fallback had refused waited up to 300 ms for a primary that was silent (1.2 s if the primary had queued it), whatever time its caller had left: callers with less got no answer in their time, where they had got a refusal with a time to come back.

Cause: the wait was bounded by the primary's silence alone, not by the caller's deadline.

Now such a request waits at most until half of the time that it had left when its slot was requested, the bound that schedulers set for a queue; a refusal that comes later than that is final at once. The other half is for the answer, also where the host is late.

Failed before: DispatcherTest.aRefusalComesWhileItsCallerStillWaits, all five of its cases (deadlines of 60 to 300 ms; no outcome 20 ms before the deadline). DispatcherTest 28 of 28, SilentHostTest, DeadlyPartFleetTest, EvacuationHostsTest green.

--- a/src/main/java/org/orioleshed/gateway/Dispatcher.java
+++ b/src/main/java/org/orioleshed/gateway/Dispatcher.java
@@ -469,7 +469,7 @@
             return placement.atPrimary;
         }
         boolean lost = placement.queued ? primary.isGone(nowNanos) : primary.isLost(nowNanos);
-        if (primary.id().isEmpty() || lost) {
+        if (primary.id().isEmpty() || lost || !placement.mayAwaitPrimary(nowNanos)) {
             return false;
         }
         return placement.atPrimary || requestAtPrimary(run, placement, nowNanos);
--- a/src/main/java/org/orioleshed/gateway/PendingPlacement.java
+++ b/src/main/java/org/orioleshed/gateway/PendingPlacement.java
@@ -10,6 +10,12 @@
  * scheduler at once: while the primary is silent, the first grant of either counts.
  */
 final class PendingPlacement {
+    /**
+     * The part of the time left until its caller's deadline in which a refused request waits for
+     * the primary; the rest is for the final answer, also on a host that is late.
+     */
+    private static final double MAX_WAIT_FRACTION = 0.5;
+
     final PlacementRequest request;
     final Dispatcher.PlacementListener listener;
     private final long sinceNanos;
@@ -82,8 +88,19 @@
         return atPrimary && !atFallback && refusal.isEmpty();
     }
 
-    /** Returns the fallback's refusal if the primary has had this time to decide otherwise. */
+    /** Returns whether its caller still waits for long enough for the primary to decide. */
+    boolean mayAwaitPrimary(long nowNanos) {
+        long waitedNanos = nowNanos - sinceNanos;
+        long deadlineNanos = TimeUnit.MILLISECONDS.toNanos(request.deadlineLeftMillis());
+        return waitedNanos < MAX_WAIT_FRACTION * deadlineNanos;
+    }
+
+    /**
+     * Returns the fallback's refusal if the primary has had this time to decide otherwise, or the
+     * caller would not wait for its decision.
+     */
     Optional<DispatchAction.Refuse> refusalAfter(long waitNanos, long nowNanos) {
-        return refusal.filter(unused -> nowNanos - refusedNanos >= waitNanos);
+        return refusal.filter(
+                unused -> nowNanos - refusedNanos >= waitNanos || !mayAwaitPrimary(nowNanos));
     }
 }
--- a/src/test/java/org/orioleshed/gateway/DispatcherTest.java
+++ b/src/test/java/org/orioleshed/gateway/DispatcherTest.java
@@ -383,4 +383,22 @@
         assertEquals(eight.get(1).outcomes, List.of("1 x by=own", "2 QUOTA"));
         assertEquals(eight.sent().size(), 1);
     }
+
+    /** Times that callers wait, in milliseconds: shorter than a silent primary is waited for. */
+    @DataProvider
+    Object[][] patiences() {
+        return new Object[][] {{60L}, {100L}, {160L}, {200L}, {300L}};
+    }
+
+    /** A refusal that waited for a silent primary came after its caller had stopped waiting. */
+    @Test(dataProvider = "patiences")
+    public void aRefusalComesWhileItsCallerStillWaits(long patienceMillis) {
+        SteppedHosts eight = eightWithQuota(8);
+        eight.pause(0);
+        eight.get(1).request(1, Optional.of(PlainDecoder.WORKSPACE), 200);
+        eight.run(100);
+        eight.get(1).request(2, Optional.of(PlainDecoder.WORKSPACE), 200, patienceMillis);
+        eight.run(patienceMillis - SteppedHosts.STEP_NANOS / 1_000_000);
+        assertEquals(eight.get(1).outcomes, List.of("1 x by=own", "2 QUOTA"));
+    }
 }
--- a/src/test/java/org/orioleshed/gateway/SteppedHost.java
+++ b/src/test/java/org/orioleshed/gateway/SteppedHost.java
@@ -47,6 +47,8 @@
     /** A host must comply with a server's limit from this long after it first saw the limit. */
     private static final long LIMIT_PROPAGATION_NANOS = 500_000_000;
 
+    private static final long DEADLINE_MILLIS = 10_000;
+
     private static final RunReport DONE = new RunReport(RunReport.Outcome.ANSWERED, 5, 50, 200);
 
     final HostId id;
@@ -334,7 +336,7 @@
     /** Requests a slot for a request whose server is to crash before it answers. */
     void requestDeadly(long number, RequestContent content) {
         deadly.add(key(number));
-        request(number, Optional.empty(), 0, content);
+        request(number, Optional.empty(), 0, content, DEADLINE_MILLIS);
     }
 
     /** Returns whether a request was sent to a server. */
@@ -354,11 +356,21 @@
 
     /** Requests a slot for a request that uses a workspace's quota. */
     void request(long number, Optional<WorkspaceId> workspace, long quotaUnits) {
-        request(number, workspace, quotaUnits, RequestContent.whole(number));
+        request(number, workspace, quotaUnits, DEADLINE_MILLIS);
+    }
+
+    /** Requests a slot for a request whose caller waits only for a given time. */
+    void request(
+            long number, Optional<WorkspaceId> workspace, long quotaUnits, long deadlineMillis) {
+        request(number, workspace, quotaUnits, RequestContent.whole(number), deadlineMillis);
     }
 
     private void request(
-            long number, Optional<WorkspaceId> workspace, long quotaUnits, RequestContent content) {
+            long number,
+            Optional<WorkspaceId> workspace,
+            long quotaUnits,
+            RequestContent content,
+            long deadlineMillis) {
         PlacementRequest request =
                 new PlacementRequest(
                         PlainDecoder.SERVICE,
@@ -367,7 +379,7 @@
                         domain,
                         0,
                         600,
-                        10_000,
+                        deadlineMillis,
                         100,
                         100,
                         quotaUnits,
