Soak: the idle timeout that a caller knew when its connection went idle binds the host

The host keeps a connection for the longest limit in force since it went idle, and for as long as a change may take beyond it, so IdleChecks asks for no less: the least of all limits that may be in force is replaced by the newest one written when the connection went idle. Stricter than before; more reuses count.

--- a/src/test/java/org/orioleshed/soak/Callers.java
+++ b/src/test/java/org/orioleshed/soak/Callers.java
@@ -172,8 +172,9 @@
                 callOnKeptConnection(caller, socket, shortRequest(caller.random), host);
                 while (!finishing && socket.isReusable()) {
                     long idleSinceNanos = System.nanoTime();
-                    Thread.sleep(idleMillis(caller.random));
-                    reuse(caller, socket, host, idleSinceNanos);
+                    long idleTimeoutMillis = fleet.operator().idleTimeoutMillis();
+                    Thread.sleep(idleMillis(caller.random, idleTimeoutMillis));
+                    reuse(caller, socket, host, idleTimeoutMillis, idleSinceNanos);
                 }
             } catch (IOException e) {
                 pause(caller.random, PAUSE_MILLIS);
@@ -181,20 +182,25 @@
         }
     }
 
-    private long idleMillis(Random random) {
+    private long idleMillis(Random random, long idleTimeoutMillis) {
         double ratio = MIN_IDLE_RATIO + random.nextDouble() * (MAX_IDLE_RATIO - MIN_IDLE_RATIO);
-        return Math.min(MAX_IDLE_MILLIS, (long) (ratio * fleet.operator().idleTimeoutMillis()));
+        return Math.min(MAX_IDLE_MILLIS, (long) (ratio * idleTimeoutMillis));
     }
 
     /** Sends a request on a connection that idled; every second one arrives in two parts. */
-    private void reuse(Caller caller, CallerSocket socket, SoakHost host, long idleSinceNanos)
+    private void reuse(
+            Caller caller,
+            CallerSocket socket,
+            SoakHost host,
+            long idleTimeoutMillis,
+            long idleSinceNanos)
             throws InterruptedException {
         Call.Request request = shortRequest(caller.random);
         boolean inTwoParts = caller.random.nextBoolean();
         double splitRatio = caller.random.nextDouble();
         int splitMillis = MIN_SPLIT_MILLIS + caller.random.nextInt(SPLIT_RANGE_MILLIS);
         String id = caller.nextId();
-        history.add(new History.Reuse(id, idleSinceNanos, System.nanoTime()));
+        history.add(new History.Reuse(id, idleTimeoutMillis, idleSinceNanos, System.nanoTime()));
         history.add(
                 inTwoParts
                         ? socket.callInTwoParts(id, request, host.index(), splitRatio, splitMillis)
--- a/src/test/java/org/orioleshed/soak/History.java
+++ b/src/test/java/org/orioleshed/soak/History.java
@@ -50,10 +50,11 @@
     /**
      * A reuse of a connection that idled.
      *
+     * @param idleTimeoutMillis the newest idle timeout when the response before it was received
      * @param idleSinceNanos the time when the response before it was received
      * @param sentNanos the time just before the first byte of the request was written
      */
-    record Reuse(String callId, long idleSinceNanos, long sentNanos) {}
+    record Reuse(String callId, long idleTimeoutMillis, long idleSinceNanos, long sentNanos) {}
 
     /** A server's draining state, with the time when the store acknowledged its write. */
     record Drain(String server, long acknowledgedNanos) {}
--- a/src/test/java/org/orioleshed/soak/IdleChecks.java
+++ b/src/test/java/org/orioleshed/soak/IdleChecks.java
@@ -1,17 +1,13 @@
 package org.orioleshed.soak;
 
 import java.util.concurrent.TimeUnit;
-import org.orioleshed.soak.History.ConfigWrite;
 import org.orioleshed.soak.History.Reuse;
 
 /**
  * Checks that no request on an idle connection ends with it, neither answered nor refused, where
- * the connection idled for less than any configuration that may be in force allows.
+ * the connection idled for less than the newest configuration allowed when it went idle.
  */
 final class IdleChecks {
-    /** The time within which a configuration comes into force. */
-    private static final long APPLY_NANOS = TimeUnit.MILLISECONDS.toNanos(2_000);
-
     private final HistoryIndex index;
     private final Findings findings;
 
@@ -35,7 +31,7 @@
                     "the connection idled for %d ms of %d ms and broke %d ms after the first byte"
                             .formatted(
                                     idleMillis(reuse),
-                                    minIdleTimeoutMillis(index, reuse),
+                                    reuse.idleTimeoutMillis(),
                                     TimeUnit.NANOSECONDS.toMillis(
                                             call.endNanos() - reuse.sentNanos()));
             findings.add("LOST", call.id(), text);
@@ -46,7 +42,7 @@
     private static boolean isResponseDue(HistoryIndex index, Reuse reuse) {
         Call call = index.calls().get(reuse.callId());
         return call != null
-                && idleMillis(reuse) <= Callers.MAX_IDLE_RATIO * minIdleTimeoutMillis(index, reuse)
+                && idleMillis(reuse) <= Callers.MAX_IDLE_RATIO * reuse.idleTimeoutMillis()
                 && index.isFaultFree(reuse.idleSinceNanos(), call.endNanos())
                 && index.isUndisturbed(call.host(), reuse.idleSinceNanos(), call.endNanos());
     }
@@ -55,21 +51,6 @@
         return TimeUnit.NANOSECONDS.toMillis(reuse.sentNanos() - reuse.idleSinceNanos());
     }
 
-    /** Returns the least idle timeout of those that may be in force while a connection idled. */
-    private static long minIdleTimeoutMillis(HistoryIndex index, Reuse reuse) {
-        int dueVersion =
-                index.history().all(ConfigWrite.class).stream()
-                        .filter(it -> it.acknowledgedNanos() + APPLY_NANOS < reuse.idleSinceNanos())
-                        .mapToInt(ConfigWrite::version)
-                        .max()
-                        .orElse(0);
-        return index.history().all(ConfigWrite.class).stream()
-                .filter(it -> it.version() >= dueVersion && it.sentNanos() <= reuse.sentNanos())
-                .mapToLong(ConfigWrite::idleTimeoutMillis)
-                .min()
-                .orElse(0);
-    }
-
     /** Returns a line that states how many requests the checks applied to. */
     static String describe(HistoryIndex index) {
         long due =
