--- a/src/test/java/org/orioleshed/gateway/CallerConnectionOrderTest.java
+++ b/src/test/java/org/orioleshed/gateway/CallerConnectionOrderTest.java
@@ -25,6 +25,7 @@
 /** Tests in which order a caller's connection takes what arrives, and when it takes nothing. */
 public class CallerConnectionOrderTest {
     private final List<String> served = new ArrayList<>();
+    private final List<String> bodies = new ArrayList<>();
     private final List<ChannelPromise> unwritten = new ArrayList<>();
     private boolean callerReads;
     private EmbeddedChannel channel;
@@ -34,6 +35,7 @@
     @BeforeMethod
     public void open() {
         served.clear();
+        bodies.clear();
         unwritten.clear();
         callerReads = true;
         channel = new EmbeddedChannel();
@@ -53,6 +55,7 @@
                                                         request.path()
                                                                 + " "
                                                                 + request.body().size());
+                                                bodies.add(request.body().text());
                                                 yield Optional.of(
                                                         pending(
                                                                 (CallerConnection) arguments[0],
@@ -144,6 +147,19 @@
         assertEquals(served, List.of("/1 0", "/2 4"));
     }
 
+    /** Guards against a request that runs with a part of the body of the next one. */
+    @Test
+    public void bodiesOfPipelinedRequestsAreNotJoined() {
+        receive(request("/1", 0, ""));
+        receive(request("/2", 4, "") + "ab");
+        answer();
+        receive("cd" + request("/3", 4, "") + "xy");
+        channel.runPendingTasks();
+        receive("zz");
+        channel.runPendingTasks();
+        assertEquals(bodies, List.of("", "abcd"));
+    }
+
     /** Guards against a request that runs on a connection which ends with the answer before it. */
     @Test
     public void nothingIsServedBehindAnAnswerThatEndsTheConnection() {
