What is read just after an answer waits behind what was read before

Callers saw (pipelining): the rest of a request dropped, so that it got neither an answer nor a refusal; answers in the wrong order; a request that ran with a part of the next one's body. Cause: an answer only schedules the turn of what is queued, and what the same poll read after it went first. Change: it is queued, too.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -155,7 +155,8 @@
             ReferenceCountUtil.release(part);
             return;
         }
-        if (isBusy()) {
+        // What was read before it goes first, also where its turn is only scheduled.
+        if (isBusy() || !pipelined.isEmpty()) {
             pipelined.add(part);
             if (pipelined.size() > MAX_PIPELINED_PARTS) {
                 channel.config().setAutoRead(false);
@@ -306,7 +307,7 @@
 
     /** Returns whether a request, or the rest of one, was awaited for too long. */
     private boolean isOverdue(long nowNanos, CallerLimits limits) {
-        if (isBusy() || inputClosed) {
+        if (isBusy() || inputClosed || !pipelined.isEmpty()) {
             return false;
         }
         idleTimeout.recordLimit(limits.idleTimeoutMillis());
--- a/src/main/java/org/orioleshed/gateway/StartQueue.java
+++ b/src/main/java/org/orioleshed/gateway/StartQueue.java
@@ -41,7 +41,7 @@
         private final CallerRequest request;
         private final String id;
 
-        private PendingStart(CallerConnection connection, CallerRequest request, String id) {
+        PendingStart(CallerConnection connection, CallerRequest request, String id) {
             this.connection = connection;
             this.request = request;
             this.id = id;
--- a/src/test/java/org/orioleshed/gateway/CallerConnectionOrderTest.java
+++ b/src/test/java/org/orioleshed/gateway/CallerConnectionOrderTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 
+import com.codahale.metrics.MetricRegistry;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
@@ -11,7 +12,6 @@
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
-import java.lang.reflect.Constructor;
 import java.lang.reflect.Proxy;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -39,9 +39,7 @@
         unwritten.clear();
         callerReads = true;
         channel = new EmbeddedChannel();
-        CallerBuffers buffers =
-                new CallerBuffers(
-                        List.of(), new com.codahale.metrics.MetricRegistry(), line -> {});
+        CallerBuffers buffers = new CallerBuffers(List.of(), new MetricRegistry(), line -> {});
         RequestAcceptor acceptor =
                 (RequestAcceptor)
                         Proxy.newProxyInstance(
@@ -50,16 +48,18 @@
                                 (proxy, method, arguments) ->
                                         switch (method.getName()) {
                                             case "hold" -> {
-                                                CallerRequest request = (CallerRequest) arguments[1];
+                                                CallerRequest request =
+                                                        (CallerRequest) arguments[1];
                                                 served.add(
                                                         request.path()
                                                                 + " "
                                                                 + request.body().size());
                                                 bodies.add(request.body().text());
                                                 yield Optional.of(
-                                                        pending(
+                                                        new StartQueue.PendingStart(
                                                                 (CallerConnection) arguments[0],
-                                                                request));
+                                                                request,
+                                                                "id"));
                                             }
                                             case "buffers" -> buffers;
                                             case "limits" -> CallerLimits.DEFAULT;
@@ -90,13 +90,6 @@
         channel.pipeline().fireChannelActive();
     }
 
-    private static StartQueue.PendingStart pending(
-            CallerConnection connection, CallerRequest request) throws Exception {
-        Constructor<?> constructor = StartQueue.PendingStart.class.getDeclaredConstructors()[0];
-        constructor.setAccessible(true);
-        return (StartQueue.PendingStart) constructor.newInstance(connection, request, "id");
-    }
-
     private void receive(String text) {
         channel.pipeline()
                 .fireChannelRead(
@@ -171,7 +164,9 @@
         assertEquals(served, List.of("/1 0"));
     }
 
-    /** Guards against a connection that is kept forever, since its caller doesn't read a refusal. */
+    /**
+     * Guards against a connection that is kept forever, since its caller doesn't read a refusal.
+     */
     @Test
     public void connectionEndsThoughItsCallerReadsNoRefusal() {
         callerReads = false;
