A connection whose last answer is on its way takes no request, and ends if nobody reads it

Callers saw: a request sent behind an answer that ends its connection was served, and cut off by the close. Since the 408 for slow requests a caller that didn't read it kept its connection for ever. Change: the input is closed with the last answer; a connection on which such an answer isn't read for the idle timeout is reset (caller_closed reason=unread_response). A part of a request that is refused at the end of the service may come back at once. Evidence: CallerConnectionOrderTest.nothingIsServedBehindAnAnswerThatEndsTheConnection, connectionEndsThoughItsCallerReadsNoRefusal failed before and pass.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -43,6 +43,8 @@
     /** When a large request that did not fit into memory is to be sent again, in seconds. */
     private static final int RETRY_AFTER_SECONDS = 1;
 
+    private static final String LEAVING = "leaving";
+
     /** A caller sends its first request within this time after it connected. */
     private static final long FIRST_REQUEST_MILLIS = 500;
 
@@ -266,7 +268,8 @@
         acceptor.rejected(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            headers.set(HttpHeaderNames.RETRY_AFTER, RETRY_AFTER_SECONDS);
+            headers.set(
+                    HttpHeaderNames.RETRY_AFTER, reason.equals(LEAVING) ? 0 : RETRY_AFTER_SECONDS);
         }
         acceptor.markRejected(headers);
         respond(status, headers, new byte[0]);
@@ -277,6 +280,9 @@
      * connection is not idle while its caller reads the end of a response.
      */
     void checkIdle(long nowNanos) {
+        if (!channel.isOpen()) {
+            return;
+        }
         CallerLimits limits = acceptor.limits();
         applyHeaderLimit(limits.maxHeaderBytes());
         if (!isOverdue(nowNanos, limits)) {
@@ -287,7 +293,10 @@
         if (!channel.isOpen() || !isOverdue(nowNanos, limits)) {
             return;
         }
-        if (decoder.isReceiving()) {
+        if (inputClosed) {
+            logClose(CloseReason.UNREAD_RESPONSE, nowNanos);
+            abort();
+        } else if (decoder.isReceiving()) {
             reject(HttpResponseStatus.REQUEST_TIMEOUT, "slow");
         } else {
             logClose(CloseReason.IDLE, nowNanos);
@@ -305,9 +314,12 @@
         decoder = newDecoder;
     }
 
-    /** Returns whether a request, or the rest of one, was awaited for too long. */
+    /**
+     * Returns whether a request, the rest of one, or that the caller reads its last response, was
+     * awaited for too long.
+     */
     private boolean isOverdue(long nowNanos, CallerLimits limits) {
-        if (isBusy() || inputClosed || !pipelined.isEmpty()) {
+        if (isBusy() || !pipelined.isEmpty()) {
             return false;
         }
         idleTimeout.recordLimit(limits.idleTimeoutMillis());
@@ -316,7 +328,7 @@
             idleTimeout.restart(nowNanos);
         }
         lastUnwrittenBytes = unwrittenBytes;
-        return decoder.isReceiving()
+        return decoder.isReceiving() && !inputClosed
                 ? isSlow(nowNanos, limits.headerTimeoutMillis())
                 : idleTimeout.isOver(nowNanos);
     }
@@ -360,10 +372,13 @@
      * refused. The exchange of a request that was received whole has ended before.
      */
     void endOfService(long nowNanos) {
+        if (!channel.isOpen()) {
+            return;
+        }
         if (pendingStart != null) {
             acceptor.refuse(pendingStart);
         } else if (!isBusy() && !inputClosed && decoder.isReceiving()) {
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "leaving");
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING);
         } else if (!isBusy() && !inputClosed) {
             logClose(CloseReason.STOPPING, nowNanos);
             closeAfterFlush();
@@ -511,14 +526,15 @@
     private void finish(HttpObject last, boolean keep) {
         exchange = null;
         requestBytes = 0;
+        idleTimeout.begin(
+                System.nanoTime(),
+                Math.max(statedIdleMillis, acceptor.limits().idleTimeoutMillis()));
         if (!keep) {
+            inputClosed = true;
             channel.writeAndFlush(last).addListener(done -> end(done.isSuccess()));
             return;
         }
         channel.writeAndFlush(last);
-        idleTimeout.begin(
-                System.nanoTime(),
-                Math.max(statedIdleMillis, acceptor.limits().idleTimeoutMillis()));
         channel.eventLoop().execute(this::next);
     }
 
@@ -526,8 +542,11 @@
         while (!isBusy() && !inputClosed && !pipelined.isEmpty()) {
             read(pipelined.poll());
         }
+        if (inputClosed || !channel.isOpen()) {
+            return;
+        }
         applyHeaderLimit(acceptor.limits().maxHeaderBytes());
-        if (!inputClosed && pipelined.size() <= MAX_PIPELINED_PARTS / 2 && channel.isOpen()) {
+        if (pipelined.size() <= MAX_PIPELINED_PARTS / 2) {
             channel.config().setAutoRead(true);
         }
     }
--- a/src/main/java/org/orioleshed/gateway/CloseReason.java
+++ b/src/main/java/org/orioleshed/gateway/CloseReason.java
@@ -7,6 +7,9 @@
     /** No request was received for longer than a caller may leave a connection idle. */
     IDLE,
 
+    /** The caller did not read its last response for as long as it may be idle. */
+    UNREAD_RESPONSE,
+
     /** The host is stopping. */
     STOPPING;
 
