The whole backlog is accepted before the listeners close

Callers saw: a reset with their whole request in the listener's backlog, where more than 16 connections waited in it and the host was late beyond its final deadline: one round accepted 16. Change: the backlogs of both request listeners are accepted until nothing comes any more (at most 100 rounds), what is queued behind an answer takes its turn, and the failure of one connection no longer keeps the others from being ended.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -201,6 +201,12 @@
         }
     }
 
+    /** Takes all that the connection received, as the host stops serving. */
+    void takeReceived() {
+        receive();
+        next();
+    }
+
     private void read(HttpObject part) {
         try {
             switch (requests.add(part)) {
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -96,7 +96,7 @@
     /** Whether this host watches the store, as it does from its start on. */
     private boolean watching = true;
 
-    private Channel callerChannel;
+    private volatile List<Channel> requestListeners = List.of();
     private long nextRun;
     private final Ticker ticker = new Ticker(loop, this::tick, this::pauseMillis);
     private long slowTickNanos;
@@ -132,8 +132,8 @@
                         exchanges,
                         callers,
                         this::failed,
-                        () -> Listeners.acceptWaiting(callerChannel),
-                        () -> callerChannel.close(),
+                        () -> requestListeners.forEach(Listeners::acceptWaiting),
+                        () -> requestListeners.forEach(Channel::close),
                         log::add);
         this.metrics = new GatewayMetrics(log);
         this.buffers = new CallerBuffers(callers, metrics.registry(), log::add);
@@ -229,8 +229,11 @@
         listeners.listen(options.ready(), new StatusServer(request -> ready()));
         listeners.listen(options.metrics(), new StatusServer(this::operatorsPage));
         RelayAcceptor relay = new RelayAcceptor(this, this);
-        options.relay().ifPresent(address -> listeners.listenForRequests(address, relay));
-        callerChannel = listeners.listenForRequests(options.callers(), this);
+        List<Channel> opened = new ArrayList<>();
+        options.relay()
+                .ifPresent(address -> opened.add(listeners.listenForRequests(address, relay)));
+        opened.add(listeners.listenForRequests(options.callers(), this));
+        requestListeners = List.copyOf(opened);
     }
 
     /** Sets the recorder of rollout outcomes; call before {@link #start}. */
@@ -344,10 +347,18 @@
         forwarding.tick();
         buffers.refresh();
         metrics.responseBytes(responses.totalBytes());
-        List.copyOf(callers).forEach(caller -> caller.checkIdle(nowNanos));
+        List.copyOf(callers).forEach(caller -> checkIdle(caller, nowNanos));
         pools.values().forEach(pool -> pool.closeExpired(nowNanos));
     }
 
+    private void checkIdle(CallerConnection caller, long nowNanos) {
+        try {
+            caller.checkIdle(nowNanos);
+        } catch (RuntimeException e) {
+            failed("idle", e);
+        }
+    }
+
     private long pauseMillis() {
         if (dispatcher.isPlacing() || shutdownPolicy.begun()) {
             return PLACING_TICK_MILLIS;
--- a/src/main/java/org/orioleshed/gateway/GracefulStop.java
+++ b/src/main/java/org/orioleshed/gateway/GracefulStop.java
@@ -15,6 +15,9 @@
  * response. Used on the data thread, but for {@link #await}.
  */
 final class GracefulStop {
+    /** Bounds the work on a backlog that grows as fast as it is accepted. */
+    private static final int MAX_ACCEPT_ROUNDS = 100;
+
     private final ShutdownPolicy policy;
     private final Collection<Exchange> exchanges;
     private final Collection<CallerConnection> callers;
@@ -75,7 +78,7 @@
         if (over) {
             endAll(nowNanos);
         } else {
-            List.copyOf(callers).forEach(caller -> caller.closeIfIdle(nowNanos));
+            forEachCaller(caller -> caller.closeIfIdle(nowNanos));
         }
         if (policy.isFinalDeadline(nowNanos) || isQuiet()) {
             end(nowNanos);
@@ -85,28 +88,44 @@
     /** Returns whether no work is left, also none that waits in the listener's backlog. */
     private boolean isQuiet() {
         if (exchanges.isEmpty() && callers.isEmpty()) {
-            acceptWaiting.run();
+            acceptAll();
         }
         return exchanges.isEmpty() && callers.isEmpty();
     }
 
+    /** Accepts all connections that wait in the listener's backlog. */
+    private void acceptAll() {
+        int rounds = 0;
+        int known;
+        do {
+            known = callers.size();
+            acceptWaiting.run();
+            rounds++;
+        } while (callers.size() > known && rounds < MAX_ACCEPT_ROUNDS);
+    }
+
     /**
      * Ends all remaining requests with a final response, also those that were received and not read
      * yet, and closes all connections.
      */
     private void endAll(long nowNanos) {
-        acceptWaiting.run();
-        List.copyOf(callers).forEach(CallerConnection::receive);
+        acceptAll();
+        forEachCaller(CallerConnection::takeReceived);
         // Waiting requests end first, so that the slot of one that ends is not granted to them.
         List<Exchange> remaining = new ArrayList<>(exchanges);
         remaining.sort(Comparator.comparing(Exchange::isSent));
-        remaining.forEach(this::end);
-        List.copyOf(callers).forEach(caller -> caller.endOfService(nowNanos));
+        remaining.forEach(exchange -> guard(exchange::hostStopping));
+        forEachCaller(caller -> caller.endOfService(nowNanos));
+    }
+
+    private void forEachCaller(Consumer<CallerConnection> step) {
+        List.copyOf(callers).forEach(caller -> guard(() -> step.accept(caller)));
     }
 
-    private void end(Exchange exchange) {
+    /** Runs a step; a failure must not keep the others from being taken. */
+    private void guard(Runnable step) {
         try {
-            exchange.hostStopping();
+            step.run();
         } catch (RuntimeException e) {
             faults.accept("end", e);
         }
