An answer that a server has completed is passed on when the service ends

Callers saw: a stream cut in the middle of a 200 though its end lay in the host's socket, where a late host ended its service. Cause: the end of the service looked at callers' connections only. Change: the connections to servers are read before the exchanges are ended. Evidence: AnswerUnreadAtTheEndTest (stall beyond the end of the service) failed before and passes.

--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -159,8 +159,18 @@
         return state == State.SENT;
     }
 
+    /** Passes on what the request's server has sent and this host has not read yet. */
+    void receiveResponse() {
+        if (state == State.SENT && !readingPaused) {
+            currentAttempt.pendingSend().receive();
+        }
+    }
+
     /** Ends the request with a final response because this host is stopping. */
     void hostStopping() {
+        if (state == State.DONE) {
+            return;
+        }
         logUnfinished();
         switch (state) {
             case WAITING_FOR_CONFIG -> fail(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING, 0);
--- a/src/main/java/org/orioleshed/gateway/GracefulStop.java
+++ b/src/main/java/org/orioleshed/gateway/GracefulStop.java
@@ -106,11 +106,12 @@
 
     /**
      * Ends all remaining requests with a final response, also those that were received and not read
-     * yet, and closes all connections.
+     * yet, and closes all connections. Responses that servers have completed are passed on.
      */
     private void endAll(long nowNanos) {
         acceptAll();
         forEachCaller(CallerConnection::takeReceived);
+        List.copyOf(exchanges).forEach(exchange -> guard(exchange::receiveResponse));
         // Waiting requests end first, so that the slot of one that ends is not granted to them.
         List<Exchange> remaining = new ArrayList<>(exchanges);
         remaining.sort(Comparator.comparing(Exchange::isSent));
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -25,6 +25,9 @@
     /** A late answer repeats one of the last requests; earlier ones are forgotten. */
     private static final int MAX_REMEMBERED_REQUESTS = 64;
 
+    /** Bounds the work on a response that arrives as fast as it is read. */
+    private static final int MAX_READ_ROUNDS = 100;
+
     private enum State {
         IDLE,
         HEAD,
@@ -52,6 +55,7 @@
     private State state = State.IDLE;
     private boolean written;
     private boolean reading;
+    private int partCount;
     private boolean headOnly;
     private boolean failed;
     private boolean reusable;
@@ -145,10 +149,25 @@
      * as its end may wait unread; call only while the connection is idle.
      */
     boolean isStillOpen() {
+        readOnce();
+        return isOpen();
+    }
+
+    /** Reads what the connection received for the current request, as long as more is there. */
+    void receiveAll() {
+        int rounds = 0;
+        int before;
+        do {
+            before = partCount;
+            readOnce();
+            rounds++;
+        } while (partCount > before && call != null && rounds < MAX_READ_ROUNDS);
+    }
+
+    private void readOnce() {
         if (!reading && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
             unsafe.read();
         }
-        return isOpen();
     }
 
     void close() {
@@ -158,6 +177,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         reading = true;
+        partCount++;
         HttpObject part = (HttpObject) message;
         try {
             receive(part);
--- a/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
@@ -212,6 +212,13 @@
             }
         }
 
+        /** Reads what the connection received and the event loop has not read yet. */
+        void receive() {
+            if (connection != null) {
+                connection.receiveAll();
+            }
+        }
+
         void setReading(boolean enabled) {
             if (connection != null) {
                 connection.setReading(enabled);
