--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -334,7 +334,8 @@
             idleTimeout.restart(nowNanos);
         }
         lastUnwrittenBytes = unwrittenBytes;
-        return decoder.isReceiving() && !inputClosed
+        boolean receiving = decoder.isReceiving() && !inputClosed;
+        return receiving
                 ? isSlow(nowNanos, limits.headerTimeoutMillis())
                 : idleTimeout.isOver(nowNanos);
     }
--- a/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
+++ b/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
@@ -56,7 +56,7 @@
         IDLE(IDLE_MILLIS, IDLE_MILLIS + CHANGE_MILLIS, Use.KEPT),
 
         /** A new configuration has made the idle timeout shorter. */
-        SHORTER_TIMEOUT(LONG_IDLE_MILLIS, SHORT_IDLE_MILLIS, Use.KEPT),
+        SHORTER_TIMEOUT(SHORT_IDLE_MILLIS, SHORT_IDLE_MILLIS + CHANGE_MILLIS, Use.KEPT),
 
         /** The host stops, and the balancer soon sends nothing more. */
         STOPPING(LONG_IDLE_MILLIS, GRACE_MILLIS / 2, Use.KEPT),
@@ -165,7 +165,7 @@
     private void prepare(Fleet fleet, Reason reason) throws IOException {
         switch (reason) {
             case IDLE -> {}
-            case SHORTER_TIMEOUT -> fleet.changeIdleTimeout(2, SHORT_IDLE_MILLIS);
+            case SHORTER_TIMEOUT -> fleet.changeIdleTimeout(2, IDLE_MILLIS);
             case STOPPING -> stop(fleet);
             case END_OF_SERVICE, END_OF_LISTENER -> {
                 keepBusy(fleet);
