--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -8,7 +8,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelOutboundBuffer;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
@@ -43,8 +42,6 @@
     /** When a large request that did not fit into memory is to be sent again, in seconds. */
     private static final int RETRY_AFTER_SECONDS = 1;
 
-    private static final String LEAVING = "leaving";
-
     /** A caller sends its first request within this time after it connected. */
     private static final long FIRST_REQUEST_MILLIS = 500;
 
@@ -194,10 +191,8 @@
 
     /** Reads what the connection received and the event loop has not read yet. */
     void receive() {
-        if (!reading
-                && channel.config().isAutoRead()
-                && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+        if (!reading && channel.config().isAutoRead()) {
+            UnreadInput.read(channel);
         }
     }
 
@@ -267,6 +262,10 @@
 
     /** Responds to a request that was not read to its end, and closes the connection. */
     private void reject(HttpResponseStatus status, String reason) {
+        reject(status, reason, RETRY_AFTER_SECONDS);
+    }
+
+    private void reject(HttpResponseStatus status, String reason, int retryAfterSeconds) {
         inputClosed = true;
         requests.drop();
         keepAlive = false;
@@ -274,8 +273,7 @@
         acceptor.rejected(status.code(), reason);
         HttpHeaders headers = DefaultHttpHeadersFactory.headersFactory().newHeaders();
         if (status.equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
-            headers.set(
-                    HttpHeaderNames.RETRY_AFTER, reason.equals(LEAVING) ? 0 : RETRY_AFTER_SECONDS);
+            headers.set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
         }
         acceptor.markRejected(headers);
         respond(status, headers, new byte[0]);
@@ -385,7 +383,7 @@
         if (pendingStart != null) {
             acceptor.refuse(pendingStart);
         } else if (!isBusy() && !inputClosed && decoder.isReceiving()) {
-            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, LEAVING);
+            reject(HttpResponseStatus.SERVICE_UNAVAILABLE, "leaving", 0);
         } else if (!isBusy() && !inputClosed) {
             logClose(CloseReason.STOPPING, nowNanos);
             closeAfterFlush();
--- a/src/main/java/org/orioleshed/gateway/GracefulStop.java
+++ b/src/main/java/org/orioleshed/gateway/GracefulStop.java
@@ -23,7 +23,7 @@
     private final Collection<CallerConnection> callers;
     private final BiConsumer<String, Throwable> faults;
     private final Runnable acceptWaiting;
-    private final Runnable closeListener;
+    private final Runnable closeListeners;
     private final Consumer<String> log;
     private final CountDownLatch stopped = new CountDownLatch(1);
 
@@ -33,8 +33,8 @@
      * @param exchanges the requests being served, as they change
      * @param callers the open connections of callers, as they change
      * @param faults receives the work that failed, and why
-     * @param acceptWaiting accepts the connections that wait in the backlog of the listener
-     * @param closeListener closes the listener for callers, at the end
+     * @param acceptWaiting accepts the connections that wait in the backlogs of the listeners
+     * @param closeListeners closes the listeners for requests, at the end
      */
     GracefulStop(
             ShutdownPolicy policy,
@@ -42,14 +42,14 @@
             Collection<CallerConnection> callers,
             BiConsumer<String, Throwable> faults,
             Runnable acceptWaiting,
-            Runnable closeListener,
+            Runnable closeListeners,
             Consumer<String> log) {
         this.policy = policy;
         this.exchanges = exchanges;
         this.callers = callers;
         this.faults = faults;
         this.acceptWaiting = acceptWaiting;
-        this.closeListener = closeListener;
+        this.closeListeners = closeListeners;
         this.log = log;
     }
 
@@ -85,7 +85,7 @@
         }
     }
 
-    /** Returns whether no work is left, also none that waits in the listener's backlog. */
+    /** Returns whether no work is left, also none that waits in a listener's backlog. */
     private boolean isQuiet() {
         if (exchanges.isEmpty() && callers.isEmpty()) {
             acceptAll();
@@ -93,7 +93,7 @@
         return exchanges.isEmpty() && callers.isEmpty();
     }
 
-    /** Accepts all connections that wait in the listener's backlog. */
+    /** Accepts all connections that wait in a listener's backlog. */
     private void acceptAll() {
         int rounds = 0;
         int known;
@@ -136,7 +136,7 @@
         if (stopped.getCount() == 0) {
             return;
         }
-        closeListener.run();
+        closeListeners.run();
         log.accept("event=stopped after_ms=" + policy.sinceMillis(nowNanos));
         stopped.countDown();
     }
--- a/src/main/java/org/orioleshed/gateway/Listeners.java
+++ b/src/main/java/org/orioleshed/gateway/Listeners.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
@@ -57,8 +56,8 @@
      * listener's event loop.
      */
     static void acceptWaiting(Channel listener) {
-        if (listener.isOpen() && listener.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+        if (listener.isOpen()) {
+            UnreadInput.read(listener);
         }
     }
 
--- a/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
+++ b/src/main/java/org/orioleshed/gateway/RelayAcceptor.java
@@ -66,7 +66,7 @@
         gateway.closed(connection);
     }
 
-    /** Returns the callers' limits, with the idle timeout of connections between hosts. */
+    /** Returns the callers' limits, with longer heads and an idle timeout of their own. */
     @Override
     public CallerLimits limits() {
         CallerLimits callers = gateway.limits();
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -4,7 +4,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -165,8 +164,8 @@
     }
 
     private void readOnce() {
-        if (!reading && channel.unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
-            unsafe.read();
+        if (!reading) {
+            UnreadInput.read(channel);
         }
     }
 
--- a/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnectionPool.java
@@ -171,10 +171,12 @@
 
     /** Closes connections that the server may soon close itself. */
     void closeExpired(long nowNanos) {
-        List<Idle> expired =
-                idle.stream().filter(connection -> !connection.isUsable(nowNanos)).toList();
-        idle.removeAll(expired);
-        expired.forEach(entry -> entry.connection.close());
+        for (Idle entry : List.copyOf(idle)) {
+            if (!entry.isUsable(nowNanos)) {
+                idle.remove(entry);
+                entry.connection.close();
+            }
+        }
     }
 
     void close() {
