--- a/src/test/java/org/orioleshed/platform/BacklogAtTheEndTest.java
+++ b/src/test/java/org/orioleshed/platform/BacklogAtTheEndTest.java
@@ -1,12 +1,10 @@
 package org.orioleshed.platform;
 
-import static org.orioleshed.platform.WorkerFake.bytes;
 import static org.testng.Assert.assertEquals;
 
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import org.orioleshed.platform.WorkerFake.Script;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -30,12 +28,7 @@
     public void allRequestsInALongBacklogAreAnsweredWhenTheServiceEnds(long stallMillis)
             throws Exception {
         try (Fleet fleet = Fleet.withIdleTimeout(15_000, GRACE_MILLIS)) {
-            int before = fleet.first.requests.size();
-            fleet.first.script(Script.streaming(1, 400, 10));
-            Socket longCaller = fleet.connect();
-            longCaller.getOutputStream().write(bytes(Fleet.request("/s/x", "long", "")));
-            Fleet.await(() -> fleet.first.requests.size() > before);
-            fleet.first.script(Script.answering(200, "ok"));
+            Socket longCaller = fleet.keepBusy();
             long stopNanos = System.nanoTime();
             Thread.ofVirtual().start(fleet::stop);
             Fleet.await(() -> fleet.log().contains("event=leaving"));
--- a/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
+++ b/src/test/java/org/orioleshed/platform/ClosedConnectionsTest.java
@@ -1,6 +1,5 @@
 package org.orioleshed.platform;
 
-import static org.orioleshed.platform.WorkerFake.bytes;
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
@@ -13,6 +12,7 @@
 import java.util.Map;
 import org.orioleshed.catalog.WatchTiming;
 import org.orioleshed.platform.WorkerFake.Script;
+import org.testng.annotations.AfterMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -99,6 +99,14 @@
     /** The caller of a long stream; kept, as an unreachable socket is closed. */
     private Socket longCaller;
 
+    @AfterMethod
+    public void closeLongCaller() throws IOException {
+        if (longCaller != null) {
+            longCaller.close();
+            longCaller = null;
+        }
+    }
+
     @DataProvider
     Object[][] cases() {
         List<Object[]> rows = new ArrayList<>();
@@ -168,7 +176,7 @@
             case SHORTER_TIMEOUT -> fleet.changeIdleTimeout(2, IDLE_MILLIS);
             case STOPPING -> stop(fleet);
             case END_OF_SERVICE, END_OF_LISTENER -> {
-                keepBusy(fleet);
+                longCaller = fleet.keepBusy();
                 stop(fleet);
             }
         }
@@ -179,16 +187,6 @@
         Fleet.await(() -> fleet.log().contains("event=leaving"));
     }
 
-    /** Sends a stream that outlasts the host, which otherwise stops as soon as it can. */
-    private void keepBusy(Fleet fleet) throws IOException {
-        int before = fleet.first.requests.size();
-        fleet.first.script(Script.streaming(1, 400, 10));
-        longCaller = fleet.connect();
-        longCaller.getOutputStream().write(bytes(Fleet.request("/s/x", "long", "")));
-        Fleet.await(() -> fleet.first.requests.size() > before);
-        fleet.first.script(Script.answering(200, "ok"));
-    }
-
     private static void sleepUntil(long fromNanos, long millis) throws InterruptedException {
         long passedMillis = (System.nanoTime() - fromNanos) / 1_000_000;
         Thread.sleep(Math.max(0, millis - passedMillis));
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -220,6 +220,20 @@
         return blocked;
     }
 
+    /**
+     * Sends a stream that outlasts the host, which otherwise stops as soon as it can. Keep the
+     * connection: an unreachable socket is closed.
+     */
+    Socket keepBusy() throws IOException {
+        int before = first.requests.size();
+        first.script(WorkerFake.Script.streaming(1, 400, 10));
+        Socket caller = connect();
+        caller.getOutputStream().write(WorkerFake.bytes(request("/s/x", "long", "")));
+        await(() -> first.requests.size() > before);
+        first.script(WorkerFake.Script.answering(200, "ok"));
+        return caller;
+    }
+
     /** Connects to the listener for metrics; the connection has been accepted. */
     Socket connectToMetrics() throws IOException {
         Socket socket = new Socket(options.metrics().getAddress(), options.metrics().getPort());
