--- a/review/standins-2/Case7.java
+++ b/review/standins-2/Case7.java
@@ -21,6 +21,7 @@
     private static final int HOT_MILLIS = 6_500;
     private static final int KEPT_MILLIS = 12_000;
     private static final int KEPT_CHANNELS = 60;
+    private static final int FEW_REQUESTS = 24;
     private static final int LATE_REQUESTS = 40;
     private static final int TIMEOUT_MILLIS = 1_500;
 
@@ -153,21 +154,28 @@
         // 6 s more: longer than stable-ms (3 s) and than the 5 s after requesters press.
         Rig.sleep(6_000);
         phase[0] = "4 after";
-        for (int i = 0; i < 24; i++) {
-            try (Socket socket = rig.hosts.get(i % 2).connect()) {
-                socket.getOutputStream().write(Rig.bytes(call("hold", "key1")));
-                Rig.Answer answer = Rig.readAnswer(socket, socket.getInputStream(), TIMEOUT_MILLIS + 500);
-                count("4 after, one by one: " + answer.status + " " + answer.end);
-                if (answer.end.equals("silent")) {
-                    unansweredBefore.incrementAndGet();
-                } else if (answer.status == 504) {
-                    timedOutBefore.incrementAndGet();
-                }
-                Rig.sleep(50);
-            } catch (IOException e) {
-                count("4 after, one by one: " + e.getMessage());
-            }
+        CountDownLatch fewLatch = new CountDownLatch(FEW_REQUESTS);
+        for (int i = 0; i < FEW_REQUESTS; i++) {
+            Rig.Host host = rig.hosts.get(i % 2);
+            Rig.spawn(
+                    () -> {
+                        try (Socket socket = host.connect()) {
+                            socket.getOutputStream().write(Rig.bytes(call("hold", "key1")));
+                            Rig.Answer answer = Rig.readAnswer(socket, socket.getInputStream(), TIMEOUT_MILLIS + 500);
+                            count("4 after, few at a time: " + answer.status + " " + answer.end);
+                            if (answer.end.equals("silent")) {
+                                unansweredBefore.incrementAndGet();
+                            } else if (answer.status == 504) {
+                                timedOutBefore.incrementAndGet();
+                            }
+                        } catch (IOException e) {
+                            count("4 after, few at a time: " + e.getMessage());
+                        }
+                        fewLatch.countDown();
+                    });
+            Rig.sleep(100);
         }
+        fewLatch.await(10, TimeUnit.SECONDS);
         rig.note("workers now take longer than the route's timeout");
         slow[0] = true;
         CountDownLatch latch = new CountDownLatch(LATE_REQUESTS);
