A response whose status line is none reached callers

The same with 0, 099, 20, 0200, +200, 600, 999, 1000 and 2000, with HTTP/9.9 or HTTP/2.0, with white space other than one space between the words, and with control bytes in the reason phrase; 0200 and 2000 reached callers as successes. A rejection with the status 000 or 0421 became a promise of "not run".

Cause: ServerConnection believes what the codec decodes, and the codec takes any integer for a status and any version for its own. decoderResult() says only what the library does not tolerate.

Change: ResponseSyntax says what the message syntax of HTTP/1.1 is, and StrictResponseDecoder asks it for each part of a status line as it is split, also of interim responses, before a message exists that could be believed. A part that is malformed makes the decoder result a failure, which ends the attempt as broken. A status outside 100 to 599 is invalid by RFC 9110, 15; a later minor version is allowed by 2.5.

An empty line before a status line stays tolerated.

--- a/src/main/java/org/orioleshed/gateway/ServerResponseDecoder.java
+++ b/src/main/java/org/orioleshed/gateway/ServerResponseDecoder.java
@@ -6,15 +6,15 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.ReferenceCountUtil;
 import java.util.function.Predicate;
+import org.orioleshed.http.StrictResponseDecoder;
 
 /**
  * Decodes a server's responses. Rejects bytes that are received while no request is on its way, and
  * tells whether any were received after a complete response.
  */
-final class ServerResponseDecoder extends HttpResponseDecoder {
+final class ServerResponseDecoder extends StrictResponseDecoder {
     private static final int MAX_LINE_BYTES = 16_384;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_PART_BYTES = 16_384;
--- /dev/null
+++ b/src/main/java/org/orioleshed/http/ResponseSyntax.java
@@ -0,0 +1,93 @@
+package org.orioleshed.http;
+
+import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+
+/**
+ * The message syntax of HTTP/1.1 responses (RFC 9112), as far as the codec tolerates deviations
+ * from it. What deviates is no response: nothing that it states may be relied upon.
+ */
+final class ResponseSyntax {
+    private static final int MIN_STATUS = 100;
+    private static final int MAX_STATUS = 599;
+    private static final int STATUS_DIGITS = 3;
+    private static final String VERSION_PREFIX = "HTTP/1.";
+
+    private ResponseSyntax() {}
+
+    /**
+     * Checks the words of a status line. A later minor version is allowed (RFC 9110, 2.5); a status
+     * outside 100 to 599 is invalid (RFC 9110, 15).
+     *
+     * @param reason the reason phrase; may be empty
+     * @throws MalformedResponseException if a word is malformed
+     */
+    static void checkStatusLine(String version, String status, String reason) {
+        check(isVersion(version), "version");
+        check(isStatus(status), "status");
+        check(HttpHeaderValidationUtil.validateValidHeaderValue(reason) < 0, "reason phrase");
+    }
+
+    private static boolean isVersion(String text) {
+        return text.length() == VERSION_PREFIX.length() + 1
+                && text.startsWith(VERSION_PREFIX)
+                && isDigit(text.charAt(VERSION_PREFIX.length()));
+    }
+
+    private static boolean isStatus(String text) {
+        if (text.length() != STATUS_DIGITS || !text.chars().allMatch(ResponseSyntax::isDigit)) {
+            return false;
+        }
+        int status = Integer.parseInt(text);
+        return status >= MIN_STATUS && status <= MAX_STATUS;
+    }
+
+    private static boolean isDigit(int character) {
+        return character >= '0' && character <= '9';
+    }
+
+    /**
+     * Checks that a line begins with its first word.
+     *
+     * @param start the index of the word's first byte
+     * @throws MalformedResponseException if white space precedes it
+     */
+    static void checkLineStart(byte[] line, int start) {
+        check(start == 0 || !isWhiteSpace(line[start - 1]), "white space before the line");
+    }
+
+    /**
+     * Checks that exactly one space separates the status from the version.
+     *
+     * @param start the index of the status's first byte
+     * @throws MalformedResponseException if something else separates them
+     */
+    static void checkStatusStart(byte[] line, int start) {
+        boolean separated = start >= 2 && line[start - 1] == ' ' && !isWhiteSpace(line[start - 2]);
+        check(separated, "white space before the status");
+    }
+
+    /**
+     * Checks that a space separates the reason phrase, which may begin with white space, from the
+     * status.
+     *
+     * @param start the index of the phrase's first byte that is no white space
+     * @throws MalformedResponseException if something else separates them
+     */
+    static void checkReasonStart(byte[] line, int start) {
+        int statusEnd = start;
+        while (statusEnd > 0 && isWhiteSpace(line[statusEnd - 1])) {
+            statusEnd--;
+        }
+        check(line[statusEnd] == ' ', "no space behind the status");
+    }
+
+    private static boolean isWhiteSpace(byte value) {
+        return value >= 0 && value <= ' ';
+    }
+
+    private static void check(boolean holds, String part) {
+        if (!holds) {
+            throw new MalformedResponseException(part);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
@@ -0,0 +1,48 @@
+package org.orioleshed.http;
+
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+
+/**
+ * Decodes only responses that are in the message syntax of HTTP. Where a head, an interim response
+ * or a trailer section is not, its {@link HttpMessage#decoderResult() decoder result} is a failure
+ * and nothing else is decoded.
+ *
+ * <p>The methods that it overrides are called in the course of decoding, before anything that the
+ * message states is applied.
+ */
+public class StrictResponseDecoder extends HttpResponseDecoder {
+    /**
+     * Creates a decoder.
+     *
+     * @param config the codec's limits
+     */
+    public StrictResponseDecoder(HttpDecoderConfig config) {
+        super(config);
+    }
+
+    @Override
+    protected String splitFirstWordInitialLine(byte[] line, int start, int length) {
+        ResponseSyntax.checkLineStart(line, start);
+        return super.splitFirstWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected String splitSecondWordInitialLine(byte[] line, int start, int length) {
+        ResponseSyntax.checkStatusStart(line, start);
+        return super.splitSecondWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected String splitThirdWordInitialLine(byte[] line, int start, int length) {
+        ResponseSyntax.checkReasonStart(line, start);
+        return super.splitThirdWordInitialLine(line, start, length);
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] statusLine) {
+        ResponseSyntax.checkStatusLine(statusLine[0], statusLine[1], statusLine[2]);
+        return super.createMessage(statusLine);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/orioleshed/http/package-info.java
@@ -0,0 +1,2 @@
+/** What all readers of HTTP responses have in common. */
+package org.orioleshed.http;
--- /dev/null
+++ b/src/test/java/org/orioleshed/platform/MalformedResponsesTest.java
@@ -0,0 +1,220 @@
+package org.orioleshed.platform;
+
+import static org.orioleshed.platform.Fleet.request;
+import static org.orioleshed.platform.WorkerFake.bytes;
+import static org.orioleshed.platform.WorkerFake.chunk;
+import static org.orioleshed.platform.WorkerFake.length;
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.orioleshed.platform.WorkerFake.Request;
+import org.orioleshed.platform.WorkerFake.Script;
+import org.testng.annotations.AfterMethod;
+import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/**
+ * Tests of responses that are not in the message syntax of HTTP. Neither their bodies nor what
+ * their heads state may reach a caller.
+ */
+public class MalformedResponsesTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\n";
+    private static final String NOT_RUN = "X-Not-Executed: 1\r\n";
+    private static final String CHUNKED = "Transfer-Encoding: chunked\r\n";
+
+    /** The body of every response: one event, of 0x10 bytes. */
+    private static final String BODY = "id: 1\ndata: e1\n\n";
+
+    private static final String CHUNKED_BODY = chunk(BODY) + "0\r\n\r\n";
+
+    /** Replaced by the fields that a sound response to the request has. */
+    private static final String FIELDS = "{fields}";
+
+    /** The paths of a call that runs once at most, one that may be repeated, and a stream. */
+    private static final List<String> PATHS = List.of("/o/x", "/i/x", "/s/x");
+
+    private Fleet fleet;
+
+    @BeforeMethod
+    public void open() throws IOException {
+        fleet = new Fleet(5_000, 100_000);
+    }
+
+    @AfterMethod
+    public void close() throws IOException {
+        fleet.close();
+    }
+
+    /** Answers a request named "warm" so that its connection is kept, and all others as told. */
+    private static Script answering(String response) {
+        return (request, out, in) -> {
+            if (request.id().equals("warm")) {
+                return Script.answering(200, "ok").play(request, out, in);
+            }
+            out.write(bytes(response.replace(FIELDS, fields(request))));
+            return true;
+        };
+    }
+
+    private static String fields(Request request) {
+        return "X-Request-Id: %s\r\nX-Response-Signature: s\r\n".formatted(request.id());
+    }
+
+    /** Returns a response with a body of stated length. */
+    private static String response(String statusLine, String... fieldLines) {
+        return statusLine + FIELDS + lines(fieldLines) + length(BODY) + BODY;
+    }
+
+    /** Returns a response that states that the request did not run. */
+    private static String rejection(String statusLine, String... fieldLines) {
+        return statusLine + FIELDS + NOT_RUN + lines(fieldLines) + length("");
+    }
+
+    private static String lines(String... fieldLines) {
+        return String.join("", Stream.of(fieldLines).map(line -> line + "\r\n").toList());
+    }
+
+    /** Returns each response on a new and on a reused connection, and the paths in turn. */
+    private static Object[][] rows(List<String> responses) {
+        List<Object[]> rows = new ArrayList<>();
+        for (String response : responses) {
+            for (boolean reused : new boolean[] {false, true}) {
+                String path = PATHS.get((rows.size() + rows.size() / 2) % PATHS.size());
+                rows.add(new Object[] {response, new Way(path, reused)});
+            }
+        }
+        return rows.toArray(Object[][]::new);
+    }
+
+    /** How a request is sent to a server: its path, and whether on a connection used before. */
+    private record Way(String path, boolean reused) {}
+
+    @DataProvider
+    Object[][] statusLines() {
+        String[] lines = {
+            "HTTP/1.1 000 X",
+            "HTTP/1.1 000",
+            "HTTP/1.1 0 X",
+            "HTTP/1.1 099 X",
+            "HTTP/1.1 20 X",
+            "HTTP/1.1 0200 X",
+            "HTTP/1.1 +200 X",
+            "HTTP/1.1 -200 X",
+            "HTTP/1.1 2x0 X",
+            "HTTP/1.1 200X",
+            "HTTP/1.1 2\u00b20 X",
+            "HTTP/1.1 600 X",
+            "HTTP/1.1 999 X",
+            "HTTP/1.1 1000 X",
+            "HTTP/1.1 2000 X",
+            "HTTP/1.1",
+            "HTTP/1.1 ",
+            "HTTP/9.9 200 OK",
+            "HTTP/2.0 200 OK",
+            "HTTP/0.9 200 OK",
+            "HTTP/1.10 200 OK",
+            "HTTP/11 200 OK",
+            "http/1.1 200 OK",
+            "ICY 200 OK",
+            "200 OK",
+            " HTTP/1.1 200 OK",
+            "\u0001HTTP/1.1 200 OK",
+            "HTTP/1.1\t200 OK",
+            "HTTP/1.1  200 OK",
+            "HTTP/1.1 200\tOK",
+            "HTTP/1.1 200\u000bOK",
+            "HTTP/1.1\u000b200 OK",
+            "\tHTTP/1.1 200 OK",
+            "HTTP/1.1 200 O\0K",
+            "HTTP/1.1 200 O\u0007K",
+            "HTTP/1.1 200 O\u007fK",
+            "HTTP/1.1 200 O\rK",
+        };
+        List<String> responses = new ArrayList<>();
+        for (String line : lines) {
+            responses.add(response(line + "\r\n"));
+        }
+        responses.add("HTTP/1.1 000 Continue\r\n\r\n" + response(OK));
+        responses.add(rejection("HTTP/1.1 000 X\r\n"));
+        responses.add(rejection("HTTP/9.9 503 X\r\n"));
+        responses.add(rejection("HTTP/1.1 0421 X\r\n"));
+        return rows(responses);
+    }
+
+    /**
+     * Guards against a status that is no status, and a version that is not spoken; a rejection with
+     * one proves nothing.
+     */
+    @Test(dataProvider = "statusLines")
+    public void aMalformedStatusLineFailsTheCall(String response, Way way) throws IOException {
+        checkFails(response, way);
+    }
+
+    /** Checks that the caller gets this host's own failure, and that no call is run twice. */
+    private void checkFails(String response, Way way) throws IOException {
+        String received = send(response, way);
+        assertEquals(status(received), "502", received + fleet.log());
+        assertFalse(received.contains("X-Response-Signature"), received);
+    }
+
+    /** Returns what the caller reads until its connection ends. */
+    private String send(String response, Way way) throws IOException {
+        fleet.first.script(answering(response));
+        if (way.reused()) {
+            assertEquals(status(fleet.send(request("/i/x", "warm", ""))), "200");
+        }
+        int before = fleet.first.requests.size();
+        String received;
+        try (Socket socket = fleet.connect()) {
+            received = WorkerFake.exchange(socket, request(way.path(), "r", ""));
+        }
+        int runs = fleet.first.requests.size() - before;
+        assertTrue(runs == 1 || (runs == 2 && !way.path().equals("/o/x")), "runs " + runs);
+        return received;
+    }
+
+    @DataProvider
+    Object[][] sound() {
+        return rows(
+                List.of(
+                        response(OK),
+                        response("HTTP/1.1 200\r\n"),
+                        response("HTTP/1.1 200 \r\n"),
+                        response("HTTP/1.1 200 \u00e9t\u00e9\tOK\r\n"),
+                        response("HTTP/1.1 200  \tOK\r\n"),
+                        response("\r\nHTTP/1.1 200 OK\r\n"),
+                        response("HTTP/1.0 200 OK\r\n"),
+                        response("HTTP/1.9 200 OK\r\n"),
+                        response(OK, "!#$%&'*+-.^_`|~09aZ: v"),
+                        response(OK, "A:v"),
+                        response(OK, "A:"),
+                        response(OK, "A: \t "),
+                        response(OK, "A: v\tw \u00e9"),
+                        response(OK, "A: v", " folded"),
+                        "HTTP/1.1 100 Continue\r\n\r\n" + response(OK),
+                        "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + response(OK),
+                        OK + FIELDS + "Content-Length:16 \r\n\r\n" + BODY,
+                        OK + FIELDS + "transfer-encoding:\tChunked \r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + CHUNKED + "\r\n10;a=b\r\n" + BODY + "\r\n000\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n" + chunk(BODY) + "0\r\nA: v\r\nB:\r\n\r\n"));
+    }
+
+    /** Guards against a check that refuses what the syntax allows. */
+    @Test(dataProvider = "sound")
+    public void aSoundResponseIsPassedOn(String response, Way way) throws IOException {
+        String received = send(response, way);
+        assertEquals(status(received), "200", received + fleet.log());
+        assertTrue(received.contains("data: e1"), received);
+    }
+
+    private static String status(String response) {
+        return response.length() < 12 ? "" : response.substring(9, 12);
+    }
+}
