A body in an unknown transfer coding reached callers

Cause: the codec decodes a body as chunked if "chunked" is among its codings, and passes on as it is what has another coding. The gateway strips the field, as it concerns the connection only.

Change: ResponseSyntax allows "chunked" alone, once; this host asks for no other (RFC 9112, 6.1). The decoder asks it when a head is complete, before the end of the body is read from the head.

--- a/src/main/java/org/orioleshed/http/ResponseSyntax.java
+++ b/src/main/java/org/orioleshed/http/ResponseSyntax.java
@@ -1,6 +1,10 @@
 package org.orioleshed.http;
 
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValidationUtil;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpResponse;
+import java.util.List;
 
 /**
  * The message syntax of HTTP/1.1 responses (RFC 9112), as far as the codec tolerates deviations
@@ -100,6 +104,21 @@
         return value >= 0 && value <= ' ';
     }
 
+    /**
+     * Checks that the body has no transfer coding but "chunked", the only one that the codec
+     * decodes.
+     *
+     * @throws MalformedResponseException if it has another, so that its end and content are unknown
+     */
+    static void checkFraming(HttpResponse response) {
+        List<String> codings = response.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        boolean chunkedOnly =
+                codings.size() == 1
+                        && HttpHeaderValues.CHUNKED.contentEqualsIgnoreCase(
+                                codings.getFirst().strip());
+        check(codings.isEmpty() || chunkedOnly, "transfer coding");
+    }
+
     private static void check(boolean holds, String part) {
         if (!holds) {
             throw new MalformedResponseException(part);
--- a/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
+++ b/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
 
@@ -53,4 +54,11 @@
         ResponseSyntax.checkFieldName(line, start, length);
         return super.splitHeaderName(line, start, length);
     }
+
+    /** Called when a head is complete, before it is applied how the end of the body is stated. */
+    @Override
+    protected boolean isContentAlwaysEmpty(HttpMessage message) {
+        ResponseSyntax.checkFraming((HttpResponse) message);
+        return super.isContentAlwaysEmpty(message);
+    }
 }
--- a/src/test/java/org/orioleshed/platform/MalformedResponsesTest.java
+++ b/src/test/java/org/orioleshed/platform/MalformedResponsesTest.java
@@ -227,6 +227,64 @@
         checkBreaks(response, way);
     }
 
+    @DataProvider
+    Object[][] framings() {
+        return rows(
+                List.of(
+                        OK + FIELDS + "Content-Length : 16\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content -Length: 14\r\nContent-Length: 16\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: +16\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: -16\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: 16, 16\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: 16\r\nContent-Length: 15\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: 0x10\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: 16 16\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length:\r\n\r\n" + BODY,
+                        OK + FIELDS + "Content-Length: 99999999999999999999\r\n\r\n" + BODY,
+                        OK + FIELDS + "Transfer-Encoding : chunked\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + "Transfer\tEncoding: chunked\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + "Transfer-Encoding: xchunked\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + "Transfer-Encoding: chunked, gzip\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + "Transfer-Encoding: gzip, chunked\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + "Transfer-Encoding: chunked, chunked\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + CHUNKED + "Transfer-Encoding: gzip\r\n\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + CHUNKED + CHUNKED + "\r\n" + CHUNKED_BODY,
+                        OK + FIELDS + "Transfer-Encoding: identity\r\n" + length(BODY) + BODY,
+                        OK + FIELDS + "Transfer-Encoding: gzip\r\n" + length(BODY) + BODY,
+                        OK + FIELDS + "Transfer-Encoding:\r\n" + length(BODY) + BODY,
+                        OK + FIELDS + CHUNKED + length(BODY) + CHUNKED_BODY,
+                        "HTTP/1.0 200 OK\r\n" + FIELDS + CHUNKED + "\r\n" + CHUNKED_BODY,
+                        "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"
+                                + response(OK)));
+    }
+
+    /** Guards against a body whose end is read from a field that does not state it. */
+    @Test(dataProvider = "framings")
+    public void aMalformedFramingFailsTheCall(String response, Way way) throws IOException {
+        checkFails(response, way);
+    }
+
+    @DataProvider
+    Object[][] chunks() {
+        return rows(
+                List.of(
+                        OK + FIELDS + CHUNKED + "\r\n+10\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n-10\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n0x10\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n10x\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n10 10\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n 10\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n\r\n" + BODY + "\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n10\r\n" + BODY + "xx\r\n0\r\n\r\n",
+                        OK + FIELDS + CHUNKED + "\r\n10\r\n" + BODY + "\r\n0x\r\n\r\n"));
+    }
+
+    /** Guards against a body whose chunks are malformed. */
+    @Test(dataProvider = "chunks")
+    public void aMalformedChunkFailsTheCall(String response, Way way) throws IOException {
+        checkBreaks(response, way);
+    }
+
     /** Checks that the caller gets this host's own failure, and that no call is run twice. */
     private void checkFails(String response, Way way) throws IOException {
         String received = send(response, way);
