An interim response of the store was taken for its answer

Seen: with "103" before the answer every call failed as one that had no effect, "Unavailable[detail=status=103]", while the write was made.

Cause: StoreCalls takes the first message with a status for the answer.

--- a/src/test/java/org/orioleshed/http/MalformedResponses.java
+++ b/src/test/java/org/orioleshed/http/MalformedResponses.java
@@ -82,6 +82,7 @@
                         OK + REST,
                         OK + CHUNKED + CHUNK + "0\r\n\r\n",
                         OK + CHUNKED + CHUNK + "0\r\nA: v\r\n\r\n",
+                        "HTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + OK + REST,
                         "HTTP/1.1 200\r\n" + REST));
     }
 
