A success of the store without content was read as an empty one

Seen: a response 200 without a length that ends before its body gave an empty list, an empty entry, a write at revision 0 and a lease of 0 ms. An empty list of servers removes all of them.

Cause: PlatformStore reads each field with a default, so a reply that states nothing reads like one that states "nothing there". JSON that is cut is no JSON and was refused; an empty body is not JSON either but was let through.

The renewal of a lease states nothing but its status.

A conflict (412) without its items is a failure without effect.

--- a/src/test/java/org/orioleshed/platform/MalformedStoreResponsesTest.java
+++ b/src/test/java/org/orioleshed/platform/MalformedStoreResponsesTest.java
@@ -9,16 +9,21 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.catalog.WatchTiming;
 import org.orioleshed.http.MalformedResponses;
 import org.orioleshed.model.Payload;
 import org.orioleshed.platform.WorkerFake.Script;
+import org.orioleshed.store.Store;
 import org.orioleshed.store.Store.Result;
 import org.orioleshed.store.StoreRevision;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
 /**
@@ -96,4 +101,55 @@
         assertEquals(results.get(3), new Result.Lease(7, 60_000, 1));
         assertEquals(results.get(4), new Result.Lease(7, 60_000, 1));
     }
+
+    @DataProvider
+    Object[][] unstated() {
+        return new Object[][] {
+            {"\r\n"}, {"\r\n{}"}, {"\r\n{\"items\":["}, {"Content-Length: 0\r\n\r\n"}, {"\r\n[]"},
+        };
+    }
+
+    /**
+     * Guards against an empty list, and a write without a revision, that no response states. The
+     * renewal of a lease, the last call, is confirmed by its status.
+     */
+    @Test(dataProvider = "unstated")
+    public void aResponseWithoutContentStatesNothing(String rest) {
+        server.script(answering("HTTP/1.1 200 OK\r\n" + ERA + rest, false));
+        for (Result result : callAll().subList(0, 4)) {
+            assertTrue(result instanceof Result.Unknown, result.toString());
+        }
+        server.script(answering("HTTP/1.1 412 X\r\n" + ERA + rest, false));
+        for (Result result : callAll()) {
+            assertTrue(result instanceof Result.Unavailable, result.toString());
+        }
+    }
+
+    /** Guards against a watch that goes on after changes that it was not told. */
+    @Test(dataProvider = "unstated")
+    public void aWatchWithoutContentBreaks(String rest) throws InterruptedException {
+        server.script(answering("HTTP/1.1 200 OK\r\n" + ERA + rest, false));
+        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
+        store.watch("k", new StoreRevision(1, 1), watcher(seen));
+        assertEquals(seen.take(), "broken");
+    }
+
+    private static Store.Watcher watcher(BlockingQueue<String> seen) {
+        return new Store.Watcher() {
+            @Override
+            public void onChange(String key, Optional<Payload> value, StoreRevision revision) {
+                seen.add(key);
+            }
+
+            @Override
+            public void onConfirmed() {
+                seen.add("confirmed");
+            }
+
+            @Override
+            public void onBreak(String detail) {
+                seen.add("broken");
+            }
+        };
+    }
 }
