The product's own interface believed malformed responses

Seen: a test whose stand-in sends such responses to each reader. A call of a service answered with "2000", "no colon" or "Content-Length: +11" had a result; with "Transfer-Encoding: gzip, chunked" the sizes of chunks were part of it, and with a length beside chunks a part of the body was all of it. The same for streams of engines, confirmed cancellations, load reports, orders, calls and watches of the store, and operators' commands.

Cause: these readers use the JDK's client, which has a tolerance of its own: it takes the first three digits for the status, passes over lines without a colon, and does not look at trailers, nor at codings that it does not know. What it drops can't be checked behind it.

Change: StrictHttpClient, the JDK's abstract client on Netty with StrictResponseDecoder, so that there is one place for all readers, and each reader stays as it is. HttpClients moves to the package http and creates it. It keeps what readers rely on: nothing is sent twice, ConnectException and HttpConnectTimeoutException prove that nothing was sent, a timeout ends with the head, bodies are read as fast as their handlers ask, TLS by the default context. What the gateway's decoder knows of unsolicited bytes and of bytes behind a response moves to StrictResponseDecoder, as both need it.

StrictHttpClientTest and SecureClientTest hold what readers rely on. The programs of org.orioleshed.load measure with the JDK's client as before; they are callers, not part of a host.

--- a/src/main/java/org/orioleshed/admin/AdminClient.java
+++ b/src/main/java/org/orioleshed/admin/AdminClient.java
@@ -14,6 +14,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.orioleshed.http.HttpClients;
 
 /** An HTTP client of the admin API of one entry host. */
 final class AdminClient implements AutoCloseable {
@@ -22,12 +25,8 @@
 
     private final URI baseUri;
     private final String key;
-    private final HttpClient http =
-            HttpClient.newBuilder()
-                    .version(HttpClient.Version.HTTP_1_1)
-                    .followRedirects(HttpClient.Redirect.NEVER)
-                    .connectTimeout(CONNECT_TIMEOUT)
-                    .build();
+    private final ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor();
+    private final HttpClient http = HttpClients.create(CONNECT_TIMEOUT, threads);
 
     AdminClient(URI baseUri, String key) {
         this.baseUri = baseUri;
@@ -96,5 +95,6 @@
     @Override
     public void close() {
         http.shutdownNow();
+        threads.shutdown();
     }
 }
--- a/src/main/java/org/orioleshed/backend/Backends.java
+++ b/src/main/java/org/orioleshed/backend/Backends.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.host.HostEvent;
+import org.orioleshed.http.HttpClients;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.RunId;
 import org.orioleshed.routing.RunEnd;
@@ -44,7 +45,7 @@
     public Backends(BackendLimits limits, BackendListener listener) {
         this.limits = limits;
         this.listener = listener;
-        this.client = HttpClients.create(limits.connectTimeoutMillis(), threads);
+        this.client = HttpClients.create(Duration.ofMillis(limits.connectTimeoutMillis()), threads);
         this.canceller = new EngineCanceller(client, limits);
         var unused =
                 watchdog.scheduleWithFixedDelay(
@@ -187,5 +188,6 @@
     public void close() {
         watchdog.shutdownNow();
         threads.shutdownNow();
+        client.shutdownNow();
     }
 }
--- a/src/main/java/org/orioleshed/backend/ReportPoller.java
+++ b/src/main/java/org/orioleshed/backend/ReportPoller.java
@@ -21,6 +21,7 @@
 import org.orioleshed.fleet.BackendServer;
 import org.orioleshed.fleet.Target;
 import org.orioleshed.host.HostEvent;
+import org.orioleshed.http.HttpClients;
 import org.orioleshed.model.ServerId;
 
 /**
@@ -53,7 +54,7 @@
             int connectTimeoutMillis,
             Supplier<List<BackendServer>> servers,
             BackendListener listener) {
-        this.client = HttpClients.create(connectTimeoutMillis, threads);
+        this.client = HttpClients.create(Duration.ofMillis(connectTimeoutMillis), threads);
         this.servers = servers;
         this.listener = listener;
     }
@@ -68,7 +69,8 @@
                         TimeUnit.MILLISECONDS);
     }
 
-    private void poll() {
+    /** Polls each server once. */
+    void poll() {
         for (BackendServer server : servers.get()) {
             if (server.target() instanceof Target.Model) {
                 threads.execute(() -> read(server));
@@ -152,5 +154,6 @@
     public void close() {
         timer.shutdownNow();
         threads.shutdownNow();
+        client.shutdownNow();
     }
 }
--- a/src/main/java/org/orioleshed/entry/EntryMain.java
+++ b/src/main/java/org/orioleshed/entry/EntryMain.java
@@ -7,7 +7,7 @@
 import com.github.rvesse.airline.parser.errors.ParseException;
 import java.io.IOException;
 import java.nio.file.Path;
-import org.orioleshed.backend.HttpClients;
+import org.orioleshed.http.HttpClients;
 import org.orioleshed.settings.EntrySettings;
 import org.orioleshed.settings.Problem;
 import org.orioleshed.store.EtcdStore;
@@ -45,7 +45,7 @@
     /** Runs the program. */
     public static void main(String[] arguments) throws Exception {
         System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
-        HttpClients.forbidResends();
+        HttpClients.allowConnectionField();
         CallerServer.limitSlowCallers();
         System.exit(run(arguments));
     }
--- a/src/main/java/org/orioleshed/entry/EntryProcess.java
+++ b/src/main/java/org/orioleshed/entry/EntryProcess.java
@@ -5,6 +5,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.net.http.HttpClient;
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.List;
 import java.util.Optional;
@@ -15,7 +16,6 @@
 import org.orioleshed.admin.AdminServer;
 import org.orioleshed.backend.BackendLimits;
 import org.orioleshed.backend.Backends;
-import org.orioleshed.backend.HttpClients;
 import org.orioleshed.backend.ReportPoller;
 import org.orioleshed.control.ControlDuty;
 import org.orioleshed.control.HttpServerOrders;
@@ -26,6 +26,7 @@
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.host.HostLimits;
 import org.orioleshed.host.NaiveHost;
+import org.orioleshed.http.HttpClients;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.StateMachine;
 import org.orioleshed.peer.MessageKind;
@@ -63,7 +64,7 @@
     private final ControlDuty control;
     private final HttpClient orderClient =
             HttpClients.create(
-                    BackendLimits.DEFAULT.connectTimeoutMillis(),
+                    Duration.ofMillis(BackendLimits.DEFAULT.connectTimeoutMillis()),
                     Executors.newVirtualThreadPerTaskExecutor());
     private AdminServer admin;
     private final ReportPoller reports;
--- a/src/main/java/org/orioleshed/gateway/ServerResponseDecoder.java
+++ b/src/main/java/org/orioleshed/gateway/ServerResponseDecoder.java
@@ -1,26 +1,18 @@
 package org.orioleshed.gateway;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.util.ReferenceCountUtil;
 import java.util.function.Predicate;
 import org.orioleshed.http.StrictResponseDecoder;
 
-/**
- * Decodes a server's responses. Rejects bytes that are received while no request is on its way, and
- * tells whether any were received after a complete response.
- */
+/** Decodes a server's responses, also those to HEAD requests. */
 final class ServerResponseDecoder extends StrictResponseDecoder {
     private static final int MAX_LINE_BYTES = 16_384;
     private static final int MAX_HEADER_BYTES = 65_536;
     private static final int MAX_PART_BYTES = 16_384;
 
     private final Predicate<HttpResponse> answersHead;
-    private boolean awaitingResponse;
 
     /**
      * Creates a decoder.
@@ -34,26 +26,7 @@
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
                         .setMaxChunkSize(MAX_PART_BYTES));
         this.answersHead = answersHead;
-    }
-
-    /** Sets whether a response is expected; bytes that are received at other times are rejected. */
-    void awaitResponse(boolean awaited) {
-        awaitingResponse = awaited;
-    }
-
-    /** Returns whether bytes were received that are not decoded yet. */
-    boolean hasUnreadBytes() {
-        return actualReadableBytes() > 0;
-    }
-
-    @Override
-    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
-        if (message instanceof ByteBuf && !awaitingResponse) {
-            ReferenceCountUtil.release(message);
-            context.fireExceptionCaught(new CorruptedFrameException("unsolicited bytes"));
-            return;
-        }
-        super.channelRead(context, message);
+        awaitResponse(false);
     }
 
     @Override
--- a/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
+++ b/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
@@ -1,22 +1,29 @@
 package org.orioleshed.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import io.netty.util.ReferenceCountUtil;
 
 /**
  * Decodes only responses that are in the message syntax of HTTP. Where a head, an interim response
  * or a trailer section is not, its {@link HttpMessage#decoderResult() decoder result} is a failure
- * and nothing else is decoded.
+ * and nothing else is decoded. Rejects bytes that are received while no response is expected, and
+ * tells whether any were received after a complete response.
  *
  * <p>The methods that it overrides are called in the course of decoding, before anything that the
  * message states is applied.
  */
 public class StrictResponseDecoder extends HttpResponseDecoder {
+    private boolean awaitingResponse = true;
+
     /**
-     * Creates a decoder.
+     * Creates a decoder that expects a response.
      *
      * @param config the codec's limits
      */
@@ -24,6 +31,26 @@
         super(config);
     }
 
+    /** Sets whether a response is expected; bytes that are received at other times are rejected. */
+    public final void awaitResponse(boolean awaited) {
+        awaitingResponse = awaited;
+    }
+
+    /** Returns whether bytes were received that are not decoded yet. */
+    public final boolean hasUnreadBytes() {
+        return actualReadableBytes() > 0;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+        if (message instanceof ByteBuf && !awaitingResponse) {
+            ReferenceCountUtil.release(message);
+            context.fireExceptionCaught(new CorruptedFrameException("unsolicited bytes"));
+            return;
+        }
+        super.channelRead(context, message);
+    }
+
     @Override
     protected String splitFirstWordInitialLine(byte[] line, int start, int length) {
         ResponseSyntax.checkLineStart(line, start);
--- a/src/main/java/org/orioleshed/store/EtcdStore.java
+++ b/src/main/java/org/orioleshed/store/EtcdStore.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
+import org.orioleshed.http.HttpClients;
 import org.orioleshed.model.Payload;
 
 /**
@@ -77,13 +78,7 @@
         this.options = options;
         this.rateLimiter =
                 new TokenBucket(options.callsPerSecond(), options.burst(), System.nanoTime());
-        this.client =
-                HttpClient.newBuilder()
-                        .version(HttpClient.Version.HTTP_1_1)
-                        .followRedirects(HttpClient.Redirect.NEVER)
-                        .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS))
-                        .executor(executor)
-                        .build();
+        this.client = HttpClients.create(Duration.ofMillis(CONNECT_TIMEOUT_MILLIS), executor);
         var unused =
                 timer.scheduleAtFixedRate(
                         this::checkIdleWatches,
