A response of etcd without content was read as an empty store

Seen: a response 200 without a length that ends before its body gave an empty list, and revisions and leases of 0, as in the platform's store.

Cause: an empty text is no error for the JSON parser, and EtcdJson reads each field with a default.

Change: only an object is a response; without one the outcome is unknown.

Measured: MalformedResponsesOfEtcdTest.aResponseWithoutContentStatesNothing failed before ("Entries[entries=[], storeRevision=0]") and passes now.

--- a/src/main/java/org/orioleshed/store/EtcdJson.java
+++ b/src/main/java/org/orioleshed/store/EtcdJson.java
@@ -143,6 +143,9 @@
             String text, BiFunction<JsonNode, StoreRevision, Store.Result> reader) {
         try {
             JsonNode body = MAPPER.readTree(text);
+            if (!body.isObject()) {
+                return new Store.Result.Unknown("store response without content");
+            }
             JsonNode header = body.path("result").path("header");
             header = header.isMissingNode() ? body.path("header") : header;
             return reader.apply(body, revision(header.path("revision")));
--- a/src/test/java/org/orioleshed/store/MalformedResponsesOfEtcdTest.java
+++ b/src/test/java/org/orioleshed/store/MalformedResponsesOfEtcdTest.java
@@ -63,6 +63,20 @@
         }
     }
 
+    /** Guards against an empty store, read from a response that ended before its body. */
+    @Test(timeOut = 10_000)
+    public void aResponseWithoutContentStatesNothing() {
+        server.answer(
+                (head, connection) -> {
+                    ScriptedServer.write(connection, "HTTP/1.1 200 OK\r\n\r\n");
+                    return false;
+                });
+        for (CompletableFuture<Result> call : callAll()) {
+            Result result = call.join();
+            assertTrue(result instanceof Result.Unknown, result.toString());
+        }
+    }
+
     /** Guards against changes that the store did not report. */
     @Test(
             dataProvider = "malformedHeads",
