Test: an answer that is reset during a long upload is held

A caller that got this part as the whole was not seen here.

After an end in order the caller learns no more than the host knows, as before.

ServerPath, the tests' path between hosts, passed a reset on as an end in order, which hid it from the host behind; it passes it on as a reset now.

--- a/src/test/java/org/orioleshed/platform/ServerPath.java
+++ b/src/test/java/org/orioleshed/platform/ServerPath.java
@@ -8,10 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.UnaryOperator;
 
 /** One host's network path to a fake server, which a test can break. */
 final class ServerPath implements AutoCloseable {
@@ -22,6 +24,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final List<Socket> fillers = new ArrayList<>();
     private volatile Fault fault = Fault.NONE;
+    private volatile UnaryOperator<String> replies = UnaryOperator.identity();
     private ServerSocket listener;
     private Thread acceptor;
 
@@ -50,6 +53,11 @@
         accept(listener);
     }
 
+    /** Sets a change to make to what the server sends, as text in ISO 8859-1. */
+    void change(UnaryOperator<String> newReplies) {
+        replies = newReplies;
+    }
+
     int port() {
         return address.getPort();
     }
@@ -131,6 +139,15 @@
         socket.close();
     }
 
+    private static void resetQuietly(Socket socket) {
+        try {
+            reset(socket);
+        } catch (IOException e) {
+            // The connection is closed, which is all that is wanted.
+            return;
+        }
+    }
+
     private void accept(ServerSocket from) {
         acceptor =
                 Thread.ofVirtual()
@@ -155,26 +172,27 @@
         Socket far = new Socket(server.getAddress(), server.getPort());
         open.add(near);
         open.add(far);
-        Thread.ofVirtual().start(() -> copy(near, far));
-        Thread.ofVirtual().start(() -> copy(far, near));
+        Thread.ofVirtual().start(() -> copy(near, far, UnaryOperator.identity()));
+        Thread.ofVirtual().start(() -> copy(far, near, text -> replies.apply(text)));
     }
 
-    private void copy(Socket from, Socket to) {
+    private void copy(Socket from, Socket to, UnaryOperator<String> change) {
         byte[] buffer = new byte[8_192];
-        try (from;
-                to) {
+        try (from) {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
             for (int read = in.read(buffer); read >= 0; read = in.read(buffer)) {
                 if (fault == Fault.HANGING) {
                     Thread.sleep(60_000);
                 }
-                out.write(buffer, 0, read);
+                String text = new String(buffer, 0, read, StandardCharsets.ISO_8859_1);
+                out.write(change.apply(text).getBytes(StandardCharsets.ISO_8859_1));
                 out.flush();
             }
+            to.close();
         } catch (IOException e) {
-            // One side closed the connection.
-            return;
+            // One side reset or closed the connection; a reset is passed on as one.
+            resetQuietly(to);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/src/test/java/org/orioleshed/platform/WorkerFake.java
+++ b/src/test/java/org/orioleshed/platform/WorkerFake.java
@@ -21,8 +21,11 @@
 /** A fake server on a plain socket, which can send any bytes and records the requests received. */
 public final class WorkerFake implements AutoCloseable {
     final List<Request> requests = Collections.synchronizedList(new ArrayList<>());
+    private static final int SMALL_BUFFER_BYTES = 4_096;
+
     private final ServerSocket socket;
     private volatile Script script = Script.answering(200, "ok");
+    private volatile boolean leavesBodiesUnread;
 
     /** A received request; header names are in lower case. */
     public record Request(String line, Map<String, String> headers, String body) {
@@ -97,6 +100,12 @@
         script = newScript;
     }
 
+    /** Leaves the bodies of requests unread, with little room for them in the connections. */
+    void leaveBodiesUnread() throws IOException {
+        leavesBodiesUnread = true;
+        socket.setReceiveBufferSize(SMALL_BUFFER_BYTES);
+    }
+
     /** Returns the address of the server. */
     public InetSocketAddress address() {
         return (InetSocketAddress) socket.getLocalSocketAddress();
@@ -166,6 +175,16 @@
         private static final long serialVersionUID = 1L;
     }
 
+    /** Thrown by a script to reset its connection at once. */
+    static final class ImmediateResetException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** Thrown by a script to end what it sends, and to read on until the connection ends. */
+    static final class HalfCloseException extends IOException {
+        private static final long serialVersionUID = 1L;
+    }
+
     private boolean play(Request request, Socket connection, InputStream in)
             throws IOException, InterruptedException {
         try {
@@ -174,6 +193,13 @@
             Thread.sleep(RESET_DELAY_MILLIS);
             connection.setSoLinger(true, 0);
             return false;
+        } catch (ImmediateResetException e) {
+            connection.setSoLinger(true, 0);
+            return false;
+        } catch (HalfCloseException e) {
+            connection.shutdownOutput();
+            in.transferTo(OutputStream.nullOutputStream());
+            return false;
         }
     }
 
@@ -198,7 +224,7 @@
         }
     }
 
-    private static Request readRequest(InputStream in) throws IOException {
+    private Request readRequest(InputStream in) throws IOException {
         String line = line(in);
         if (line.isEmpty()) {
             return null;
@@ -211,8 +237,8 @@
                     field.substring(colon + 1).strip());
         }
         int length = Integer.parseInt(headers.getOrDefault("content-length", "0"));
-        String body = new String(in.readNBytes(length), StandardCharsets.ISO_8859_1);
-        return new Request(line, headers, body);
+        byte[] body = leavesBodiesUnread ? new byte[0] : in.readNBytes(length);
+        return new Request(line, headers, new String(body, StandardCharsets.ISO_8859_1));
     }
 
     private static String line(InputStream in) throws IOException {
