Soak: servers that answer with malformed responses

A fault of the seeds with unplanned faults: a server runs its requests and answers them, four times for 0.3 to 1.8 s, with the forms of MalformedResponses, or with a rejection whose field that states "not run" is malformed. No impairment is recorded for it: every promise holds meanwhile. The times are drawn from a generator of their own, so the other faults of a seed stay as they are.

--- a/src/test/java/org/orioleshed/soak/Fault.java
+++ b/src/test/java/org/orioleshed/soak/Fault.java
@@ -34,6 +34,9 @@
     /** A server states a limit of requests per second in its responses for a while. */
     record LimitServer(int choice, double perSecond, long millis) implements Fault {}
 
+    /** A server runs requests and answers them with malformed responses for a while. */
+    record MalformResponses(int choice, long millis) implements Fault {}
+
     /** An evacuation of a failure domain, whose servers are cold when it ends. */
     record EvacuateZone(String zone, long millis) implements Fault {}
 
--- a/src/test/java/org/orioleshed/soak/FaultInjector.java
+++ b/src/test/java/org/orioleshed/soak/FaultInjector.java
@@ -49,6 +49,7 @@
                 case Fault.DrainServer it -> drain(it);
                 case Fault.CrashServer it -> crash(it);
                 case Fault.LimitServer it -> limit(it);
+                case Fault.MalformResponses it -> malformResponses(it);
                 case Fault.EvacuateZone it -> evacuate(it);
                 case Fault.ImpairServer it -> impairServer(it);
                 case Fault.ImpairStore it -> impairStore(it);
@@ -129,6 +130,13 @@
                 new History.Limit(server.id(), fault.perSecond(), fromNanos, System.nanoTime()));
     }
 
+    private void malformResponses(Fault.MalformResponses fault) throws InterruptedException {
+        SoakServer server = fleet.server(fault.choice());
+        server.malformResponses(true);
+        Thread.sleep(fault.millis());
+        server.malformResponses(false);
+    }
+
     private void evacuate(Fault.EvacuateZone fault) throws InterruptedException {
         fleet.operator().evacuate(fault.zone());
         long acknowledgedNanos = System.nanoTime();
--- a/src/test/java/org/orioleshed/soak/FaultPlan.java
+++ b/src/test/java/org/orioleshed/soak/FaultPlan.java
@@ -44,6 +44,12 @@
     /** Changes of the idle timeout are drawn from a separate generator for the same reason. */
     private static final long IDLE_SEED_OFFSET = 3_000_003;
 
+    /** Malformed responses are drawn from a separate generator for the same reason. */
+    private static final long MALFORMED_SEED_OFFSET = 4_000_003;
+
+    private static final int MALFORMED_FAULTS = 4;
+    private static final long MIN_MALFORMED_MILLIS = 300;
+    private static final int MALFORMED_RANGE_MILLIS = 1_500;
     private static final int IDLE_CHANGES = 5;
     private static final long[] IDLE_TIMEOUTS_MILLIS = {1_500, 2_500, 15_000};
     private static final long MAX_EVACUATION_START_MILLIS = 1_500;
@@ -83,6 +89,7 @@
         }
         if (profile == Profile.UNPLANNED || profile == Profile.ALL) {
             addUnplannedFaults(random, profile == Profile.ALL ? 7 : 10, steps);
+            addMalformedResponses(new Random(seed + MALFORMED_SEED_OFFSET), steps);
         }
         addLimits(new Random(seed + LIMIT_SEED_OFFSET), steps);
         if (hasEvacuation(seed)) {
@@ -166,6 +173,15 @@
         steps.add(new Step(atMillis, new Fault.EvacuateZone(zone, millis)));
     }
 
+    private static void addMalformedResponses(Random random, List<Step> steps) {
+        for (int i = 0; i < MALFORMED_FAULTS; i++) {
+            int server = random.nextInt(SoakFleet.SERVERS);
+            long millis = MIN_MALFORMED_MILLIS + random.nextInt(MALFORMED_RANGE_MILLIS);
+            steps.add(
+                    new Step(randomTimeMillis(random), new Fault.MalformResponses(server, millis)));
+        }
+    }
+
     private static void addIdleChanges(Random random, List<Step> steps) {
         for (int i = 0; i < IDLE_CHANGES; i++) {
             long millis = IDLE_TIMEOUTS_MILLIS[random.nextInt(IDLE_TIMEOUTS_MILLIS.length)];
--- a/src/test/java/org/orioleshed/soak/SoakServer.java
+++ b/src/test/java/org/orioleshed/soak/SoakServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import org.orioleshed.http.MalformedResponses;
 import org.orioleshed.platform.WorkerFake;
 
 /** A backend server behind a proxy, with a few slots and a short queue, which records its runs. */
@@ -26,6 +27,8 @@
     private final AtomicInteger waiting = new AtomicInteger();
     private final ColdState cold = new ColdState();
     private volatile boolean draining;
+    private final AtomicInteger malformedCount = new AtomicInteger();
+    private volatile boolean malforming;
     private volatile String limitHeader = "";
 
     /**
@@ -73,6 +76,11 @@
         limitHeader = "";
     }
 
+    /** Sets whether requests are run and answered with malformed responses. */
+    void malformResponses(boolean enabled) {
+        malforming = enabled;
+    }
+
     /** Turns the server cold from now on; its next entry states it. */
     void turnCold() {
         cold.begin(System.nanoTime());
@@ -122,6 +130,10 @@
                 refuse(request, 503, out);
                 return true;
             }
+            if (malforming) {
+                out.write(WorkerFake.bytes(malformed(request)));
+                return false;
+            }
             long endNanos = arrivedNanos + TimeUnit.MILLISECONDS.toNanos(deadlineMillis);
             end = execute(request, endNanos, out) ? Run.End.COMPLETE : Run.End.DEADLINE;
             return end == Run.End.COMPLETE;
@@ -143,6 +155,23 @@
         }
     }
 
+    /**
+     * Returns the next malformed response: one that would be a success, or prove that the request
+     * did not run. Its body is none that a caller may receive.
+     */
+    private String malformed(WorkerFake.Request request) {
+        int count = malformedCount.getAndIncrement();
+        if (count % 4 == 0) {
+            return WorkerFake.head(request, 503, true)
+                    + NOT_RUN.replace(":", " :")
+                    + WorkerFake.length("");
+        }
+        Object[][] templates = MalformedResponses.headTemplates();
+        String template = (String) templates[count % templates.length][0];
+        String fields = "X-Request-Id: %s\r\nX-Response-Signature: s\r\n".formatted(request.id());
+        return MalformedResponses.fill(template, fields, "id: 1\ndata: malformed\n\n");
+    }
+
     private void refuse(WorkerFake.Request request, int status, OutputStream out)
             throws IOException {
         String head = head(request, status, false);
