The log says what of a response is malformed

A malformed response ended its attempt with the reason "malformed response" alone, so that an operator could not tell what a server in trouble sends. The reason now names the part, such as "malformed response: status", in texts of our own: nothing that was received is logged.

Measured: MalformedResponsesTest.theLogSaysWhatIsMalformed.

--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.orioleshed.http.StrictResponseDecoder;
 
 /** A connection to a server that carries one request at a time. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
@@ -191,7 +192,7 @@
             return;
         }
         if (part.decoderResult().isFailure()) {
-            fail("malformed response");
+            fail(StrictResponseDecoder.describeFailure(part));
             return;
         }
         if (part instanceof HttpResponse response) {
--- a/src/main/java/org/orioleshed/http/HttpConnection.java
+++ b/src/main/java/org/orioleshed/http/HttpConnection.java
@@ -103,7 +103,7 @@
             return;
         }
         if (part.decoderResult().isFailure()) {
-            fail("malformed response: " + part.decoderResult().cause().getMessage());
+            fail(StrictResponseDecoder.describeFailure(part));
             return;
         }
         if (part instanceof HttpResponse response && !isInterim(response)) {
--- a/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
+++ b/src/main/java/org/orioleshed/http/StrictResponseDecoder.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.CorruptedFrameException;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
@@ -31,6 +32,13 @@
         super(config);
     }
 
+    /** Returns what is malformed, for log lines; contains nothing that was received. */
+    public static String describeFailure(HttpObject part) {
+        return part.decoderResult().cause() instanceof MalformedResponseException malformed
+                ? "malformed response: " + malformed.getMessage()
+                : "malformed response";
+    }
+
     /** Sets whether a response is expected; bytes that are received at other times are rejected. */
     public final void awaitResponse(boolean awaited) {
         awaitingResponse = awaited;
--- a/src/test/java/org/orioleshed/platform/MalformedResponsesTest.java
+++ b/src/test/java/org/orioleshed/platform/MalformedResponsesTest.java
@@ -321,6 +321,21 @@
         return received;
     }
 
+    @DataProvider
+    Object[][] causes() {
+        return new Object[][] {
+            {response("HTTP/1.1 000 X\r\n"), "status"},
+            {response(OK, "A B: v"), "no colon behind a field name"},
+            {OK + FIELDS + "Transfer-Encoding: gzip\r\n" + length(BODY) + BODY, "transfer coding"},
+        };
+    }
+
+    @Test(dataProvider = "causes")
+    public void theLogSaysWhatIsMalformed(String response, String cause) throws IOException {
+        checkFails(response, new Way("/o/x", false));
+        Fleet.await(() -> fleet.log().contains("BROKEN:malformed response: " + cause + "\""));
+    }
+
     @DataProvider
     Object[][] sound() {
         return rows(
