HTTP client: a call that is over neither is sent nor closes a connection

Found by reading StrictHttpClient anew, before it landed. A call whose timeout ended while its connection was being opened was marked as failed on another thread, so that a connection that opened at that moment could still send it, after "not connected" was reported. And a handler that failed behind the end of its response closed the connection, which may carry another call by then.

Change: a call knows on the event loop that it has ended, and a connection is closed only by the call that it carries.

--- a/src/main/java/org/orioleshed/http/HttpCall.java
+++ b/src/main/java/org/orioleshed/http/HttpCall.java
@@ -79,8 +79,9 @@
         return response;
     }
 
+    /** Returns whether the call was cancelled or has failed, so that it must not be sent. */
     boolean isDone() {
-        return response.isDone();
+        return ended || response.isDone();
     }
 
     /** Starts the time that the request has until the head of its response. */
@@ -99,9 +100,10 @@
         closeConnection();
     }
 
+    /** Closes the connection, unless it carries another call by now. */
     private void closeConnection() {
         if (connection != null) {
-            connection.close();
+            connection.cancel(this);
         }
     }
 
--- a/src/main/java/org/orioleshed/http/HttpConnection.java
+++ b/src/main/java/org/orioleshed/http/HttpConnection.java
@@ -83,6 +83,13 @@
         return call == null && System.nanoTime() - idleSinceNanos >= nanos;
     }
 
+    /** Ends a call by closing the connection; does nothing if the call is over. */
+    void cancel(HttpCall<?> cancelled) {
+        if (call == cancelled) {
+            close();
+        }
+    }
+
     void close() {
         call = null;
         channel.close();
