HTTP client: the end of a body is told by BodyEnd, as in the gateway

HttpConnection had its own copy of what BodyEnd says of a response's end. BodyEnd moves to the package http, and both use it. Gone with it are a value of reusable that the head always overwrites, and a check of failed where no call is left after a failure. The status is checked digit by digit, without a stream and a parse for each response. No change of behavior.

--- a/src/main/java/org/orioleshed/gateway/CallerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/CallerConnection.java
@@ -28,6 +28,7 @@
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.catalog.CallerLimits;
+import org.orioleshed.http.BodyEnd;
 
 /**
  * One caller's connection. Reads whole requests one at a time and writes the responses in order.
--- a/src/main/java/org/orioleshed/gateway/CallerResponse.java
+++ b/src/main/java/org/orioleshed/gateway/CallerResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.Optional;
+import org.orioleshed.http.BodyEnd;
 
 /** The response to a caller: what was sent of it, and what is kept for it. */
 final class CallerResponse {
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -15,6 +15,7 @@
 import org.orioleshed.dispatch.DispatchAction;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
+import org.orioleshed.http.BodyEnd;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.model.ServiceId;
--- a/src/main/java/org/orioleshed/gateway/ExchangeLog.java
+++ b/src/main/java/org/orioleshed/gateway/ExchangeLog.java
@@ -4,6 +4,7 @@
 import org.orioleshed.catalog.PoolServer;
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.StatedLimit;
+import org.orioleshed.http.BodyEnd;
 import org.orioleshed.model.RouteId;
 import org.orioleshed.model.ServerId;
 import org.orioleshed.quarantine.RequestContent;
--- a/src/main/java/org/orioleshed/gateway/ServerAnswer.java
+++ b/src/main/java/org/orioleshed/gateway/ServerAnswer.java
@@ -1,6 +1,7 @@
 package org.orioleshed.gateway;
 
 import io.netty.handler.codec.http.HttpResponse;
+import org.orioleshed.http.BodyEnd;
 import org.orioleshed.model.Payload;
 
 /**
--- a/src/main/java/org/orioleshed/gateway/ServerCall.java
+++ b/src/main/java/org/orioleshed/gateway/ServerCall.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.HttpResponse;
+import org.orioleshed.http.BodyEnd;
 
 /** Receives the response to a request that is sent to a server; called on the data thread. */
 interface ServerCall {
--- a/src/main/java/org/orioleshed/gateway/ServerConnection.java
+++ b/src/main/java/org/orioleshed/gateway/ServerConnection.java
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.orioleshed.http.BodyEnd;
 import org.orioleshed.http.StrictResponseDecoder;
 
 /** A connection to a server that carries one request at a time. */
--- a/src/main/java/org/orioleshed/gateway/BodyEnd.java
+++ b/src/main/java/org/orioleshed/http/BodyEnd.java
@@ -1,4 +1,4 @@
-package org.orioleshed.gateway;
+package org.orioleshed.http;
 
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -6,7 +6,7 @@
 import java.util.Locale;
 
 /** How a response tells where its body ends. */
-enum BodyEnd {
+public enum BodyEnd {
     /** Unknown, as no head was received. */
     UNKNOWN,
 
@@ -30,7 +30,7 @@
      *
      * @param headOnly whether it is a response to a HEAD request
      */
-    static BodyEnd of(HttpResponse response, boolean headOnly) {
+    public static BodyEnd of(HttpResponse response, boolean headOnly) {
         if (headOnly
                 || response.status().equals(HttpResponseStatus.NO_CONTENT)
                 || response.status().equals(HttpResponseStatus.NOT_MODIFIED)) {
@@ -43,7 +43,7 @@
     }
 
     /** Returns whether the end is stated, so that a response without it was broken off. */
-    boolean isStated() {
+    public boolean isStated() {
         return this != UNKNOWN && this != CONNECTION;
     }
 
--- a/src/main/java/org/orioleshed/http/HttpConnection.java
+++ b/src/main/java/org/orioleshed/http/HttpConnection.java
@@ -9,7 +9,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -55,7 +54,6 @@
         written = false;
         inBody = false;
         complete = false;
-        reusable = true;
         decoder.awaitResponse(true);
         call.sentOn(this);
         channel.writeAndFlush(call.encodedRequest())
@@ -115,7 +113,7 @@
         }
         if (part instanceof HttpResponse response && !isInterim(response)) {
             inBody = true;
-            reusable = HttpUtil.isKeepAlive(response) && statesEnd(response);
+            reusable = HttpUtil.isKeepAlive(response) && BodyEnd.of(response, false).isStated();
             call.receiveHead(response);
         }
         if (part instanceof HttpContent content && inBody) {
@@ -127,13 +125,6 @@
         return response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     }
 
-    private static boolean statesEnd(HttpResponse response) {
-        return response.status().equals(HttpResponseStatus.NO_CONTENT)
-                || response.status().equals(HttpResponseStatus.NOT_MODIFIED)
-                || HttpUtil.isTransferEncodingChunked(response)
-                || HttpUtil.isContentLengthSet(response);
-    }
-
     private void receiveContent(HttpContent content) {
         call.receiveContent(content.content());
         if (content instanceof LastHttpContent) {
@@ -156,7 +147,7 @@
     /** Ends a call whose response is complete. */
     private void finish() {
         call = null;
-        if (!reusable || !written || failed) {
+        if (!reusable || !written) {
             channel.close();
             return;
         }
--- a/src/main/java/org/orioleshed/http/ResponseSyntax.java
+++ b/src/main/java/org/orioleshed/http/ResponseSyntax.java
@@ -11,9 +11,12 @@
  * from it. What deviates is no response: nothing that it states may be relied upon.
  */
 final class ResponseSyntax {
-    private static final int MIN_STATUS = 100;
-    private static final int MAX_STATUS = 599;
     private static final int STATUS_DIGITS = 3;
+
+    /** The first digits of the statuses 100 to 599. */
+    private static final char MIN_CLASS = '1';
+
+    private static final char MAX_CLASS = '5';
     private static final String VERSION_PREFIX = "HTTP/1.";
 
     private ResponseSyntax() {}
@@ -38,14 +41,14 @@
     }
 
     private static boolean isStatus(String text) {
-        if (text.length() != STATUS_DIGITS || !text.chars().allMatch(ResponseSyntax::isDigit)) {
-            return false;
-        }
-        int status = Integer.parseInt(text);
-        return status >= MIN_STATUS && status <= MAX_STATUS;
+        return text.length() == STATUS_DIGITS
+                && text.charAt(0) >= MIN_CLASS
+                && text.charAt(0) <= MAX_CLASS
+                && isDigit(text.charAt(1))
+                && isDigit(text.charAt(2));
     }
 
-    private static boolean isDigit(int character) {
+    private static boolean isDigit(char character) {
         return character >= '0' && character <= '9';
     }
 
--- a/src/main/java/org/orioleshed/http/StrictHttpClient.java
+++ b/src/main/java/org/orioleshed/http/StrictHttpClient.java
@@ -145,7 +145,7 @@
         }
     }
 
-    /** Not supported; there is no server push in HTTP/1.1. */
+    /** Sends a request; the handler of pushes is not used, as HTTP/1.1 has none. */
     @Override
     public <T> CompletableFuture<HttpResponse<T>> sendAsync(
             HttpRequest request,
--- a/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
+++ b/src/test/java/org/orioleshed/gateway/CutResponsesTest.java
@@ -22,6 +22,7 @@
 import org.orioleshed.dispatch.RunKey;
 import org.orioleshed.dispatch.RunReport;
 import org.orioleshed.dispatch.StatedLimit;
+import org.orioleshed.http.BodyEnd;
 import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
 import org.orioleshed.model.Payload;
