Tests: shared fixtures in place of copies

A server of a model stood in three tests (TestServers), the recorder of a watch in two (WatchRecorder), the wait until a host notices that its servers are lost in two (RelayFleet.loseServers), and two exceptions reset a connection (ResetException with a delay). Assertions, bounds and rows are as they were.

--- a/src/test/java/org/orioleshed/backend/BackendsTest.java
+++ b/src/test/java/org/orioleshed/backend/BackendsTest.java
@@ -20,18 +20,13 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.orioleshed.fleet.BackendServer;
-import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.TestServers;
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.http.HttpClients;
-import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
-import org.orioleshed.model.ModelId;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RunId;
-import org.orioleshed.model.ServerId;
-import org.orioleshed.model.VersionId;
 import org.orioleshed.routing.RunEnd;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -78,7 +73,7 @@
     @Test
     public void completeStreamEndsAsFinished() throws Exception {
         stream(TOKEN.formatted(0) + TOKEN.formatted(1) + "data: [DONE]\n\n", false);
-        backends.start(RUN, backendServer(address()), Payload.of("{}"), 0);
+        backends.start(RUN, TestServers.at(address()), Payload.of("{}"), 0);
         assertEquals(eventNamesBeforeEnd(), List.of("RunAccepted", "RunTokens", "RunTokens"));
         assertEquals(end(), new RunEnd.Finished(2));
     }
@@ -101,7 +96,7 @@
     public void brokenStreamIsCancelledBeforeItsEndIsReported(String text, boolean hang)
             throws Exception {
         stream(text, hang);
-        backends.start(RUN, backendServer(address()), Payload.of("{}"), 0);
+        backends.start(RUN, TestServers.at(address()), Payload.of("{}"), 0);
         assertEquals(eventNamesBeforeEnd(), List.of("RunAccepted", "RunTokens"));
         assertEquals(end(), new RunEnd.Broken(false, true));
         assertEquals(cancels.get(), 1);
@@ -109,7 +104,7 @@
 
     @Test
     public void runOnAnUnreachableEngineEndsAsNotExecuting() throws Exception {
-        backends.start(RUN, backendServer(unreachableAddress()), Payload.of("{}"), 0);
+        backends.start(RUN, TestServers.at(unreachableAddress()), Payload.of("{}"), 0);
         assertEquals(end(), new RunEnd.Broken(true, true));
         assertEquals(events.size(), 0);
     }
@@ -117,20 +112,20 @@
     @Test
     public void rejectedRunEndsAsEngineError() throws Exception {
         server.createContext("/v1/chat/completions", http -> answer(http, 503, "{}"));
-        backends.start(RUN, backendServer(address()), Payload.of("{}"), 0);
+        backends.start(RUN, TestServers.at(address()), Payload.of("{}"), 0);
         assertEquals(end(), new RunEnd.EngineError(true, "status 503: {}"));
     }
 
     @Test
     public void cancelOfARunOfAnotherHostIsConfirmed() throws Exception {
-        backends.cancel(RUN, backendServer(address()));
+        backends.cancel(RUN, TestServers.at(address()));
         assertEquals(end(), new RunEnd.Cancelled(7));
     }
 
     @Test
     public void callToAnUnreachableServiceEndsAsNeverSent() throws Exception {
         backends.call(
-                RUN, backendServer(unreachableAddress()), "hold", "k", Payload.of("{}"), 5_000);
+                RUN, TestServers.at(unreachableAddress()), "hold", "k", Payload.of("{}"), 5_000);
         assertTrue(callEnd() instanceof HostEvent.CallEnd.NeverSent);
     }
 
@@ -140,7 +135,7 @@
         try (ServerSocket socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
             Thread.ofVirtual().start(() -> dropConnections(socket));
             URI address = URI.create("http://127.0.0.1:" + socket.getLocalPort());
-            backends.call(RUN, backendServer(address), "hold", "k", Payload.of("{}"), 5_000);
+            backends.call(RUN, TestServers.at(address), "hold", "k", Payload.of("{}"), 5_000);
             assertTrue(callEnd() instanceof HostEvent.CallEnd.Broken);
             assertEquals(calls.get(), 1);
         }
@@ -177,7 +172,7 @@
         try (ServerSocket socket = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
             Thread.ofVirtual().start(() -> answerAndClose(socket, response));
             URI address = URI.create("http://127.0.0.1:" + socket.getLocalPort());
-            backends.call(RUN, backendServer(address), "hold", "k", Payload.of("{}"), 5_000);
+            backends.call(RUN, TestServers.at(address), "hold", "k", Payload.of("{}"), 5_000);
             return callEnd();
         }
     }
@@ -270,19 +265,4 @@
             return URI.create("http://127.0.0.1:" + socket.getLocalPort());
         }
     }
-
-    private static BackendServer backendServer(URI address) {
-        return new BackendServer(
-                new ServerId("s"),
-                new FailureDomain("d"),
-                address,
-                new Target.Model(new ModelId("m")),
-                new VersionId("v1"),
-                "g1",
-                4,
-                1_000,
-                true,
-                true,
-                false);
-    }
 }
--- a/src/test/java/org/orioleshed/backend/MalformedResponsesOfEnginesTest.java
+++ b/src/test/java/org/orioleshed/backend/MalformedResponsesOfEnginesTest.java
@@ -6,20 +6,15 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
-import org.orioleshed.fleet.BackendServer;
-import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.TestServers;
 import org.orioleshed.host.HostEvent;
 import org.orioleshed.http.HttpClients;
 import org.orioleshed.http.MalformedResponses;
 import org.orioleshed.http.ScriptedServer;
-import org.orioleshed.model.FailureDomain;
 import org.orioleshed.model.HostId;
-import org.orioleshed.model.ModelId;
 import org.orioleshed.model.Payload;
 import org.orioleshed.model.RequestId;
 import org.orioleshed.model.RunId;
-import org.orioleshed.model.ServerId;
-import org.orioleshed.model.VersionId;
 import org.orioleshed.routing.RunEnd;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -59,21 +54,6 @@
         server.close();
     }
 
-    private BackendServer backendServer() {
-        return new BackendServer(
-                new ServerId("s"),
-                new FailureDomain("d"),
-                server.address(),
-                new Target.Model(new ModelId("m")),
-                new VersionId("v1"),
-                "g1",
-                4,
-                1_000,
-                true,
-                true,
-                false);
-    }
-
     private void answer(String template, String body) {
         server.answer(MalformedResponses.fill(template, "", body));
     }
@@ -89,7 +69,7 @@
             timeOut = 10_000)
     public void aMalformedResponseIsNoResult(String template) throws InterruptedException {
         answer(template, "{\"ok\":true}");
-        backends.call(RUN, backendServer(), "hold", "k", Payload.of("{}"), 5_000);
+        backends.call(RUN, TestServers.at(server.address()), "hold", "k", Payload.of("{}"), 5_000);
         HostEvent.CallEnded ended = (HostEvent.CallEnded) events.take();
         assertTrue(ended.end() instanceof HostEvent.CallEnd.Broken, template + ended);
         assertEquals(server.requests.size(), 1);
@@ -98,7 +78,7 @@
     @Test(dataProvider = "sound", dataProviderClass = MalformedResponses.class, timeOut = 10_000)
     public void aSoundResponseIsAResult(String template) throws InterruptedException {
         answer(template, "{\"ok\":true}");
-        backends.call(RUN, backendServer(), "hold", "k", Payload.of("{}"), 5_000);
+        backends.call(RUN, TestServers.at(server.address()), "hold", "k", Payload.of("{}"), 5_000);
         HostEvent.CallEnded ended = (HostEvent.CallEnded) events.take();
         assertEquals(ended.end(), new HostEvent.CallEnd.Answered(200, Payload.of("{\"ok\":true}")));
     }
@@ -112,7 +92,7 @@
             timeOut = 10_000)
     public void aMalformedResponseIsNoStream(String template) throws InterruptedException {
         answer(template, STREAM);
-        backends.start(RUN, backendServer(), Payload.of("{}"), 0);
+        backends.start(RUN, TestServers.at(server.address()), Payload.of("{}"), 0);
         assertEquals(end(), new RunEnd.Broken(false, false), template);
     }
 
@@ -124,7 +104,7 @@
     public void aMalformedResponseConfirmsNoCancellation(String template)
             throws InterruptedException {
         answer(template, "{\"prefillTokens\":7}");
-        backends.cancel(RUN, backendServer());
+        backends.cancel(RUN, TestServers.at(server.address()));
         assertEquals(end(), new RunEnd.Broken(false, false), template);
     }
 
@@ -136,7 +116,8 @@
     public void aMalformedResponseIsNoReport(String template) throws InterruptedException {
         answer(template, "{\"running\":1,\"waiting\":2,\"ageMillis\":3}");
         try (ReportPoller poller =
-                new ReportPoller(2_000, () -> List.of(backendServer()), events::add)) {
+                new ReportPoller(
+                        2_000, () -> List.of(TestServers.at(server.address())), events::add)) {
             poller.poll();
             while (server.requests.size() < 2) {
                 Thread.sleep(2);
--- a/src/test/java/org/orioleshed/control/MalformedResponsesToOrdersTest.java
+++ b/src/test/java/org/orioleshed/control/MalformedResponsesToOrdersTest.java
@@ -9,15 +9,10 @@
 import java.util.Optional;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import org.orioleshed.fleet.BackendServer;
-import org.orioleshed.fleet.Target;
+import org.orioleshed.fleet.TestServers;
 import org.orioleshed.http.HttpClients;
 import org.orioleshed.http.MalformedResponses;
 import org.orioleshed.http.ScriptedServer;
-import org.orioleshed.model.FailureDomain;
-import org.orioleshed.model.ModelId;
-import org.orioleshed.model.ServerId;
-import org.orioleshed.model.VersionId;
 import org.orioleshed.rollout.ServerOrder;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -43,21 +38,6 @@
         server.close();
     }
 
-    private BackendServer backendServer() {
-        return new BackendServer(
-                new ServerId("s"),
-                new FailureDomain("d"),
-                server.address(),
-                new Target.Model(new ModelId("m")),
-                new VersionId("v1"),
-                "g1",
-                4,
-                1_000,
-                true,
-                true,
-                false);
-    }
-
     /** Guards against an order, and a version, that a server did not confirm. */
     @Test(
             dataProvider = "malformed",
@@ -66,7 +46,10 @@
     public void aMalformedResponseConfirmsNothing(String template) {
         server.answer(MalformedResponses.fill(template, "", "{\"version\":\"v2\"}"));
         ServerOrder order = new ServerOrder.ChangeRole("role");
-        assertFalse(orders.order(backendServer(), order, 1).join(), template);
-        assertEquals(orders.version(backendServer()).join(), Optional.empty(), template);
+        assertFalse(orders.order(TestServers.at(server.address()), order, 1).join(), template);
+        assertEquals(
+                orders.version(TestServers.at(server.address())).join(),
+                Optional.empty(),
+                template);
     }
 }
--- a/src/test/java/org/orioleshed/platform/EarlyAnswersTest.java
+++ b/src/test/java/org/orioleshed/platform/EarlyAnswersTest.java
@@ -65,7 +65,7 @@
             out.write(bytes(head(request, 200, true) + "\r\n" + part));
             out.flush();
             switch (end) {
-                case RESET -> throw new WorkerFake.ImmediateResetException();
+                case RESET -> throw new WorkerFake.ResetException(0);
                 case RESET_LATER -> throw new WorkerFake.ResetException();
                 case CLOSE -> throw new WorkerFake.HalfCloseException();
             }
@@ -147,12 +147,7 @@
     public void aForwardedUploadDoesNotLookComplete() throws IOException {
         try (RelayFleet fleet = new RelayFleet(3, config())) {
             RelayFleet.Host cutOff = fleet.hosts.getFirst();
-            fleet.set(RelayFleet.SERVERS, ServerPath.Fault.REFUSED);
-            Fleet.await(
-                    () -> {
-                        var unused = cutOff.send(request("/i/x", "probe", ""));
-                        return cutOff.log().contains("event=servers_lost");
-                    });
+            fleet.loseServers(ServerPath.Fault.REFUSED);
             for (WorkerFake server : fleet.servers) {
                 server.leaveBodiesUnread();
                 server.script(answering(EVENT, End.RESET_LATER));
--- a/src/test/java/org/orioleshed/platform/MalformedStoreResponsesTest.java
+++ b/src/test/java/org/orioleshed/platform/MalformedStoreResponsesTest.java
@@ -9,18 +9,15 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.io.IOException;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.orioleshed.catalog.WatchTiming;
 import org.orioleshed.http.MalformedResponses;
 import org.orioleshed.model.Payload;
 import org.orioleshed.platform.WorkerFake.Script;
-import org.orioleshed.store.Store;
 import org.orioleshed.store.Store.Result;
 import org.orioleshed.store.StoreRevision;
+import org.orioleshed.store.WatchRecorder;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
@@ -134,27 +131,8 @@
     @Test(dataProvider = "unstated")
     public void aWatchWithoutContentBreaks(String rest) throws InterruptedException {
         server.script(answering("HTTP/1.1 200 OK\r\n" + ERA + rest, statesEnd(rest)));
-        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        store.watch("k", new StoreRevision(1, 1), watcher(seen));
+        WatchRecorder seen = new WatchRecorder();
+        store.watch("k", new StoreRevision(1, 1), seen);
         assertEquals(seen.take(), "broken");
     }
-
-    private static Store.Watcher watcher(BlockingQueue<String> seen) {
-        return new Store.Watcher() {
-            @Override
-            public void onChange(String key, Optional<Payload> value, StoreRevision revision) {
-                seen.add(key);
-            }
-
-            @Override
-            public void onConfirmed() {
-                seen.add("confirmed");
-            }
-
-            @Override
-            public void onBreak(String detail) {
-                seen.add("broken");
-            }
-        };
-    }
 }
--- a/src/test/java/org/orioleshed/platform/RelayFleet.java
+++ b/src/test/java/org/orioleshed/platform/RelayFleet.java
@@ -177,6 +177,17 @@
         }
     }
 
+    /** Breaks all paths of the first host and sends it requests until it notices. */
+    void loseServers(ServerPath.Fault fault) throws IOException {
+        set(SERVERS, fault);
+        Host cutOff = hosts.getFirst();
+        Fleet.await(
+                () -> {
+                    var unused = cutOff.send(Fleet.request("/i/x", "probe", ""));
+                    return cutOff.log().contains("event=servers_lost");
+                });
+    }
+
     void script(WorkerFake.Script script) {
         servers.forEach(server -> server.script(script));
     }
--- a/src/test/java/org/orioleshed/platform/RequestForwardingTest.java
+++ b/src/test/java/org/orioleshed/platform/RequestForwardingTest.java
@@ -45,16 +45,6 @@
         return response.startsWith("HTTP/1.1 ") ? response.substring(9, 12) : response;
     }
 
-    /** Breaks all paths of the first host and sends requests until it notices. */
-    private void lose(Fault fault) throws IOException {
-        fleet.set(RelayFleet.SERVERS, fault);
-        Fleet.await(
-                () -> {
-                    var unused = cutOff.send(request("/i/x", "probe", ""));
-                    return cutOff.log().contains("event=servers_lost");
-                });
-    }
-
     @DataProvider
     Object[][] faults() {
         return new Object[][] {{Fault.REFUSED}, {Fault.HANGING}, {Fault.RESET}};
@@ -63,7 +53,7 @@
     /** Guards against a host that fails its callers while other hosts reach the servers. */
     @Test(dataProvider = "faults")
     public void forwardsWhileNoServerIsReachable(Fault fault) throws IOException {
-        lose(fault);
+        fleet.loseServers(fault);
         String response = cutOff.send(request("/o/x?q=1", "r1", "body"));
         assertEquals(status(response), "200", cutOff.log());
         assertTrue(response.contains("X-Response-Signature: s"), response);
@@ -123,7 +113,7 @@
     /** Guards against a second run of work that may run once, and against a "not run" for it. */
     @Test
     public void workThatMayRunOnceIsNotRepeatedWhenItsRelayIsLost() throws IOException {
-        lose(Fault.REFUSED);
+        fleet.loseServers(Fault.REFUSED);
         fleet.script(
                 (request, out, in) -> {
                     resetRelayPaths();
@@ -144,7 +134,7 @@
     /** Guards against gaps and repeated events when a stream continues through another relay. */
     @Test
     public void streamResumesThroughAnotherRelay() throws IOException {
-        lose(Fault.REFUSED);
+        fleet.loseServers(Fault.REFUSED);
         AtomicBoolean lost = new AtomicBoolean();
         fleet.script(
                 (request, out, in) -> {
@@ -172,7 +162,7 @@
     /** Guards against servers that go on with work whose caller has left the forwarding host. */
     @Test
     public void aCallerThatDisconnectsEndsTheWork() throws IOException {
-        lose(Fault.REFUSED);
+        fleet.loseServers(Fault.REFUSED);
         AtomicBoolean ended = new AtomicBoolean();
         fleet.script(
                 (request, out, in) -> {
@@ -189,7 +179,7 @@
     /** Guards against relays that take in more than their bound, and against false refusals. */
     @Test
     public void relaysRefuseWhatExceedsTheirBound() throws IOException, InterruptedException {
-        lose(Fault.REFUSED);
+        fleet.loseServers(Fault.REFUSED);
         CountDownLatch release = new CountDownLatch(1);
         fleet.script(
                 (request, out, in) -> {
@@ -246,7 +236,7 @@
     /** Guards against forwarding that outlasts the partition. */
     @Test
     public void servesDirectlyAfterTheServersReturned() throws IOException {
-        lose(Fault.REFUSED);
+        fleet.loseServers(Fault.REFUSED);
         fleet.set(RelayFleet.SERVERS, Fault.NONE);
         Fleet.await(() -> cutOff.log().contains("event=servers_returned"));
         long before = cutOff.counter("requests_forwarded");
@@ -263,7 +253,7 @@
     @Test(dataProvider = "unstatedEnds")
     public void aRelayStatesNoEndThatItsServerDidNotState(String path, String body)
             throws IOException {
-        lose(Fault.REFUSED);
+        fleet.loseServers(Fault.REFUSED);
         fleet.script(UnframedAnswersTest.unframed(200, true, body, false));
         String response = cutOff.send(request(path, "unstated", ""));
         UnframedAnswersTest.checkUnstated(response, 200, body);
--- a/src/test/java/org/orioleshed/platform/WorkerFake.java
+++ b/src/test/java/org/orioleshed/platform/WorkerFake.java
@@ -170,14 +170,21 @@
     /** What was written before a reset is received within this time. */
     private static final long RESET_DELAY_MILLIS = 50;
 
-    /** Thrown by a script to reset its connection after what it wrote was received. */
+    /** Thrown by a script to reset its connection. */
     static final class ResetException extends IOException {
         private static final long serialVersionUID = 1L;
-    }
 
-    /** Thrown by a script to reset its connection at once. */
-    static final class ImmediateResetException extends IOException {
-        private static final long serialVersionUID = 1L;
+        private final long delayMillis;
+
+        /** Resets after what the script wrote was received. */
+        ResetException() {
+            this(RESET_DELAY_MILLIS);
+        }
+
+        /** Resets after a time. */
+        ResetException(long delayMillis) {
+            this.delayMillis = delayMillis;
+        }
     }
 
     /** Thrown by a script to end what it sends, and to read on until the connection ends. */
@@ -190,10 +197,7 @@
         try {
             return script.play(request, connection.getOutputStream(), in);
         } catch (ResetException e) {
-            Thread.sleep(RESET_DELAY_MILLIS);
-            connection.setSoLinger(true, 0);
-            return false;
-        } catch (ImmediateResetException e) {
+            Thread.sleep(e.delayMillis);
             connection.setSoLinger(true, 0);
             return false;
         } catch (HalfCloseException e) {
--- a/src/test/java/org/orioleshed/store/MalformedResponsesOfEtcdTest.java
+++ b/src/test/java/org/orioleshed/store/MalformedResponsesOfEtcdTest.java
@@ -7,10 +7,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.List;
-import java.util.Optional;
-import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.LinkedBlockingQueue;
 import org.orioleshed.http.MalformedResponses;
 import org.orioleshed.http.ScriptedServer;
 import org.orioleshed.model.Payload;
@@ -84,8 +81,8 @@
             timeOut = 10_000)
     public void aMalformedResponseIsNoWatch(String template) throws InterruptedException {
         server.answer(MalformedResponses.fill(template, "", change()));
-        BlockingQueue<String> seen = new LinkedBlockingQueue<>();
-        store.watch("k", StoreRevision.NONE, new Recorder(seen));
+        WatchRecorder seen = new WatchRecorder();
+        store.watch("k", StoreRevision.NONE, seen);
         assertEquals(seen.take(), "broken", template);
     }
 
@@ -94,21 +91,4 @@
         return "{\"result\":{\"header\":{\"revision\":\"3\"},\"events\":[{\"kv\":{\"key\":\"%s\",\"mod_revision\":\"3\",\"value\":\"%s\"}}]}}\n"
                 .formatted(key, key);
     }
-
-    private record Recorder(BlockingQueue<String> seen) implements Store.Watcher {
-        @Override
-        public void onChange(String key, Optional<Payload> value, StoreRevision revision) {
-            seen.add(key);
-        }
-
-        @Override
-        public void onConfirmed() {
-            seen.add("confirmed");
-        }
-
-        @Override
-        public void onBreak(String detail) {
-            seen.add("broken");
-        }
-    }
 }
