--- a/review/standins-3/TwoKeys.java
+++ b/review/standins-3/TwoKeys.java
@@ -7,7 +7,7 @@
 import java.util.TreeSet;
 
 /**
- * Case 13 (CONFIG): the operator orders a rollout and writes a manifest, which drops a key and adds
+ * Case 12 (CONFIG): the operator orders a rollout and writes a manifest, which drops a key and adds
  * many routes, in one transaction of the store. With TROUBLE=0 it writes them one after the other.
  */
 final class TwoKeys {
