--- a/review/standins-3/TwoFleets.java
+++ b/review/standins-3/TwoFleets.java
@@ -49,9 +49,15 @@
     private final Map<String, Long> sentMillis = new ConcurrentHashMap<>();
     private final Map<Integer, Integer> statuses = new TreeMap<>();
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        System.exit(new TwoFleets().run(Path.of(arguments[0]), trouble));
+        int status = 2;
+        try {
+            status = new TwoFleets().run(Path.of(arguments[0]), trouble);
+        } catch (Exception e) {
+            e.printStackTrace();
+        }
+        System.exit(status);
     }
 
     private int run(Path record, boolean trouble) throws Exception {
