--- a/review/standins-3/LastTenant.java
+++ b/review/standins-3/LastTenant.java
@@ -36,9 +36,15 @@
                 .formatted(name, key);
     }
 
-    public static void main(String[] arguments) throws Exception {
+    public static void main(String[] arguments) {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-        System.exit(run(Path.of(arguments[0]), trouble));
+        int status = 2;
+        try {
+            status = run(Path.of(arguments[0]), trouble);
+        } catch (Exception e) {
+            e.printStackTrace();
+        }
+        System.exit(status);
     }
 
     private static int run(Path record, boolean trouble) throws Exception {
