config_in_force and two gauges say who may call

Cause: config_in_force named the version only. Change: the line ends with keys_required, workspaces, keys and open_routes; the gauges config_version and keys_required state the same of what is in force.

--- a/src/main/java/org/orioleshed/catalog/Catalog.java
+++ b/src/main/java/org/orioleshed/catalog/Catalog.java
@@ -71,4 +71,15 @@
     public boolean requiresKeys() {
         return !workspaces.isEmpty();
     }
+
+    /** Returns who may call, for the log: whether a key is needed, and what was declared. */
+    String describeAccess() {
+        long openRoutes =
+                routes.values().stream()
+                        .flatMap(byPrefix -> byPrefix.values().stream())
+                        .filter(CallRoute::open)
+                        .count();
+        return "keys_required=%s workspaces=%d keys=%d open_routes=%d"
+                .formatted(requiresKeys(), workspaces.size(), keys.size(), openRoutes);
+    }
 }
--- a/src/main/java/org/orioleshed/catalog/CatalogState.java
+++ b/src/main/java/org/orioleshed/catalog/CatalogState.java
@@ -206,12 +206,13 @@
             configRevision = entry.revision();
             catalog = Optional.of(decoded);
             log.accept(
-                    "event=config_in_force revision=%s version=%d source=%s idle_timeout_ms=%d"
+                    "event=config_in_force revision=%s version=%d source=%s idle_timeout_ms=%d %s"
                             .formatted(
                                     entry.revision(),
                                     decoded.version(),
                                     source,
-                                    decoded.limits().idleTimeoutMillis()));
+                                    decoded.limits().idleTimeoutMillis(),
+                                    decoded.describeAccess()));
         } catch (BadCatalogException | RuntimeException e) {
             log.accept(
                     "event=config_unreadable revision=%s source=%s reason=\"%s\""
--- a/src/main/java/org/orioleshed/gateway/Gateway.java
+++ b/src/main/java/org/orioleshed/gateway/Gateway.java
@@ -300,6 +300,7 @@
     private void catalogChanged(CatalogSnapshot newer) {
         snapshot = newer;
         metrics.evacuatedDomains(newer.evacuated().size());
+        newer.catalog().ifPresent(metrics::configChanged);
         dispatcher.catalogChanged(newer);
         forwarding.serversChanged(newer.servers());
         newer.usable()
--- a/src/main/java/org/orioleshed/gateway/GatewayMetrics.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.catalog.Catalog;
 import org.orioleshed.dispatch.LimitCounts;
 
 /**
@@ -24,6 +25,8 @@
     private MetricsText text;
     private volatile int quarantined;
     private volatile int evacuatedDomains;
+    private volatile long configVersion;
+    private volatile boolean keysRequired;
     private volatile int pacedServers;
     private volatile long responseBytes;
     private volatile LimitCounts limitCounts = new LimitCounts(0, 0, 0);
@@ -33,6 +36,8 @@
         registry.gauge("response_bytes", () -> () -> responseBytes);
         registry.gauge("quarantined", () -> () -> quarantined);
         registry.gauge("emptied_domains", () -> () -> evacuatedDomains);
+        registry.gauge("config_version", () -> () -> configVersion);
+        registry.gauge("keys_required", () -> () -> keysRequired ? 1 : 0);
         registry.gauge("paced_servers", () -> () -> pacedServers);
         registry.gauge("rate_limited_servers", () -> () -> limitCounts.limited());
         registry.gauge("cold_servers", () -> () -> limitCounts.cold());
@@ -98,6 +103,12 @@
         limitCounts = dispatcher.limitCounts();
     }
 
+    /** Takes the configuration in force. */
+    void configChanged(Catalog catalog) {
+        configVersion = catalog.version();
+        keysRequired = catalog.requiresKeys();
+    }
+
     void evacuatedDomains(int count) {
         evacuatedDomains = count;
     }
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -124,6 +124,27 @@
         await(() -> log().contains("version=%d source=".formatted(version)));
     }
 
+    /** Writes a configuration; returns once it is in force or known to be unreadable. */
+    void writeConfig(String config) {
+        long written = linesAboutConfigs();
+        store.put("op/config", config);
+        await(() -> linesAboutConfigs() > written);
+    }
+
+    private long linesAboutConfigs() {
+        return log().lines()
+                .filter(
+                        line ->
+                                line.contains("event=config_in_force")
+                                        || line.contains("event=config_unreadable"))
+                .count();
+    }
+
+    /** Returns a fleet whose gateway is ready, with a configuration. */
+    static Fleet withConfig(String config) throws IOException {
+        return withRegions(config, Map.of());
+    }
+
     /** Returns a fleet whose gateway is ready, with a configuration and a map of regions. */
     static Fleet withRegions(String config, Map<FailureDomain, Region> regions) throws IOException {
         Fleet fleet = new Fleet(config, SLOTS, GRACE_MILLIS, false, regions);
