A configuration that lists no workspace serves nobody without a key

Cause: the decoder turned a list without entries and no list into the same empty map, and Catalog.requiresKeys asked whether the map had entries. So "nobody" was read as "everybody". Evidence: with the line of the commit before, the version that opened the routes is logged as keys_required=false workspaces=0; the same for a first version. Change: AccessRule says which of the two was stated, Everybody or KeyHolders, and Exchange asks for the type. Whether there are entries decides nothing any more, so no reader can mistake an empty map again. Public routes are as before, and so is a configuration that doesn't mention tenants.

--- a/src/main/java/org/orioleshed/catalog/Catalog.java
+++ b/src/main/java/org/orioleshed/catalog/Catalog.java
@@ -5,7 +5,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.orioleshed.model.ServiceId;
-import org.orioleshed.model.WorkspaceId;
 
 /**
  * A complete configuration, as operators wrote it.
@@ -13,23 +12,19 @@
  * @param version the operators' version number
  * @param routes all routes, by host name and path prefix
  * @param pools all pools, by service
- * @param keys the workspace of each API key
- * @param workspaces all workspaces, by id
+ * @param access who may call the routes that are not open
  * @param limits the limits on callers' requests
  */
 public record Catalog(
         long version,
         Map<String, Map<String, CallRoute>> routes,
         Map<ServiceId, Pool> pools,
-        Map<String, WorkspaceId> keys,
-        Map<WorkspaceId, WorkspaceConfig> workspaces,
+        AccessRule access,
         CallerLimits limits) {
     /** Copies the maps. */
     public Catalog {
         routes = Map.copyOf(routes);
         pools = Map.copyOf(pools);
-        keys = Map.copyOf(keys);
-        workspaces = Map.copyOf(workspaces);
     }
 
     /** Returns the routes by host name and path prefix, as in {@link #routes}. */
@@ -62,16 +57,6 @@
         return Optional.empty();
     }
 
-    /** Returns the workspace of an API key. */
-    public Optional<WorkspaceConfig> holder(String key) {
-        return Optional.ofNullable(keys.get(key)).map(workspaces::get);
-    }
-
-    /** Returns whether callers need an API key on routes that are not open. */
-    public boolean requiresKeys() {
-        return !workspaces.isEmpty();
-    }
-
     /** Returns who may call, for the log: whether a key is needed, and what was declared. */
     String describeAccess() {
         long openRoutes =
@@ -79,7 +64,6 @@
                         .flatMap(byPrefix -> byPrefix.values().stream())
                         .filter(CallRoute::open)
                         .count();
-        return "keys_required=%s workspaces=%d keys=%d open_routes=%d"
-                .formatted(requiresKeys(), workspaces.size(), keys.size(), openRoutes);
+        return access + " open_routes=" + openRoutes;
     }
 }
--- a/src/main/java/org/orioleshed/gateway/CatalogFeed.java
+++ b/src/main/java/org/orioleshed/gateway/CatalogFeed.java
@@ -98,7 +98,8 @@
 
     private static DispatchEvent limits(Catalog catalog) {
         Map<WorkspaceId, Quota> quotas = new HashMap<>();
-        catalog.workspaces()
+        catalog.access()
+                .workspaces()
                 .forEach((id, workspaceConfig) -> quotas.put(id, workspaceConfig.quota()));
         return new DispatchEvent.LimitsChanged(catalog.pools(), quotas);
     }
--- a/src/main/java/org/orioleshed/gateway/Exchange.java
+++ b/src/main/java/org/orioleshed/gateway/Exchange.java
@@ -8,6 +8,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.Set;
+import org.orioleshed.catalog.AccessRule;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.PoolServer;
@@ -210,8 +211,8 @@
         }
         CallRoute route = matched.get();
         Optional<WorkspaceConfig> holder = Optional.empty();
-        if (!route.open() && catalog.requiresKeys()) {
-            holder = callHeaders.key().flatMap(catalog::holder);
+        if (!route.open() && catalog.access() instanceof AccessRule.KeyHolders holders) {
+            holder = callHeaders.key().flatMap(holders::holder);
             if (holder.isEmpty()) {
                 fail(HttpResponseStatus.UNAUTHORIZED, "unknown_key", -1);
                 return;
--- a/src/main/java/org/orioleshed/gateway/GatewayMetrics.java
+++ b/src/main/java/org/orioleshed/gateway/GatewayMetrics.java
@@ -5,6 +5,7 @@
 import com.codahale.metrics.MetricRegistry;
 import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
 import java.util.concurrent.TimeUnit;
+import org.orioleshed.catalog.AccessRule;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.dispatch.LimitCounts;
 
@@ -106,7 +107,7 @@
     /** Takes the configuration in force. */
     void configChanged(Catalog catalog) {
         configVersion = catalog.version();
-        keysRequired = catalog.requiresKeys();
+        keysRequired = catalog.access() instanceof AccessRule.KeyHolders;
     }
 
     void evacuatedDomains(int count) {
--- a/src/main/java/org/orioleshed/gateway/StartQueue.java
+++ b/src/main/java/org/orioleshed/gateway/StartQueue.java
@@ -92,7 +92,10 @@
             long nowNanos) {
         HeaderTranslator.BriefHeaders headers = context.translator().readBriefly(request.headers());
         int workspaceRank =
-                headers.key().flatMap(catalog::holder).flatMap(WorkspaceConfig::priority).orElse(0);
+                headers.key()
+                        .flatMap(catalog.access()::holder)
+                        .flatMap(WorkspaceConfig::priority)
+                        .orElse(0);
         long waitMillis = route.timeoutMillis();
         if (headers.deadlineMillis() >= 0) {
             waitMillis = Math.min(waitMillis, headers.deadlineMillis());
--- a/src/test/java/org/orioleshed/catalog/PlainDecoder.java
+++ b/src/test/java/org/orioleshed/catalog/PlainDecoder.java
@@ -62,7 +62,8 @@
     }
 
     private static Catalog catalog(long version, Map<WorkspaceId, WorkspaceConfig> workspaces) {
-        return new Catalog(version, Map.of(), Map.of(), Map.of(), workspaces, CallerLimits.DEFAULT);
+        AccessRule access = new AccessRule.KeyHolders(Map.of(), workspaces);
+        return new Catalog(version, Map.of(), Map.of(), access, CallerLimits.DEFAULT);
     }
 
     private static Map<WorkspaceId, WorkspaceConfig> workspaces(double perSecond) {
--- a/src/test/java/org/orioleshed/gateway/StartQueueTest.java
+++ b/src/test/java/org/orioleshed/gateway/StartQueueTest.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.SplittableRandom;
+import org.orioleshed.catalog.AccessRule;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.CallerLimits;
 import org.orioleshed.catalog.Catalog;
@@ -65,8 +66,7 @@
                         1,
                         Catalog.byHost(List.of(route)),
                         Map.of(),
-                        Map.of(),
-                        Map.of(),
+                        new AccessRule.Everybody(),
                         CallerLimits.DEFAULT);
         StoreRevision revision = StoreRevision.of(1);
         return new CatalogSnapshot(
--- a/src/test/java/org/orioleshed/gateway/WarmupRecordTest.java
+++ b/src/test/java/org/orioleshed/gateway/WarmupRecordTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.orioleshed.catalog.AccessRule;
 import org.orioleshed.catalog.CallerLimits;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.CatalogSnapshot;
@@ -63,8 +64,7 @@
                         1,
                         Map.of(),
                         Map.of(SERVICE, pool),
-                        Map.of(),
-                        Map.of(),
+                        new AccessRule.Everybody(),
                         CallerLimits.DEFAULT);
         CatalogSnapshot snapshot =
                 new CatalogSnapshot(
--- a/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
+++ b/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
@@ -4,6 +4,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -43,4 +44,74 @@
             assertEquals(fleet.metric("keys_required"), keysRequired);
         }
     }
+
+    @DataProvider
+    Object[][] workspacesAndKeys() {
+        return new Object[][] {
+            {"", Access.ALL},
+            {"[]", Access.NOBODY},
+            {"[" + WORKSPACE + "]", Access.HOLDER},
+            {"[{\"name\":\"ws\"}]", Access.NOBODY},
+            {"[{\"name\":\"ws\",\"api-keys\":[]}]", Access.NOBODY},
+        };
+    }
+
+    /** Guards against a configuration without workspaces that opens all routes (review/14). */
+    @Test(dataProvider = "workspacesAndKeys")
+    public void onlyAConfigurationThatDeclaresNoWorkspacesOpensRoutes(
+            String tenants, Access expected) throws IOException {
+        try (Fleet fleet = Fleet.withConfig(config(1, tenants))) {
+            checkAccess(fleet, expected);
+        }
+    }
+
+    /** As above, for the change from one workspace, which review/14 makes. */
+    @Test(dataProvider = "workspacesAndKeys")
+    public void theChangeDecidesWhoMayCall(String tenants, Access expected) throws IOException {
+        checkAfterChange(tenants, expected);
+    }
+
+    private static void checkAfterChange(String tenants, Access expected) throws IOException {
+        try (Fleet fleet = Fleet.withConfig(config(1, "[" + WORKSPACE + "]"))) {
+            checkAccess(fleet, Access.HOLDER);
+            fleet.writeConfig(config(2, tenants));
+            checkAccess(fleet, expected);
+        }
+    }
+
+    /** Who is served on a route that is not public. */
+    enum Access {
+        ALL(true, true),
+        HOLDER(true, false),
+        NOBODY(false, false);
+
+        private final boolean withKey;
+        private final boolean withoutKey;
+
+        Access(boolean withKey, boolean withoutKey) {
+            this.withKey = withKey;
+            this.withoutKey = withoutKey;
+        }
+    }
+
+    private static void checkAccess(Fleet fleet, Access expected) throws IOException {
+        fleet.first.script(WorkerFake.Script.streaming(1, 1, 0));
+        for (String path : List.of("/s/x", "/o/x", "/i/x")) {
+            checkServed(fleet, path, "Api-Key: key", expected.withKey);
+            checkServed(fleet, path, "Api-Key: other", expected.withoutKey);
+            checkServed(fleet, path, "Api-Key: null", expected.withoutKey);
+            checkServed(fleet, path, "Api-Key:", expected.withoutKey);
+            checkServed(fleet, path, "X-Other: key", expected.withoutKey);
+        }
+        checkServed(fleet, "/p/x", "X-Other: key", true);
+    }
+
+    private static void checkServed(Fleet fleet, String path, String keyField, boolean served)
+            throws IOException {
+        int before = fleet.first.requests.size();
+        String request = Fleet.request(path, "r" + before, "").replace("Api-Key: key", keyField);
+        String status = fleet.send(request).substring("HTTP/1.1 ".length()).substring(0, 3);
+        assertEquals(status, served ? "200" : "401", path + " with " + keyField);
+        assertEquals(fleet.first.requests.size() > before, served, path + " with " + keyField);
+    }
 }
--- a/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
@@ -58,8 +58,9 @@
         assertEquals(stream.pick(0.95), new ServiceId("s2"));
         assertEquals(catalog.pools().get(new ServiceId("s1")).eventTokens(), 7);
         assertEquals(
-                catalog.holder("k2").map(it -> it.workspace()), Optional.of(new WorkspaceId("t")));
-        assertEquals(catalog.holder("k3"), Optional.empty());
+                catalog.access().holder("k2").map(it -> it.workspace()),
+                Optional.of(new WorkspaceId("t")));
+        assertEquals(catalog.access().holder("k3"), Optional.empty());
     }
 
     @DataProvider
@@ -117,7 +118,7 @@
                 catalog.route("h.example", "/a/x").orElseThrow().allowedRegions(),
                 Set.of(new Region("r1"), new Region("r2")));
         assertEquals(catalog.route("h.example", "/a/b/x").orElseThrow().allowedRegions(), Set.of());
-        assertEquals(catalog.holder("k1").orElseThrow().allowedRegions(), Set.of());
+        assertEquals(catalog.access().holder("k1").orElseThrow().allowedRegions(), Set.of());
     }
 
     @DataProvider
