A malformed list of tenants or keys leaves the version before in force

What callers saw: tenants as {}, "", "x", 0, false or null opened all routes to any key and to none, as a change too, in place of a sound version; an object of tenants was read as their list. Of api-keys, [null] made the text null a key, [""] and [{}] made the empty text one, which an empty Api-Key line holds; an object's values became keys. Cause: the decoder iterated whatever stood there and took each value's text; Jackson iterates an object's values and nothing of a scalar, and asText() turns null and containers into texts. Test: DeclaredKeysTest.aMalformedListLeavesTheEarlierConfigurationInForce.

--- a/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
+++ b/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
@@ -71,6 +71,35 @@
         checkAfterChange(tenants, expected);
     }
 
+    @DataProvider
+    Object[][] malformedWorkspacesAndKeys() {
+        return new Object[][] {
+            {"null"},
+            {"{}"},
+            {"\"\""},
+            {"\"x\""},
+            {"0"},
+            {"false"},
+            {"{\"a\":" + WORKSPACE + "}"},
+            {"[null]"},
+            {"[\"ws\"]"},
+            {"[{\"name\":\"ws\",\"api-keys\":null}]"},
+            {"[{\"name\":\"ws\",\"api-keys\":\"key\"}]"},
+            {"[{\"name\":\"ws\",\"api-keys\":{\"a\":\"other\"}}]"},
+            {"[{\"name\":\"ws\",\"api-keys\":[null]}]"},
+            {"[{\"name\":\"ws\",\"api-keys\":[{}]}]"},
+            {"[{\"name\":\"ws\",\"api-keys\":[\"\"]}]"},
+            {"[{\"name\":\"ws\",\"api-keys\":[\" \"]}]"},
+        };
+    }
+
+    /** Guards against a malformed list of workspaces or keys that opens routes. */
+    @Test(dataProvider = "malformedWorkspacesAndKeys")
+    public void aMalformedListLeavesTheEarlierConfigurationInForce(String tenants)
+            throws IOException {
+        checkAfterChange(tenants, Access.HOLDER);
+    }
+
     private static void checkAfterChange(String tenants, Access expected) throws IOException {
         try (Fleet fleet = Fleet.withConfig(config(1, "[" + WORKSPACE + "]"))) {
             checkAccess(fleet, Access.HOLDER);
