A malformed quota is no licence to send without limit

What callers saw: a tenant whose rate-per-s was a text, null, negative, {} or [] had no limit at all; 1e999 was an infinite rate, a text unit such as "token" counted requests in place of tokens, and a negative plain-tokens put units back.

--- a/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
@@ -7,6 +7,8 @@
 import org.orioleshed.catalog.BadCatalogException;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
+import org.orioleshed.catalog.Quota;
+import org.orioleshed.catalog.WorkspaceConfig;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -90,4 +92,54 @@
                 routeWith(",\"service\":\"s\"" + field).replace("\"idempotent\"", "\"stream\"");
         assertEquals(decode(manifest, it -> "" + route(it).orElseThrow().mayRunAgain()), expected);
     }
+
+    @DataProvider
+    Object[][] quotas() {
+        return new Object[][] {
+            {"", "none"},
+            {",\"rate-per-s\":0", "none"},
+            {",\"burst\":5", "none"},
+            {",\"rate-per-s\":5", "5.0 0.0 calls"},
+            {",\"rate-per-s\":5,\"burst\":0", "5.0 0.0 calls"},
+            {",\"rate-per-s\":5,\"burst\":6", "5.0 6.0 calls"},
+            {",\"rate-per-s\":5,\"unit\":\"tokens\"", "5.0 0.0 tokens 1"},
+            {",\"rate-per-s\":5,\"unit\":\"tokens\",\"plain-tokens\":7", "5.0 0.0 tokens 7"},
+            {",\"rate-per-s\":5,\"unit\":\"requests\"", "5.0 0.0 calls"},
+            {",\"rate-per-s\":null", REFUSED},
+            {",\"rate-per-s\":\"\"", REFUSED},
+            {",\"rate-per-s\":\"x\"", REFUSED},
+            {",\"rate-per-s\":\"5\"", REFUSED},
+            {",\"rate-per-s\":-1", REFUSED},
+            {",\"rate-per-s\":1e999", REFUSED},
+            {",\"rate-per-s\":{}", REFUSED},
+            {",\"rate-per-s\":[]", REFUSED},
+            {",\"rate-per-s\":false", REFUSED},
+            {",\"rate-per-s\":5,\"burst\":null", REFUSED},
+            {",\"rate-per-s\":5,\"burst\":\"x\"", REFUSED},
+            {",\"rate-per-s\":5,\"burst\":-1", REFUSED},
+            {",\"rate-per-s\":5,\"burst\":1e999", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":null", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":\"\"", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":\"token\"", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":[]", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":\"tokens\",\"plain-tokens\":null", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":\"tokens\",\"plain-tokens\":\"x\"", REFUSED},
+            {",\"rate-per-s\":5,\"unit\":\"tokens\",\"plain-tokens\":-9", REFUSED},
+        };
+    }
+
+    /** Guards against a malformed quota that is no limit, or a larger one. */
+    @Test(dataProvider = "quotas")
+    public void onlyAQuotaThatIsLeftOutOrZeroIsNoLimit(String fields, String expected) {
+        assertEquals(decode(tenantWith(fields), ManifestGapsTest::quota), expected);
+    }
+
+    private static String quota(Catalog catalog) {
+        Quota quota = catalog.access().holder("k").map(WorkspaceConfig::quota).orElseThrow();
+        if (quota.unlimited()) {
+            return "none";
+        }
+        String unit = quota.inTokens() ? "tokens " + quota.plainUnits() : "calls";
+        return quota.perSecond() + " " + quota.burst() + " " + unit;
+    }
 }
