allowed-regions: null does not let requests leave their regions

What callers saw: a route or tenant whose allowed-regions became null was served in all regions, where any other malformed list kept the version before. Cause: the decoder took null for a list that is left out. Evidence: ManifestGapsTest, ten forms each for routes and tenants; the row of null read "anywhere" before, the nine others held. Test: ManifestGapsTest.onlyAListOfRegionsBindsARoute and ...BindsAWorkspace.

--- a/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
@@ -4,11 +4,13 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.stream.Collectors;
 import org.orioleshed.catalog.BadCatalogException;
 import org.orioleshed.catalog.CallRoute;
 import org.orioleshed.catalog.Catalog;
 import org.orioleshed.catalog.Quota;
 import org.orioleshed.catalog.WorkspaceConfig;
+import org.orioleshed.model.Region;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 
@@ -142,4 +144,45 @@
         String unit = quota.inTokens() ? "tokens " + quota.plainUnits() : "calls";
         return quota.perSecond() + " " + quota.burst() + " " + unit;
     }
+
+    @DataProvider
+    Object[][] regionLists() {
+        return new Object[][] {
+            {"", "anywhere"},
+            {",\"allowed-regions\":[]", "anywhere"},
+            {",\"allowed-regions\":[\"r\"]", "r"},
+            {",\"allowed-regions\":null", REFUSED},
+            {",\"allowed-regions\":\"\"", REFUSED},
+            {",\"allowed-regions\":\"r\"", REFUSED},
+            {",\"allowed-regions\":{}", REFUSED},
+            {",\"allowed-regions\":[null]", REFUSED},
+            {",\"allowed-regions\":[\"\"]", REFUSED},
+            {",\"allowed-regions\":[7]", REFUSED},
+        };
+    }
+
+    /** Guards against a malformed list that lets requests leave their regions. */
+    @Test(dataProvider = "regionLists")
+    public void onlyAListOfRegionsBindsARoute(String field, String expected) {
+        String manifest = routeWith(",\"service\":\"s\"" + field);
+        assertEquals(
+                decode(manifest, it -> regions(route(it).orElseThrow().allowedRegions())),
+                expected);
+    }
+
+    /** As above, for the list of a workspace. */
+    @Test(dataProvider = "regionLists")
+    public void onlyAListOfRegionsBindsAWorkspace(String field, String expected) {
+        assertEquals(
+                decode(
+                        tenantWith(field),
+                        it -> regions(it.access().holder("k").orElseThrow().allowedRegions())),
+                expected);
+    }
+
+    private static String regions(java.util.Set<Region> regions) {
+        return regions.isEmpty()
+                ? "anywhere"
+                : regions.stream().map(Region::value).sorted().collect(Collectors.joining(","));
+    }
 }
