A malformed route or split sends requests nowhere it does not name

What callers saw: backends that were no list were ignored in favour of service; a weight that was a text, null or a fraction became 1 or its digits; a split of weight 0 alone went to its last service, and a negative weight counted. routes as null, "", {} or left out took all routes away (404 for all); a route without a host name served requests whose Host is empty. Cause: iterating and asInt(1), asText() make something of any value. Evidence: ManifestGapsTest.aRouteGoesWhereItSays, 13 of 21 forms, and onlyAListOfRoutesReplacesRoutes, 7 of 12, were taken before. Test: the two named; 20 rows failed before.

--- a/src/main/java/org/orioleshed/catalog/CallRoute.java
+++ b/src/main/java/org/orioleshed/catalog/CallRoute.java
@@ -22,7 +22,8 @@
  * @param attempts the maximum number of servers to which one attempt of a caller is sent; positive
  * @param priority the rank of the route's calls, 0 first
  * @param open whether calls need no API key
- * @param shares the traffic split: the pools that serve the route and their weights; not empty
+ * @param shares the traffic split: the pools that serve the route and their weights; at least one
+ *     weight is positive
  * @param allowedRegions the regions whose servers may run the route's calls; empty for all
  */
 public record CallRoute(
@@ -45,7 +46,15 @@
      * @param service the pool
      * @param weight its weight among the route's pools; not negative
      */
-    public record Share(ServiceId service, int weight) {}
+    public record Share(ServiceId service, int weight) {
+        /** Validates the arguments. */
+        public Share {
+            if (weight < 0) {
+                throw new IllegalArgumentException(
+                        "weight of " + service + " must not be negative, found " + weight);
+            }
+        }
+    }
 
     /** Creates a route that all regions may serve. */
     public CallRoute(
@@ -89,8 +98,8 @@
         }
         shares = List.copyOf(shares);
         allowedRegions = Set.copyOf(allowedRegions);
-        if (shares.isEmpty()) {
-            throw new IllegalArgumentException("shares must not be empty in route " + id);
+        if (shares.stream().noneMatch(share -> share.weight() > 0)) {
+            throw new IllegalArgumentException("no share has a weight in route " + id);
         }
     }
 
--- a/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestDecoderTest.java
@@ -190,7 +190,8 @@
     @Test(dataProvider = "poolWarmups")
     public void readsTheWarmupOfAPool(String fields, long millis, double perSecond)
             throws BadCatalogException {
-        byte[] config = bytes("{\"services\":[{\"name\":\"s\"%s}]}".formatted(fields));
+        byte[] config =
+                bytes("{\"routes\":[],\"services\":[{\"name\":\"s\"%s}]}".formatted(fields));
         Pool pool = decoder.config(config).pools().get(new ServiceId("s"));
         assertEquals(pool.warmupMillis(), millis);
         assertEquals(pool.warmupPerSecond(), perSecond);
--- a/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
@@ -185,4 +185,69 @@
                 ? "anywhere"
                 : regions.stream().map(Region::value).sorted().collect(Collectors.joining(","));
     }
+
+    @DataProvider
+    Object[][] targets() {
+        return new Object[][] {
+            {",\"service\":\"s\"", "s=1"},
+            {",\"service\":\"s\",\"backends\":[]", "s=1"},
+            {",\"backends\":[{\"service\":\"p\"},{\"service\":\"q\",\"weight\":3}]", "p=1 q=3"},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":0},{\"service\":\"q\"}]", "p=0 q=1"},
+            {"", REFUSED},
+            {",\"service\":null", REFUSED},
+            {",\"service\":\"\"", REFUSED},
+            {",\"service\":7", REFUSED},
+            {",\"backends\":[]", REFUSED},
+            {",\"service\":\"s\",\"backends\":null", REFUSED},
+            {",\"service\":\"s\",\"backends\":\"p\"", REFUSED},
+            {",\"service\":\"s\",\"backends\":{}", REFUSED},
+            {",\"service\":\"s\",\"backends\":{\"x\":{\"service\":\"p\"}}", REFUSED},
+            {",\"backends\":[{\"weight\":1}]", REFUSED},
+            {",\"backends\":[{\"service\":7}]", REFUSED},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":null}]", REFUSED},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":\"x\"}]", REFUSED},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":\"9\"}]", REFUSED},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":0.5}]", REFUSED},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":-1}]", REFUSED},
+            {",\"backends\":[{\"service\":\"p\",\"weight\":0}]", REFUSED},
+        };
+    }
+
+    /** Guards against a malformed split that sends requests to a service it does not name. */
+    @Test(dataProvider = "targets")
+    public void aRouteGoesWhereItSays(String fields, String expected) {
+        assertEquals(decode(routeWith(fields), it -> shares(route(it).orElseThrow())), expected);
+    }
+
+    private static String shares(CallRoute route) {
+        return route.shares().stream()
+                .map(share -> share.service() + "=" + share.weight())
+                .collect(Collectors.joining(" "));
+    }
+
+    @DataProvider
+    Object[][] routeLists() {
+        String route = "{" + ROUTE + ",\"service\":\"s\"}";
+        return new Object[][] {
+            {",\"routes\":[" + route + "]", "found"},
+            {",\"routes\":[]", "none"},
+            {"", REFUSED},
+            {",\"routes\":null", REFUSED},
+            {",\"routes\":\"\"", REFUSED},
+            {",\"routes\":{}", REFUSED},
+            {",\"routes\":{\"x\":" + route + "}", REFUSED},
+            {",\"routes\":[null]", REFUSED},
+            {",\"routes\":[" + route.replace("\"host\":\"h\",", "") + "]", REFUSED},
+            {",\"routes\":[" + route.replace("\"host\":\"h\"", "\"host\":\"\"") + "]", REFUSED},
+            {",\"routes\":[" + route.replace("\"/a/\"", "\"\"") + "]", REFUSED},
+            {",\"routes\":[" + route.replace("\"/a/\"", "null") + "]", REFUSED},
+        };
+    }
+
+    /** Guards against a malformed list that takes all routes away, or serves other hosts' calls. */
+    @Test(dataProvider = "routeLists")
+    public void onlyAListOfRoutesReplacesRoutes(String field, String expected) {
+        String manifest = "{\"version\":1" + field + "}";
+        assertEquals(decode(manifest, it -> route(it).isPresent() ? "found" : "none"), expected);
+    }
 }
