A malformed limit on callers' requests is not replaced by a larger one

Cause: asInt(default) takes the default for what isn't a number, and the low bits of what is too large.

--- a/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
@@ -250,4 +250,30 @@
         String manifest = "{\"version\":1" + field + "}";
         assertEquals(decode(manifest, it -> route(it).isPresent() ? "found" : "none"), expected);
     }
+
+    @DataProvider
+    Object[][] limits() {
+        return new Object[][] {
+            {"", "4194304"},
+            {",\"limits\":{}", "4194304"},
+            {",\"limits\":{\"max-body-bytes\":9}", "9"},
+            {",\"limits\":null", REFUSED},
+            {",\"limits\":[]", REFUSED},
+            {",\"limits\":\"x\"", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":null}", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":\"9\"}", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":\"\"}", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":0}", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":-1}", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":1e999}", REFUSED},
+            {",\"limits\":{\"max-body-bytes\":9999999999}", REFUSED},
+        };
+    }
+
+    /** Guards against a malformed limit that is replaced by a larger one. */
+    @Test(dataProvider = "limits")
+    public void onlyALimitThatIsLeftOutIsTheDefault(String field, String expected) {
+        String manifest = "{\"version\":1,\"routes\":[]" + field + "}";
+        assertEquals(decode(manifest, it -> "" + it.limits().maxBodyBytes()), expected);
+    }
 }
