A malformed bound of a pool is not read as no bound

What callers saw: warmup-per-s as a text, null or negative meant that servers are never cold, kv-capacity likewise that an engine's memory is unknown and nothing is checked against it; services as an object or null were read or dropped. Cause: 0 is the word for "none declared", and was what a malformed number became.

--- a/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
+++ b/src/test/java/org/orioleshed/platform/ManifestGapsTest.java
@@ -276,4 +276,49 @@
         String manifest = "{\"version\":1,\"routes\":[]" + field + "}";
         assertEquals(decode(manifest, it -> "" + it.limits().maxBodyBytes()), expected);
     }
+
+    @DataProvider
+    Object[][] pools() {
+        return new Object[][] {
+            {"[]", "none"},
+            {"[{\"name\":\"s\"}]", "plain 0 0.0"},
+            {"[{\"name\":\"s\",\"engine\":{}}]", "engine 0 0.0"},
+            {"[{\"name\":\"s\",\"engine\":{\"kv-capacity\":9}}]", "engine 9 0.0"},
+            {"[{\"name\":\"s\",\"engine\":{\"kv-capacity\":9.0}}]", "engine 9 0.0"},
+            {"[{\"name\":\"s\",\"warmup-per-s\":2}]", "plain 0 2.0"},
+            {"null", REFUSED},
+            {"{}", REFUSED},
+            {"{\"x\":{\"name\":\"s\"}}", REFUSED},
+            {"[{}]", REFUSED},
+            {"[{\"name\":\"s\",\"engine\":null}]", REFUSED},
+            {"[{\"name\":\"s\",\"engine\":[]}]", REFUSED},
+            {"[{\"name\":\"s\",\"engine\":{\"kv-capacity\":null}}]", REFUSED},
+            {"[{\"name\":\"s\",\"engine\":{\"kv-capacity\":\"x\"}}]", REFUSED},
+            {"[{\"name\":\"s\",\"engine\":{\"kv-capacity\":-1}}]", REFUSED},
+            {"[{\"name\":\"s\",\"warmup-s\":-3}]", REFUSED},
+            {"[{\"name\":\"s\",\"warmup-per-s\":null}]", REFUSED},
+            {"[{\"name\":\"s\",\"warmup-per-s\":\"x\"}]", REFUSED},
+            {"[{\"name\":\"s\",\"warmup-per-s\":-1}]", REFUSED},
+            {"[{\"name\":\"s\",\"warmup-per-s\":1e999}]", REFUSED},
+        };
+    }
+
+    /** Guards against a malformed bound of a pool that is read as no bound. */
+    @Test(dataProvider = "pools")
+    public void onlyABoundThatIsLeftOutOrZeroIsNone(String services, String expected) {
+        String manifest = "{\"version\":1,\"routes\":[],\"services\":" + services + "}";
+        assertEquals(decode(manifest, ManifestGapsTest::pool), expected);
+    }
+
+    private static String pool(Catalog catalog) {
+        return catalog.pools().values().stream()
+                .map(
+                        pool ->
+                                (pool.engine() ? "engine " : "plain ")
+                                        + pool.memoryTokens()
+                                        + " "
+                                        + pool.warmupPerSecond())
+                .findFirst()
+                .orElse("none");
+    }
 }
