A quota that was used up is not granted again after a version without it

What callers saw: a tenant with burst 1,100 and rate 1 got 7 requests, then 429; one version that left it out, named it without a limit or said [], and the next with it as before, and it got 7 more at once. A request that was queued while no limit was in force was put back into the bucket of the next limit when it was withdrawn. Cause: Quotas dropped the bucket of a workspace without a limit, and made a filled one for the next limit: "no limit stated" was read as "nothing used". Evidence: QuotaChangesTest, by versions in between: same version held; left out, no limit, and no limit with a burst were granted again. Change: QuotaBucket outlasts such versions. It accrues at the last rate; while a version states no limit everything is granted and counted, and what that makes is waived, not owed. A workspace that is left out keeps its last limit, since its requests come from hosts that have another version; it is forgotten a minute later, once it has accrued again. Test: QuotaChangesTest; aQuotaIsNotGrantedAgainAfterAVersionWithoutIt (3 of 4 rows), aWorkspaceThatIsLeftOutKeepsItsLastLimit and aRequestQueuedWithoutALimitIsNotRefundedFromOne failed before.

--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -1,7 +1,9 @@
 package org.orioleshed.dispatch;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.orioleshed.catalog.Quota;
 import org.orioleshed.model.WorkspaceId;
 
@@ -13,6 +15,9 @@
     private static final double RESERVED_FRACTION_PER_RANK = 0.2;
     private static final double MAX_RESERVED_FRACTION = 0.6;
 
+    /** All hosts know a configuration within this time, if they are connected at all. */
+    private static final long CONFIG_SPREAD_NANOS = 60_000_000_000L;
+
     /**
      * The fraction to which a new bucket is filled. The usage before this scheduler started is
      * unknown.
@@ -21,8 +26,8 @@
 
     private final Slack slack;
     private final Role role;
-    private final Map<WorkspaceId, TokenBucket> buckets = new HashMap<>();
-    private Map<WorkspaceId, Quota> limits = Map.of();
+    private final Map<WorkspaceId, QuotaBucket> buckets = new HashMap<>();
+    private final Map<WorkspaceId, Long> leftOutNanos = new HashMap<>();
     private double share = 1;
 
     /**
@@ -81,42 +86,63 @@
         this.role = role;
     }
 
+    /**
+     * Sets the quotas of all workspaces. A workspace that is left out keeps its last limit: its
+     * requests come from hosts that know another configuration.
+     */
     void setLimits(Map<WorkspaceId, Quota> quotas, long nowNanos) {
-        limits = quotas;
-        apply(nowNanos);
+        quotas.forEach((workspace, quota) -> setQuota(workspace, quota, nowNanos));
+        forgetLeftOut(quotas.keySet(), nowNanos);
+    }
+
+    private void setQuota(WorkspaceId workspace, Quota quota, long nowNanos) {
+        QuotaBucket bucket = buckets.get(workspace);
+        if (bucket == null && !quota.unlimited()) {
+            buckets.put(workspace, newBucket(quota, nowNanos));
+        } else if (bucket != null && quota.unlimited()) {
+            bucket.suspend();
+        } else if (bucket != null) {
+            bucket.enforce(quota, perSecond(quota), burst(quota), nowNanos);
+        }
+    }
+
+    private QuotaBucket newBucket(Quota quota, long nowNanos) {
+        double burst = burst(quota);
+        return new QuotaBucket(
+                quota, new TokenBucket(perSecond(quota), burst, burst * initialFill, nowNanos));
+    }
+
+    /** Forgets workspaces that were left out long ago and have used nothing lately. */
+    private void forgetLeftOut(Set<WorkspaceId> declared, long nowNanos) {
+        leftOutNanos.keySet().removeAll(declared);
+        for (WorkspaceId workspace : List.copyOf(buckets.keySet())) {
+            if (declared.contains(workspace)) {
+                continue;
+            }
+            long sinceNanos = leftOutNanos.computeIfAbsent(workspace, it -> nowNanos);
+            boolean settled = nowNanos - sinceNanos > CONFIG_SPREAD_NANOS;
+            if (settled && buckets.get(workspace).tokens().isRestored(nowNanos)) {
+                buckets.remove(workspace);
+                leftOutNanos.remove(workspace);
+            }
+        }
     }
 
     void setShare(double newShare, long nowNanos) {
         share = newShare;
-        apply(nowNanos);
+        for (QuotaBucket bucket : buckets.values()) {
+            bucket.tokens().setLimit(perSecond(bucket.quota()), burst(bucket.quota()), nowNanos);
+        }
     }
 
-    private void apply(long nowNanos) {
-        buckets.keySet().removeIf(workspace -> quota(workspace).unlimited());
-        limits.forEach(
-                (workspace, quota) -> {
-                    if (!quota.unlimited()) {
-                        setLimit(workspace, quota, nowNanos);
-                    }
-                });
+    private double perSecond(Quota quota) {
+        return quota.perSecond() * role.rateFraction * (1 + slack.fraction()) * share;
     }
 
-    private void setLimit(WorkspaceId workspace, Quota quota, long nowNanos) {
-        double perSecond = quota.perSecond() * role.rateFraction * (1 + slack.fraction()) * share;
+    private double burst(Quota quota) {
         double extraUnits = quota.inTokens() ? slack.units() : 0;
         double quotaBurst = quota.burst() * role.burstFraction * (1 + slack.fraction());
-        double burst = Math.max(1, (quotaBurst + extraUnits) * share);
-        TokenBucket bucket = buckets.get(workspace);
-        if (bucket == null) {
-            buckets.put(
-                    workspace, new TokenBucket(perSecond, burst, burst * initialFill, nowNanos));
-            return;
-        }
-        bucket.setLimit(perSecond, burst, nowNanos);
-    }
-
-    private Quota quota(WorkspaceId workspace) {
-        return limits.getOrDefault(workspace, Quota.NONE);
+        return Math.max(1, (quotaBurst + extraUnits) * share);
     }
 
     /**
@@ -125,7 +151,8 @@
      */
     Map<WorkspaceId, Double> handOver(long nowNanos) {
         Map<WorkspaceId, Double> parts = new HashMap<>();
-        buckets.forEach((workspace, bucket) -> parts.put(workspace, bucket.empty(nowNanos)));
+        buckets.forEach(
+                (workspace, bucket) -> parts.put(workspace, bucket.tokens().empty(nowNanos)));
         return parts;
     }
 
@@ -133,9 +160,9 @@
     void takeOver(Map<WorkspaceId, Double> parts) {
         parts.forEach(
                 (workspace, fraction) -> {
-                    TokenBucket bucket = buckets.get(workspace);
+                    QuotaBucket bucket = buckets.get(workspace);
                     if (bucket != null) {
-                        bucket.addFraction(fraction - initialFill);
+                        bucket.tokens().addFraction(fraction - initialFill);
                     }
                 });
     }
@@ -164,17 +191,17 @@
     }
 
     /** Charges a request that another scheduler placed, even beyond what is left. */
-    void charge(PlacementRequest request) {
+    void charge(PlacementRequest request, long nowNanos) {
         request.workspace()
                 .map(buckets::get)
-                .ifPresent(bucket -> bucket.refund(-request.quotaUnits()));
+                .ifPresent(bucket -> bucket.tokens().charge(request.quotaUnits(), nowNanos));
     }
 
     /** Puts back the units of a request that never ran. */
     void refund(PlacementRequest request) {
         request.workspace()
                 .map(buckets::get)
-                .ifPresent(bucket -> bucket.refund(request.quotaUnits()));
+                .ifPresent(bucket -> bucket.tokens().refund(request.quotaUnits()));
     }
 
     /** Returns the time until the units of {@code request} can be taken, in milliseconds. */
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -278,7 +278,7 @@
             return;
         }
         if (granted == null && !charged) {
-            quotas.charge(placed.request());
+            quotas.charge(placed.request(), nowNanos);
         } else if (granted != null) {
             // Another scheduler's grant was used; this one's was charged already.
             end(placed.run(), new RunReport(RunReport.Outcome.CANCELLED, 0, 0, 0));
--- a/src/main/java/org/orioleshed/dispatch/TokenBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -1,12 +1,22 @@
 package org.orioleshed.dispatch;
 
-/** A token bucket: units accrue at a rate, up to a burst. */
+/**
+ * A token bucket: units accrue at a rate, up to a burst. A changed burst creates no units: what was
+ * taken under an earlier one has to accrue before it may be taken again.
+ */
 final class TokenBucket {
     private static final double NANOS_PER_SECOND = 1e9;
 
     private double perSecond;
     private double burst;
     private double units;
+
+    /**
+     * The units taken earlier that a lower burst does not require back. They are required again
+     * when the burst rises.
+     */
+    private double waived;
+
     private long filledNanos;
 
     /**
@@ -30,13 +40,22 @@
      */
     void setLimit(double newPerSecond, double newBurst, long nowNanos) {
         fill(nowNanos);
+        double ratio = newBurst / burst;
         if (units > 0) {
-            units *= newBurst / burst;
+            units *= ratio;
         }
+        waived *= ratio;
         perSecond = newPerSecond;
         burst = newBurst;
     }
 
+    /** Waives a debt: no limit was in force when it was made. */
+    void waiveDebt(long nowNanos) {
+        fill(nowNanos);
+        waived += Math.max(0, -units);
+        units = Math.max(0, units);
+    }
+
     /**
      * Takes the units if the bucket holds them. A request larger than the burst passes when the
      * bucket is full and leaves a debt.
@@ -58,6 +77,12 @@
         return units >= wanted;
     }
 
+    /** Returns whether all units that were taken have accrued again. */
+    boolean isRestored(long nowNanos) {
+        fill(nowNanos);
+        return units >= burst && waived <= 0;
+    }
+
     /** Takes units even if the bucket holds fewer, which leaves a debt. */
     void charge(long used, long nowNanos) {
         fill(nowNanos);
@@ -80,9 +105,11 @@
         units = Math.min(burst, units + fraction * burst);
     }
 
-    /** Puts back unused units. */
+    /** Puts back unused units; those that a lower burst waived are not held again. */
     void refund(long unused) {
-        units = Math.min(burst, units + unused);
+        double unwaived = Math.min(waived, (double) unused);
+        waived -= unwaived;
+        units = Math.min(burst, units + unused - unwaived);
     }
 
     /**
@@ -96,7 +123,10 @@
 
     private void fill(long nowNanos) {
         double seconds = Math.max(0, nowNanos - filledNanos) / NANOS_PER_SECOND;
-        units = Math.min(burst, units + seconds * perSecond);
+        double accrued = seconds * perSecond;
+        double held = Math.min(burst, units + accrued);
+        waived = Math.max(0, waived - (accrued - (held - units)));
+        units = held;
         filledNanos = nowNanos;
     }
 }
