A burst that is lower for a moment does not fill a quota

What callers saw: a tenant that had used its burst of 1,100 got all of it again after a version whose burst was left out, 0, 1 or 2 for some seconds; and a higher burst gave nothing to a tenant that had used the lower one up. Cause: TokenBucket.setLimit scales what is held with the burst. That is right where shares of a quota are joined, and was used for changes by operators, too: a bucket of one unit fills at once, and is then scaled to a thousand. Evidence: QuotaChangesTest.aQuotaIsNotGrantedAgainAfterAVersionWithALowerBurst, four of five rows granted again; the row of 550 held. Change: changeLimit keeps what was taken: a lower burst caps what is held and waives the rest, a higher one adds units only as far as fewer were taken than it allows. Shares are scaled as before. Test: the one named and aHigherBurstGrantsWhatItAdds failed before; aLowerLimitLeavesNoDebt held.

--- a/src/main/java/org/orioleshed/dispatch/QuotaBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/QuotaBucket.java
@@ -48,7 +48,7 @@
         }
         enforced = true;
         quota = newQuota;
-        tokens.setLimit(perSecond, burst, nowNanos);
+        tokens.changeLimit(perSecond, burst, nowNanos);
     }
 
     /** Takes units; returns false if a limit is enforced and too few are left. */
--- a/src/main/java/org/orioleshed/dispatch/TokenBucket.java
+++ b/src/main/java/org/orioleshed/dispatch/TokenBucket.java
@@ -49,6 +49,20 @@
         burst = newBurst;
     }
 
+    /**
+     * Sets the rate and burst that operators changed. A higher burst adds units only as far as
+     * fewer have been taken than it allows, so that none can be taken twice by a lower burst in
+     * between.
+     */
+    void changeLimit(double newPerSecond, double newBurst, long nowNanos) {
+        fill(nowNanos);
+        double taken = burst - units + waived;
+        units = Math.min(newBurst, Math.max(units, newBurst - taken));
+        waived = taken - (newBurst - units);
+        perSecond = newPerSecond;
+        burst = newBurst;
+    }
+
     /** Waives a debt: no limit was in force when it was made. */
     void waiveDebt(long nowNanos) {
         fill(nowNanos);
--- a/src/test/java/org/orioleshed/dispatch/QuotaChangesTest.java
+++ b/src/test/java/org/orioleshed/dispatch/QuotaChangesTest.java
@@ -101,4 +101,39 @@
         fixture.send(new DispatchEvent.Withdrawn(SchedulerFixture.key(2))).request(3, 0);
         assertRefused(fixture, 3);
     }
+
+    @DataProvider
+    Object[][] lowerLimits() {
+        return new Object[][] {
+            {quota(1, 0)}, {quota(1, 1)}, {quota(1, 2)}, {quota(0.5, 1)}, {quota(1, 550)},
+        };
+    }
+
+    /** A burst that is left out or lower for a moment was filled, and then scaled up. */
+    @Test(dataProvider = "lowerLimits")
+    public void aQuotaIsNotGrantedAgainAfterAVersionWithALowerBurst(Change lower) {
+        SchedulerFixture fixture = usedUp();
+        lower.apply(fixture);
+        fixture.advance(5_000);
+        fixture.quota(1, UNITS).advance(300).request(3, 0);
+        assertRefused(fixture, 3);
+    }
+
+    @Test
+    public void aHigherBurstGrantsWhatItAdds() {
+        SchedulerFixture unused = new SchedulerFixture().server("a", 99).quota(1, UNITS);
+        unused.quota(1, 2 * UNITS).request(1, 0).request(2, 0).request(3, 0);
+        assertEquals(unused.grantedServer(2), "a");
+        assertRefused(unused, 3);
+        SchedulerFixture used = usedUp().quota(1, 2 * UNITS).request(3, 0).request(4, 0);
+        assertEquals(used.grantedServer(3), "a");
+        assertRefused(used, 4);
+    }
+
+    /** A lower limit binds from now on; what was used before it is not required back. */
+    @Test
+    public void aLowerLimitLeavesNoDebt() {
+        SchedulerFixture fixture = usedUp().quota(1_000, 1).advance(10).request(3, 0);
+        assertEquals(fixture.grantedServer(3), "a");
+    }
 }
