What a workspace uses before its quota is known counts against it

What callers saw: a request that arrived at a host with a newer configuration was granted by a primary with an older one, which lacked the workspace, without any limit; once the primary had the newer one, the whole quota was there still. Cause: Quotas read a workspace that its configuration lacks as one without a limit. Change: such use is granted, since the host of the request knows the workspace, but recorded, and the bucket begins with it charged; a withdrawn request is taken out. A workspace that is declared without a limit is not recorded.

--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.orioleshed.catalog.Quota;
 import org.orioleshed.model.WorkspaceId;
@@ -28,6 +29,8 @@
     private final Role role;
     private final Map<WorkspaceId, QuotaBucket> buckets = new HashMap<>();
     private final Map<WorkspaceId, Long> leftOutNanos = new HashMap<>();
+    private final Map<WorkspaceId, UndeclaredUse> undeclared = new HashMap<>();
+    private Set<WorkspaceId> declared = Set.of();
     private double share = 1;
 
     /**
@@ -80,6 +83,16 @@
         }
     }
 
+    /**
+     * What a workspace used that no configuration has declared here: the hosts of its requests know
+     * a newer one.
+     */
+    private record UndeclaredUse(long units, long sinceNanos) {
+        UndeclaredUse plus(long more) {
+            return new UndeclaredUse(Math.max(0, units + more), sinceNanos);
+        }
+    }
+
     Quotas(double initialFill, Slack slack, Role role) {
         this.initialFill = initialFill;
         this.slack = slack;
@@ -92,13 +105,16 @@
      */
     void setLimits(Map<WorkspaceId, Quota> quotas, long nowNanos) {
         quotas.forEach((workspace, quota) -> setQuota(workspace, quota, nowNanos));
-        forgetLeftOut(quotas.keySet(), nowNanos);
+        declared = Set.copyOf(quotas.keySet());
+        undeclared.keySet().removeAll(declared);
+        undeclared.values().removeIf(it -> nowNanos - it.sinceNanos() > CONFIG_SPREAD_NANOS);
+        forgetLeftOut(nowNanos);
     }
 
     private void setQuota(WorkspaceId workspace, Quota quota, long nowNanos) {
         QuotaBucket bucket = buckets.get(workspace);
         if (bucket == null && !quota.unlimited()) {
-            buckets.put(workspace, newBucket(quota, nowNanos));
+            buckets.put(workspace, newBucket(quota, undeclared.get(workspace), nowNanos));
         } else if (bucket != null && quota.unlimited()) {
             bucket.suspend();
         } else if (bucket != null) {
@@ -106,14 +122,19 @@
         }
     }
 
-    private QuotaBucket newBucket(Quota quota, long nowNanos) {
+    private QuotaBucket newBucket(Quota quota, UndeclaredUse used, long nowNanos) {
         double burst = burst(quota);
-        return new QuotaBucket(
-                quota, new TokenBucket(perSecond(quota), burst, burst * initialFill, nowNanos));
+        long sinceNanos = used == null ? nowNanos : used.sinceNanos();
+        TokenBucket tokens =
+                new TokenBucket(perSecond(quota), burst, burst * initialFill, sinceNanos);
+        if (used != null) {
+            tokens.charge(used.units(), nowNanos);
+        }
+        return new QuotaBucket(quota, tokens);
     }
 
     /** Forgets workspaces that were left out long ago and have used nothing lately. */
-    private void forgetLeftOut(Set<WorkspaceId> declared, long nowNanos) {
+    private void forgetLeftOut(long nowNanos) {
         leftOutNanos.keySet().removeAll(declared);
         for (WorkspaceId workspace : List.copyOf(buckets.keySet())) {
             if (declared.contains(workspace)) {
@@ -169,13 +190,25 @@
 
     /** Takes the units of {@code request}; returns false if too few are left. */
     boolean tryTake(PlacementRequest request, long nowNanos) {
-        return request.workspace()
-                .map(buckets::get)
-                .map(
-                        bucket ->
-                                bucket.tryTake(
-                                        request.quotaUnits(), reservedFraction(request), nowNanos))
-                .orElse(true);
+        Optional<QuotaBucket> bucket = bucket(request);
+        if (bucket.isEmpty()) {
+            recordUndeclared(request, request.quotaUnits(), nowNanos);
+            return true;
+        }
+        return bucket.get().tryTake(request.quotaUnits(), reservedFraction(request), nowNanos);
+    }
+
+    private Optional<QuotaBucket> bucket(PlacementRequest request) {
+        return request.workspace().map(buckets::get);
+    }
+
+    private void recordUndeclared(PlacementRequest request, long units, long nowNanos) {
+        if (request.workspace().isEmpty() || declared.contains(request.workspace().get())) {
+            return;
+        }
+        WorkspaceId workspace = request.workspace().get();
+        UndeclaredUse used = undeclared.getOrDefault(workspace, new UndeclaredUse(0, nowNanos));
+        undeclared.put(workspace, used.plus(units));
     }
 
     /**
@@ -192,22 +225,23 @@
 
     /** Charges a request that another scheduler placed, even beyond what is left. */
     void charge(PlacementRequest request, long nowNanos) {
-        request.workspace()
-                .map(buckets::get)
-                .ifPresent(bucket -> bucket.tokens().charge(request.quotaUnits(), nowNanos));
+        bucket(request)
+                .ifPresentOrElse(
+                        bucket -> bucket.tokens().charge(request.quotaUnits(), nowNanos),
+                        () -> recordUndeclared(request, request.quotaUnits(), nowNanos));
     }
 
     /** Puts back the units of a request that never ran. */
-    void refund(PlacementRequest request) {
-        request.workspace()
-                .map(buckets::get)
-                .ifPresent(bucket -> bucket.tokens().refund(request.quotaUnits()));
+    void refund(PlacementRequest request, long nowNanos) {
+        bucket(request)
+                .ifPresentOrElse(
+                        bucket -> bucket.tokens().refund(request.quotaUnits()),
+                        () -> recordUndeclared(request, -request.quotaUnits(), nowNanos));
     }
 
     /** Returns the time until the units of {@code request} can be taken, in milliseconds. */
     long millisUntil(PlacementRequest request) {
-        return request.workspace()
-                .map(buckets::get)
+        return bucket(request)
                 .map(bucket -> bucket.millisUntil(request.quotaUnits(), reservedFraction(request)))
                 .orElse(0L);
     }
--- a/src/main/java/org/orioleshed/dispatch/Refusals.java
+++ b/src/main/java/org/orioleshed/dispatch/Refusals.java
@@ -59,7 +59,7 @@
      */
     PlacementRequest removeQueued(PoolState pool, QueuedRequest queued, long nowNanos) {
         pool.queue().remove(queued.run());
-        quotas.refund(queued.request());
+        quotas.refund(queued.request(), nowNanos);
         return queued.request().aged(queued.waitedMillis(nowNanos));
     }
 }
--- a/src/main/java/org/orioleshed/dispatch/Scheduler.java
+++ b/src/main/java/org/orioleshed/dispatch/Scheduler.java
@@ -162,7 +162,7 @@
             return;
         }
         if (pool.servers().hasNoneFor(request)) {
-            quotas.refund(request);
+            quotas.refund(request, nowNanos);
             refusals.refuseNoServer(run, request);
             return;
         }
@@ -173,7 +173,7 @@
         double slots = placement.usableSlots(request);
         AdmissionRule admission = new AdmissionRule(pool, slots, nowNanos);
         if (!admission.mayQueue(request)) {
-            quotas.refund(request);
+            quotas.refund(request, nowNanos);
             refusals.refuseOverload(run, request, admission);
             return;
         }
@@ -258,7 +258,7 @@
     private void withdraw(RunKey run) {
         Optional<QueuedRequest> queued = pools.removeQueued(run);
         if (queued.isPresent()) {
-            quotas.refund(queued.get().request());
+            quotas.refund(queued.get().request(), nowNanos);
             return;
         }
         cancel(run);
--- a/src/test/java/org/orioleshed/dispatch/QuotaChangesTest.java
+++ b/src/test/java/org/orioleshed/dispatch/QuotaChangesTest.java
@@ -136,4 +136,25 @@
         SchedulerFixture fixture = usedUp().quota(1_000, 1).advance(10).request(3, 0);
         assertEquals(fixture.grantedServer(3), "a");
     }
+
+    /** The host of the request knows a newer configuration than the primary. */
+    @Test
+    public void useBeforeTheLimitIsKnownCountsAgainstIt() {
+        SchedulerFixture fixture = new SchedulerFixture().server("a", 99).request(1, 0);
+        assertEquals(fixture.grantedServer(1), "a");
+        fixture.advance(300).quota(1, UNITS).request(2, 0);
+        assertRefused(fixture, 2);
+        fixture.advance(UNITS * 1_000L).request(3, 0);
+        assertEquals(fixture.grantedServer(3), "a");
+    }
+
+    @Test
+    public void aWithdrawnRequestDoesNotCountAgainstALimitThatIsKnownLater() {
+        SchedulerFixture fixture = new SchedulerFixture().server("a", 1);
+        fixture.request(1, 0).request(2, 0);
+        fixture.send(new DispatchEvent.Withdrawn(SchedulerFixture.key(2)));
+        fixture.quota(1, 2 * UNITS).server("b", 9).request(3, 0).request(4, 0);
+        assertEquals(fixture.grantedServer(3), "b");
+        assertRefused(fixture, 4);
+    }
 }
