A host without settings refuses calls in place of calling keys unknown

What callers saw: in the product's own interface a host that had just started, or was cut off from the store and its peers, answered a valid key with 401 unauthorized, which callers don't retry; /readyz was 503 all the while. Cause: the parser began with an empty set of workspaces, so "not known yet" was read as "there are none". Change: until the settings are known CallerServer answers 503 no_settings, not_run, with Retry-After.

--- a/src/main/java/org/orioleshed/entry/CallerError.java
+++ b/src/main/java/org/orioleshed/entry/CallerError.java
@@ -27,6 +27,16 @@
         return new CallerError(bad.status(), bad.code(), "not_run", bad.message(), NO_RETRY);
     }
 
+    /** Returns the error of a host that has not received the fleet's settings. */
+    static CallerError noSettings(long retryAfterMillis) {
+        return new CallerError(
+                SERVICE_UNAVAILABLE,
+                "no_settings",
+                "not_run",
+                "this host has not received the settings yet",
+                retryAfterMillis);
+    }
+
     /** Returns the error for a request that was not run. */
     static CallerError of(Outcome.NotRun notRun) {
         int status =
--- a/src/main/java/org/orioleshed/entry/CallerServer.java
+++ b/src/main/java/org/orioleshed/entry/CallerServer.java
@@ -64,10 +64,11 @@
         this.ready = ready;
         this.server = HttpServer.create(listen, BACKLOG);
         server.setExecutor(threads);
-        server.createContext("/v1/chat/completions", guarded(this::chat));
-        server.createContext("/v1/services/", guarded(this::service));
+        server.createContext("/v1/chat/completions", guarded(withSettings(this::chat)));
+        server.createContext("/v1/services/", guarded(withSettings(this::service)));
         server.createContext(
-                "/v1/requests/", guarded(new RequestStatusHandler(parser, actions)::handle));
+                "/v1/requests/",
+                guarded(withSettings(new RequestStatusHandler(parser, actions)::handle)));
         server.createContext("/healthz", guarded(http -> sendText(http, OK, "alive")));
         server.createContext("/readyz", guarded(this::readiness));
         server.createContext("/metrics", guarded(http -> sendText(http, OK, metricsText.write())));
@@ -103,6 +104,20 @@
         return new GuardedHandler(handler, metrics.counter("callers.gone"));
     }
 
+    /**
+     * Returns a handler that refuses all calls until the fleet's settings are known. Without them
+     * each key would be unknown, and a caller does not retry that.
+     */
+    private HttpHandler withSettings(HttpHandler handler) {
+        return http -> {
+            if (ready.getAsBoolean()) {
+                handler.handle(http);
+            } else {
+                CallerReply.sendError(http, CallerError.noSettings(RETRY_AFTER_MILLIS));
+            }
+        };
+    }
+
     private void chat(HttpExchange http) throws IOException {
         byte[] body = body(http);
         if (body == null) {
