--- a/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
+++ b/src/test/java/org/orioleshed/platform/NodeSettingsTest.java
@@ -130,6 +130,16 @@
             {VALID.replace("\"retry-ratio\":0.2", "\"retry-ratio\":\"x\""), "/bounds/retry-ratio"},
             {VALID.replace("\"bounds\":{", "\"bounds\":{\"cold-over\":1,"), "/bounds/cold-slack"},
             {VALID.replace("10.200.1.7:8225", ""), "/platform/address"},
+            {VALID.replace("\"quota-over\":0.1", "\"quota-over\":null"), "/bounds/quota-over"},
+            {VALID.replace("\"quota-over\":0.1", "\"quota-over\":-1"), "/bounds/quota-over"},
+            {VALID.replace("140000", "1e999"), "/bounds/quota-slack"},
+            {VALID.replace("\"retry-slack\":56", "\"retry-slack\":-1"), "/bounds/retry-slack"},
+            {VALID.replace("\"expose-share\":0.1", "\"expose-share\":{}"), "/bounds/expose"},
+            {VALID.replace("[\"10.2.0.17:8229\"]", "\"10.2.0.17:8229\""), "/seeds"},
+            {VALID.replace("[\"10.2.0.17:8229\"]", "[7]"), "/seeds"},
+            {VALID.replace("\"odd\"", "\"zones\":[\"suva-a\"],\"odd\""), "/zones"},
+            {VALID.replace("\"odd\"", "\"zones\":\"x\",\"odd\""), "/zones"},
+            {VALID.replace("\"odd\"", "\"region\":7,\"odd\""), "region"},
         };
     }
 
