--- a/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
+++ b/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
@@ -15,15 +15,6 @@
 public class DeclaredKeysTest {
     private static final String WORKSPACE = "{\"name\":\"ws\",\"api-keys\":[\"key\"]}";
 
-    private static String config(int version, String tenants) {
-        return Fleet.CONFIG
-                        .formatted(5_000, 100_000)
-                        .replace("\"version\":1", "\"version\":" + version)
-                        .replaceFirst("(?s),\\s*\"tenants\":.*", "")
-                + (tenants.isEmpty() ? "" : ",\"tenants\":" + tenants)
-                + "}";
-    }
-
     @DataProvider
     Object[][] declaredAccess() {
         return new Object[][] {
@@ -36,7 +27,7 @@
     @Test(dataProvider = "declaredAccess")
     public void operatorsSeeWhoMayCall(String tenants, String logged, int keysRequired)
             throws IOException {
-        try (Fleet fleet = Fleet.withConfig(config(7, tenants))) {
+        try (Fleet fleet = Fleet.withConfig(Fleet.configWithTenants(7, tenants))) {
             Fleet.await(() -> fleet.log().contains("event=config_in_force"));
             String line =
                     fleet.log().lines().filter(it -> it.contains("version=7")).findFirst().get();
@@ -60,7 +51,7 @@
     @Test(dataProvider = "workspacesAndKeys")
     public void onlyAConfigurationThatDeclaresNoWorkspacesOpensRoutes(
             String tenants, Access expected) throws IOException {
-        try (Fleet fleet = Fleet.withConfig(config(1, tenants))) {
+        try (Fleet fleet = Fleet.withConfig(Fleet.configWithTenants(1, tenants))) {
             checkAccess(fleet, expected);
         }
     }
@@ -101,9 +92,9 @@
     }
 
     private static void checkAfterChange(String tenants, Access expected) throws IOException {
-        try (Fleet fleet = Fleet.withConfig(config(1, "[" + WORKSPACE + "]"))) {
+        try (Fleet fleet = Fleet.withConfig(Fleet.configWithTenants(1, "[" + WORKSPACE + "]"))) {
             checkAccess(fleet, Access.HOLDER);
-            fleet.writeConfig(config(2, tenants));
+            fleet.writeConfig(Fleet.configWithTenants(2, tenants));
             checkAccess(fleet, expected);
         }
     }
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -124,6 +124,19 @@
         await(() -> log().contains("version=%d source=".formatted(version)));
     }
 
+    /**
+     * Returns a configuration with the routes of {@link #CONFIG} and other tenants.
+     *
+     * @param tenants the JSON value of the tenants; blank to leave them out
+     */
+    static String configWithTenants(int version, String tenants) {
+        String config =
+                CONFIG.formatted(IDLE_CONFIG_TIMEOUT_MILLIS, 100_000)
+                        .replace("\"version\":1", "\"version\":" + version)
+                        .replaceFirst("(?s),\\s*\"tenants\":.*", "");
+        return config + (tenants.isBlank() ? "" : ",\"tenants\":" + tenants) + "}";
+    }
+
     /** Writes a configuration; returns once it is in force or known to be unreadable. */
     void writeConfig(String config) {
         long written = linesAboutConfigs();
--- a/src/test/java/org/orioleshed/platform/QuotaChangePathTest.java
+++ b/src/test/java/org/orioleshed/platform/QuotaChangePathTest.java
@@ -16,16 +16,6 @@
                     + "\"burst\":1100}]";
     private static final int MAX_REQUESTS = 20;
 
-    private static String config(int version, String tenants) {
-        return Fleet.CONFIG
-                        .formatted(5_000, 100_000)
-                        .replace("\"version\":1", "\"version\":" + version)
-                        .replaceFirst("(?s)\"tenants\":.*", "")
-                + "\"tenants\":"
-                + tenants
-                + "}";
-    }
-
     @DataProvider
     Object[][] versionsInBetween() {
         return new Object[][] {
@@ -40,11 +30,11 @@
 
     @Test(dataProvider = "versionsInBetween")
     public void aQuotaThatIsUsedUpStaysUsedUp(String tenants) throws Exception {
-        try (Fleet fleet = Fleet.withConfig(config(1, QUOTA))) {
+        try (Fleet fleet = Fleet.withConfig(Fleet.configWithTenants(1, QUOTA))) {
             assertTrue(servedBeforeRefusal(fleet, "a") > 0);
-            fleet.writeConfig(config(2, tenants));
+            fleet.writeConfig(Fleet.configWithTenants(2, tenants));
             Thread.sleep(1_500);
-            fleet.writeConfig(config(3, QUOTA));
+            fleet.writeConfig(Fleet.configWithTenants(3, QUOTA));
             int again = servedBeforeRefusal(fleet, "b");
             assertTrue(again == 0, "served " + again + " more");
         }
