--- a/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
+++ b/src/test/java/org/orioleshed/platform/DeclaredKeysTest.java
@@ -91,6 +91,20 @@
         checkAfterChange(tenants, Access.HOLDER);
     }
 
+    /** Guards against a host that serves callers though it could not read who may call. */
+    @Test(dataProvider = "malformedWorkspacesAndKeys")
+    public void aMalformedFirstConfigurationServesNobody(String tenants) throws IOException {
+        try (Fleet fleet = Fleet.withFirstConfig(Fleet.configWithTenants(1, tenants))) {
+            Fleet.await(() -> fleet.log().contains("event=config_unreadable"));
+            String request =
+                    Fleet.request("/o/x", "r", "")
+                            .replace("X-Deadline-Ms: 5000", "X-Deadline-Ms: 300");
+            String response = fleet.send(request);
+            assertTrue(response.startsWith("HTTP/1.1 503"), response);
+            assertEquals(fleet.first.requests.size(), 0);
+        }
+    }
+
     private static void checkAfterChange(String tenants, Access expected) throws IOException {
         try (Fleet fleet = Fleet.withConfig(Fleet.configWithTenants(1, "[" + WORKSPACE + "]"))) {
             checkAccess(fleet, Access.HOLDER);
--- a/src/test/java/org/orioleshed/platform/Fleet.java
+++ b/src/test/java/org/orioleshed/platform/Fleet.java
@@ -153,6 +153,11 @@
                 .count();
     }
 
+    /** Returns a fleet whose gateway may never be ready, with a configuration. */
+    static Fleet withFirstConfig(String config) throws IOException {
+        return new Fleet(config, SLOTS, GRACE_MILLIS, false, Map.of());
+    }
+
     /** Returns a fleet whose gateway is ready, with a configuration. */
     static Fleet withConfig(String config) throws IOException {
         return withRegions(config, Map.of());
--- a/src/test/java/org/orioleshed/platform/PlatformHeaderTranslatorTest.java
+++ b/src/test/java/org/orioleshed/platform/PlatformHeaderTranslatorTest.java
@@ -83,6 +83,33 @@
         assertTrue(callHeaders.promptTokens() >= 0);
     }
 
+    @DataProvider
+    Object[][] statedTokens() {
+        return new Object[][] {
+            {"", -1L},
+            {"x", -1L},
+            {"x,7", -1L},
+            {"-5,7", -1L},
+            {",7", -1L},
+            {"1e9,7", -1L},
+            {"9223372036854775808,1", -1L},
+            {"0,0", 0L},
+            {"100", 100L},
+            {"100,x", 100L},
+            {"100,-7", 100L},
+            {"100,7", 107L},
+        };
+    }
+
+    /** A negative number is charged as a call that states no tokens. */
+    @Test(dataProvider = "statedTokens")
+    public void malformedTokenCountsPutNoUnitsBack(String tokens, long charged) {
+        HttpHeaders headers = new DefaultHttpHeaders().set("X-Token-Counts", tokens);
+        assertEquals(translator.read(headers).statedTokens(), charged);
+        headers.set("X-Token-Counts", Long.MAX_VALUE + ",1");
+        assertTrue(translator.read(headers).statedTokens() < 0);
+    }
+
     @Test
     public void twoKeysCountAsNone() {
         HttpHeaders headers = new DefaultHttpHeaders().add("Api-Key", "a").add("Api-Key", "b");
