--- a/src/main/java/org/orioleshed/catalog/AccessRule.java
+++ b/src/main/java/org/orioleshed/catalog/AccessRule.java
@@ -18,6 +18,7 @@
             return Optional.empty();
         }
 
+        /** Returns the text for the log. */
         @Override
         public String toString() {
             return "keys_required=false workspaces=0 keys=0";
@@ -44,6 +45,7 @@
             return Optional.ofNullable(keys.get(key)).map(workspaces::get);
         }
 
+        /** Returns the text for the log, without the keys. */
         @Override
         public String toString() {
             return "keys_required=true workspaces=%d keys=%d"
