A blank API key is held by nobody; the rest of its version is in force

It is an empty statement: no one can hold that key. Change: KeyHolders drops blank keys, so that an empty Api-Key line finds none, whatever decoder made them; null, objects and numbers still refuse the version.

--- a/src/main/java/org/orioleshed/catalog/AccessRule.java
+++ b/src/main/java/org/orioleshed/catalog/AccessRule.java
@@ -1,5 +1,6 @@
 package org.orioleshed.catalog;
 
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import org.orioleshed.model.WorkspaceId;
@@ -29,14 +30,17 @@
      * The holders of a key, thus nobody if there are no keys: the configuration lists workspaces,
      * perhaps none.
      *
-     * @param keys the workspace of each API key
+     * @param keys the workspace of each API key; blank ones are dropped, since an empty header
+     *     field would be one
      * @param workspaces all workspaces, by id
      */
     record KeyHolders(Map<String, WorkspaceId> keys, Map<WorkspaceId, WorkspaceConfig> workspaces)
             implements AccessRule {
         /** Copies the maps. */
         public KeyHolders {
-            keys = Map.copyOf(keys);
+            Map<String, WorkspaceId> usable = new HashMap<>(keys);
+            usable.keySet().removeIf(String::isBlank);
+            keys = Map.copyOf(usable);
             workspaces = Map.copyOf(workspaces);
         }
 
