Tests of one entry host share its settings

NoSettingsTest wrote again what EntryProcessTest had: the settings of a lone host on loopback and the choice of a free port. Both use LocalHost now. No assertion changed.

--- a/src/test/java/org/orioleshed/entry/EntryProcessTest.java
+++ b/src/test/java/org/orioleshed/entry/EntryProcessTest.java
@@ -8,20 +8,14 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.orioleshed.model.FailureDomain;
-import org.orioleshed.model.HostId;
-import org.orioleshed.settings.EntrySettings;
 import org.orioleshed.store.MemoryStore;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -62,32 +56,14 @@
                     http.close();
                 });
         service.start();
-        callerAddress = freeAddress();
+        callerAddress = LocalHost.freeAddress();
         MemoryStore store = new MemoryStore();
         String hash = Hashing.sha256().hashString("secret", StandardCharsets.UTF_8).toString();
         store.put("orioleshed/settings/tree", TREE.formatted(service.getAddress().getPort(), hash));
-        EntrySettings settings =
-                new EntrySettings(
-                        new HostId("entry-1"),
-                        new FailureDomain("suva-a"),
-                        callerAddress,
-                        freeAddress(),
-                        Optional.empty(),
-                        List.of(),
-                        List.of(URI.create("http://127.0.0.1:1")),
-                        List.of(),
-                        0,
-                        EntrySettings.Policy.ORIOLESHED);
-        process = new EntryProcess(settings, store);
+        process = new EntryProcess(LocalHost.settings(callerAddress), store);
         process.start();
     }
 
-    private InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
-            return new InetSocketAddress(loopback, socket.getLocalPort());
-        }
-    }
-
     @AfterMethod
     void stop() {
         process.close();
--- a/src/test/java/org/orioleshed/entry/NoSettingsTest.java
+++ b/src/test/java/org/orioleshed/entry/NoSettingsTest.java
@@ -4,19 +4,12 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
-import java.util.List;
-import java.util.Optional;
-import org.orioleshed.model.FailureDomain;
-import org.orioleshed.model.HostId;
-import org.orioleshed.settings.EntrySettings;
 import org.orioleshed.store.MemoryStore;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
@@ -28,35 +21,16 @@
  * final 401, as if the settings had no keys.
  */
 public class NoSettingsTest {
-    private final InetAddress loopback = InetAddress.getLoopbackAddress();
     private InetSocketAddress callerAddress;
     private EntryProcess process;
 
     @BeforeMethod
     void start() throws IOException {
-        callerAddress = freeAddress();
-        EntrySettings settings =
-                new EntrySettings(
-                        new HostId("entry-1"),
-                        new FailureDomain("suva-a"),
-                        callerAddress,
-                        freeAddress(),
-                        Optional.empty(),
-                        List.of(),
-                        List.of(URI.create("http://127.0.0.1:1")),
-                        List.of(),
-                        0,
-                        EntrySettings.Policy.ORIOLESHED);
-        process = new EntryProcess(settings, new MemoryStore());
+        callerAddress = LocalHost.freeAddress();
+        process = new EntryProcess(LocalHost.settings(callerAddress), new MemoryStore());
         process.start();
     }
 
-    private InetSocketAddress freeAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, loopback)) {
-            return new InetSocketAddress(loopback, socket.getLocalPort());
-        }
-    }
-
     @AfterMethod
     void stop() {
         process.close();
