Setting the quotas copies no ids; a test that old limits are forgotten

Cause: Quotas.setLimits runs on each host at each change of the servers. Change: the ids are taken as they are, the buckets filtered in place. No behaviour changes. What was rewritten here had no test of its own: QuotaChangesTest.aLimitThatIsLeftOutIsForgottenOnlyWhenItHasAccrued has two rows.

--- a/src/main/java/org/orioleshed/dispatch/Quotas.java
+++ b/src/main/java/org/orioleshed/dispatch/Quotas.java
@@ -1,7 +1,6 @@
 package org.orioleshed.dispatch;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -102,10 +101,12 @@
     /**
      * Sets the quotas of all workspaces. A workspace that is left out keeps its last limit: its
      * requests come from hosts that know another configuration.
+     *
+     * @param quotas an immutable map
      */
     void setLimits(Map<WorkspaceId, Quota> quotas, long nowNanos) {
         quotas.forEach((workspace, quota) -> setQuota(workspace, quota, nowNanos));
-        declared = Set.copyOf(quotas.keySet());
+        declared = quotas.keySet();
         undeclared.keySet().removeAll(declared);
         undeclared.values().removeIf(it -> nowNanos - it.sinceNanos() > CONFIG_SPREAD_NANOS);
         forgetLeftOut(nowNanos);
@@ -136,17 +137,18 @@
     /** Forgets workspaces that were left out long ago and have used nothing lately. */
     private void forgetLeftOut(long nowNanos) {
         leftOutNanos.keySet().removeAll(declared);
-        for (WorkspaceId workspace : List.copyOf(buckets.keySet())) {
-            if (declared.contains(workspace)) {
-                continue;
-            }
-            long sinceNanos = leftOutNanos.computeIfAbsent(workspace, it -> nowNanos);
-            boolean settled = nowNanos - sinceNanos > CONFIG_SPREAD_NANOS;
-            if (settled && buckets.get(workspace).tokens().isRestored(nowNanos)) {
-                buckets.remove(workspace);
-                leftOutNanos.remove(workspace);
-            }
-        }
+        buckets.entrySet()
+                .removeIf(
+                        entry ->
+                                !declared.contains(entry.getKey())
+                                        && mayBeForgotten(
+                                                entry.getKey(), entry.getValue(), nowNanos));
+        leftOutNanos.keySet().retainAll(buckets.keySet());
+    }
+
+    private boolean mayBeForgotten(WorkspaceId workspace, QuotaBucket bucket, long nowNanos) {
+        long sinceNanos = leftOutNanos.computeIfAbsent(workspace, it -> nowNanos);
+        return nowNanos - sinceNanos > CONFIG_SPREAD_NANOS && bucket.tokens().isRestored(nowNanos);
     }
 
     void setShare(double newShare, long nowNanos) {
--- a/src/test/java/org/orioleshed/dispatch/QuotaChangesTest.java
+++ b/src/test/java/org/orioleshed/dispatch/QuotaChangesTest.java
@@ -68,6 +68,22 @@
         assertRefused(fixture, 3);
     }
 
+    @DataProvider
+    Object[][] leftOutForAMinute() {
+        return new Object[][] {{UNITS, true}, {1, false}};
+    }
+
+    /** Its limit is forgotten once no host can send such requests and all of it has accrued. */
+    @Test(dataProvider = "leftOutForAMinute")
+    public void aLimitThatIsLeftOutIsForgottenOnlyWhenItHasAccrued(
+            int perSecond, boolean forgotten) {
+        SchedulerFixture fixture = new SchedulerFixture().server("a", 99).quota(perSecond, UNITS);
+        fixture.request(1, 0).pool(1_000_000).request(2, 0);
+        assertRefused(fixture, 2);
+        fixture.advance(61_000).pool(1_000_000).request(3, 0).request(4, 0);
+        assertEquals(fixture.refusalOf(4) == null, forgotten);
+    }
+
     @Test
     public void aWorkspaceWithoutALimitIsServed() {
         SchedulerFixture fixture = usedUp().quota(0, 0).request(3, 0).request(4, 0);
